--- /dev/null
+++ b/src/fireflywell/bundle/__init__.py
@@ -0,0 +1,1 @@
+"""The signed bundle: model, schema, signatures, review and acceptance."""
--- /dev/null
+++ b/src/fireflywell/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/src/fireflywell/clock.py
@@ -0,0 +1,85 @@
+"""Clock interface, the system's clock and a clock set by hand.
+
+Nothing but `SystemClock` reads the system's clock.
+"""
+
+import datetime
+import heapq
+import itertools
+import time
+from typing import Protocol
+
+import anyio
+import anyio.lowlevel
+
+_EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+
+class Clock(Protocol):
+    """Source of time that is passed to whatever needs it."""
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns the time since an arbitrary fixed point; never goes back."""
+
+    def now(self) -> datetime.datetime:
+        """Returns the date and time in UTC, for display only."""
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Waits for `duration`; returns at once if it isn't positive."""
+
+
+class SystemClock:
+    """Reads the clocks of the operating system."""
+
+    __slots__ = ()
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns the system's monotonic time."""
+        return datetime.timedelta(seconds=time.monotonic())
+
+    def now(self) -> datetime.datetime:
+        """Returns the system's date and time in UTC."""
+        return datetime.datetime.now(datetime.UTC)
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Waits for `duration` on the event loop."""
+        await anyio.sleep(max(0.0, duration.total_seconds()))
+
+
+class ManualClock:
+    """A clock that moves only when `advance` is called.
+
+    Used in tests, in simulations and by embedders who need repeatable runs.
+    """
+
+    __slots__ = ("_elapsed", "_order", "_sleepers")
+
+    def __init__(self) -> None:
+        self._elapsed = datetime.timedelta()
+        self._order = itertools.count()
+        self._sleepers: list[tuple[datetime.timedelta, int, anyio.Event]] = []
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns the total time by which the clock was advanced."""
+        return self._elapsed
+
+    def now(self) -> datetime.datetime:
+        """Returns a fixed start date plus the elapsed time."""
+        return _EPOCH + self._elapsed
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Waits until the clock has been advanced by `duration`."""
+        if duration <= datetime.timedelta():
+            await anyio.lowlevel.checkpoint()
+            return
+        event = anyio.Event()
+        wake_at = self._elapsed + duration
+        heapq.heappush(self._sleepers, (wake_at, next(self._order), event))
+        await event.wait()
+
+    def advance(self, duration: datetime.timedelta) -> None:
+        """Moves the clock forward and wakes the sleepers that are due."""
+        self._elapsed += duration
+        while self._sleepers and self._sleepers[0][0] <= self._elapsed:
+            _, _, event = heapq.heappop(self._sleepers)
+            event.set()
--- /dev/null
+++ b/src/fireflywell/control/__init__.py
@@ -0,0 +1,1 @@
+"""The control process: maintenance planner and job scheduler."""
--- /dev/null
+++ b/src/fireflywell/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Compare-and-set, leases and fencing on the table service."""
--- /dev/null
+++ b/src/fireflywell/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process, between callers and instances."""
--- /dev/null
+++ b/src/fireflywell/errors.py
@@ -0,0 +1,72 @@
+"""Exception tree of the package.
+
+Each message says what happened, to which object, and what the reader can do.
+"""
+
+
+class FireflywellError(Exception):
+    """Base of all errors raised by this package."""
+
+
+class SettingsError(FireflywellError):
+    """A settings file can't be used."""
+
+
+class BundleError(FireflywellError):
+    """A bundle can't be used."""
+
+
+class BundleSchemaError(BundleError):
+    """A bundle doesn't match the schema."""
+
+
+class BundleSignatureError(BundleError):
+    """A bundle lacks enough valid signatures of its reviewers."""
+
+
+class BundleVersionConflictError(BundleError):
+    """Another bundle was accepted first."""
+
+
+class PlatformError(FireflywellError):
+    """A call to the platform failed."""
+
+
+class PlatformUnavailableError(PlatformError):
+    """The platform didn't take the call; nothing was changed."""
+
+
+class AnswerLostError(PlatformError):
+    """The call was sent and its answer didn't arrive; it may have run."""
+
+
+class PlatformRejectedError(PlatformError):
+    """The platform answered that the call is invalid."""
+
+
+class OutcomeUnknownError(FireflywellError):
+    """A change may or may not have been applied, and reading can't tell."""
+
+
+class ConflictError(FireflywellError):
+    """A compare-and-set found another version than expected."""
+
+
+class LeaseLostError(FireflywellError):
+    """The lease has lapsed or belongs to another holder."""
+
+
+class PeerProtocolError(FireflywellError):
+    """A peer sent a frame or message that isn't valid."""
+
+
+class PeerAuthenticationError(PeerProtocolError):
+    """A peer didn't prove that it knows the cluster key."""
+
+
+class PeerUnreachableError(FireflywellError):
+    """A message could not be sent to a peer; the peer didn't receive it."""
+
+
+class ChildFailedError(FireflywellError):
+    """A supervised child failed and its policy stops the process."""
--- /dev/null
+++ b/src/fireflywell/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about VMs and jobs: pools, waves, budgets, placement."""
--- /dev/null
+++ b/src/fireflywell/fleet/view.py
@@ -0,0 +1,149 @@
+"""What this process knows of the fleet, and the task that keeps it fresh."""
+
+import datetime
+import random
+
+import anyio
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.bundle import holder as holder_lib
+from fireflywell.fleet import instances as instances_lib
+from fireflywell.fleet import vm_records
+from fireflywell.platform import machines
+from fireflywell.platform import records
+from fireflywell.platform import tables
+from fireflywell.telemetry import logs
+
+_POLL_INTERVAL = datetime.timedelta(seconds=1)
+
+
+class FleetView:
+    """Latest known VMs, their records and the instances on them."""
+
+    __slots__ = ("_assignments", "_changed", "_drained", "_vms")
+
+    def __init__(self) -> None:
+        self._vms: tuple[records.Vm, ...] = ()
+        self._assignments: dict[str, vm_records.VmRecord] = {}
+        self._drained: dict[str, str] = {}
+        self._changed = anyio.Event()
+
+    @property
+    def vms(self) -> tuple[records.Vm, ...]:
+        """The platform's list as last read."""
+        return self._vms
+
+    @property
+    def assignments(self) -> tuple[vm_records.VmRecord, ...]:
+        """Records of all VMs as last read."""
+        return tuple(self._assignments.values())
+
+    def set_vms(self, vms: tuple[records.Vm, ...]) -> None:
+        """Replaces the platform's list."""
+        if vms != self._vms:
+            self._vms = vms
+            self._signal()
+
+    def set_assignment(self, record: vm_records.VmRecord) -> None:
+        """Replaces one VM's record, as read from the store."""
+        if self._assignments.get(record.vm_id) == record:
+            return
+        self._assignments[record.vm_id] = record
+        if self._drained.get(record.vm_id) != record.move_id:
+            self._drained.pop(record.vm_id, None)
+        self._signal()
+
+    def note_drain(self, vm_id: str, move_id: str) -> None:
+        """Notes a drain decision heard from a peer before the store's row."""
+        known = self._assignments.get(vm_id)
+        if known is not None and known.move_id == move_id:
+            return
+        if self._drained.get(vm_id) != move_id:
+            self._drained[vm_id] = move_id
+            self._signal()
+
+    def is_vm_leaving(self, vm_id: str) -> bool:
+        """Whether a drain decision stands for the VM."""
+        if vm_id in self._drained:
+            return True
+        record = self._assignments.get(vm_id)
+        return (
+            record is not None
+            and record.phase is not vm_records.VmPhase.SERVING
+        )
+
+    def list_instances(
+        self, holder: holder_lib.BundleHolder
+    ) -> tuple[instances_lib.Instance, ...]:
+        """Returns the instances of all services of the bundle in force."""
+        if holder.current is None:
+            return ()
+        return tuple(
+            instances_lib.list_instances(
+                holder.current, self._vms, self.assignments
+            )
+        )
+
+    async def wait_for_change(self) -> None:
+        """Waits until something in the view changes."""
+        await self._changed.wait()
+
+    def _signal(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+
+class FleetWatcher:
+    """Reads the VM list and the changed VM records once a second."""
+
+    __slots__ = (
+        "_clock",
+        "_random",
+        "_revision",
+        "_table",
+        "_view",
+        "_vm_list",
+    )
+
+    def __init__(
+        self,
+        view: FleetView,
+        table: tables.Table,
+        vm_list: machines.VmList,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._view = view
+        self._table = table
+        self._vm_list = vm_list
+        self._clock = clock
+        self._random = rng
+        self._revision = 0
+
+    async def run(self) -> None:
+        """Polls until cancelled; the view keeps its content in an outage."""
+        while True:
+            try:
+                await self.refresh()
+            except errors.PlatformError as error:
+                logs.log_event("fleet.poll_failed", error=str(error))
+            jitter = self._random.uniform(0.8, 1.2)
+            await self._clock.sleep(_POLL_INTERVAL * jitter)
+
+    async def refresh(self) -> None:
+        """Reads the list and the rows changed since the last read.
+
+        Raises:
+            PlatformError: The platform can't be reached.
+        """
+        page = await tables.scan_all_rows(
+            self._table, vm_records.VM_PREFIX, self._revision
+        )
+        # A slow or replayed read must not take back what a later one showed.
+        if page.revision >= self._revision:
+            for row in page.rows:
+                record = vm_records.decode_vm_record(row.value)
+                self._view.set_assignment(record)
+            self._revision = page.revision
+        self._view.set_vms(await self._vm_list.list_vms())
--- /dev/null
+++ b/src/fireflywell/loadtool/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load tool."""
--- /dev/null
+++ b/src/fireflywell/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Links between the system's own processes."""
--- /dev/null
+++ b/src/fireflywell/platform/machines.py
@@ -0,0 +1,142 @@
+"""Client of the platform's list of VMs and of its workers."""
+
+from typing import Any
+from typing import Protocol
+
+from fireflywell.platform import records
+from fireflywell.platform import transport as transport_lib
+
+
+class VmList(Protocol):
+    """The platform's lagging list of VMs and its reboot call."""
+
+    async def list_vms(self) -> tuple[records.Vm, ...]:
+        """Returns the VMs that the platform lists.
+
+        Raises:
+            PlatformError: The list can't be read.
+        """
+
+    async def reboot_vm(self, vm_id: str) -> None:
+        """Asks the platform to reboot a VM.
+
+        Raises:
+            PlatformError: The reboot may not have been started.
+        """
+
+
+class Workers(Protocol):
+    """Workers and the tasks that they run under leases."""
+
+    async def list_workers(self) -> tuple[records.Worker, ...]:
+        """Returns all workers with their lagging usage."""
+
+    async def list_tasks(self, worker_id: str) -> tuple[records.Task, ...]:
+        """Returns the tasks that a worker knows."""
+
+    async def start_task(
+        self, worker_id: str, start: records.TaskStart
+    ) -> records.Task:
+        """Starts an attempt; a repeated call returns the same task."""
+
+    async def change_task(
+        self, worker_id: str, job_id: str, attempt: int, action: str
+    ) -> records.Task:
+        """Applies `renew`, `checkpoint`, `throttle` or `stop` to a task."""
+
+
+class MachineClient:
+    """VM list and workers reached over HTTP."""
+
+    __slots__ = ("_transport",)
+
+    def __init__(self, transport: transport_lib.PlatformTransport) -> None:
+        self._transport = transport
+
+    async def list_vms(self) -> tuple[records.Vm, ...]:
+        """Lists the VMs; see `VmList.list_vms`."""
+        answer = await self._transport.call("GET", "/v1/vms")
+        return tuple(
+            records.Vm(
+                vm_id=vm["vm_id"],
+                address=vm["address"],
+                zone=vm["zone"],
+                rack=vm["rack"],
+                state=records.VmState(vm["state"]),
+                boot=vm["boot"],
+            )
+            for vm in answer["vms"]
+        )
+
+    async def reboot_vm(self, vm_id: str) -> None:
+        """Reboots a VM; see `VmList.reboot_vm`."""
+        await self._transport.call("POST", f"/v1/vms/{vm_id}/reboot")
+
+    async def list_workers(self) -> tuple[records.Worker, ...]:
+        """Lists the workers; see `Workers.list_workers`."""
+        answer = await self._transport.call("GET", "/v1/workers")
+        return tuple(
+            records.Worker(
+                worker_id=worker["worker_id"],
+                zone=worker["zone"],
+                rack=worker["rack"],
+                capacity=_decode_resources(worker["capacity"]),
+                used=_decode_resources(worker["used"]),
+            )
+            for worker in answer["workers"]
+        )
+
+    async def list_tasks(self, worker_id: str) -> tuple[records.Task, ...]:
+        """Lists a worker's tasks; see `Workers.list_tasks`."""
+        answer = await self._transport.call(
+            "GET", f"/v1/workers/{worker_id}/tasks"
+        )
+        return tuple(_decode_task(task) for task in answer["tasks"])
+
+    async def start_task(
+        self, worker_id: str, start: records.TaskStart
+    ) -> records.Task:
+        """Starts an attempt; see `Workers.start_task`."""
+        document = {
+            "job_id": start.job_id,
+            "attempt": start.attempt,
+            "command": start.command,
+            "run_seconds": start.run_seconds,
+            "resources": {
+                "cores": start.resources.cores,
+                "memory_mb": start.resources.memory_mb,
+                "accelerators": start.resources.accelerators,
+            },
+            "lease_seconds": start.lease.total_seconds(),
+            "fencing_token": start.fencing_token,
+        }
+        answer = await self._transport.call(
+            "POST", f"/v1/workers/{worker_id}/tasks", document
+        )
+        return _decode_task(answer)
+
+    async def change_task(
+        self, worker_id: str, job_id: str, attempt: int, action: str
+    ) -> records.Task:
+        """Changes a task; see `Workers.change_task`."""
+        path = f"/v1/workers/{worker_id}/tasks/{job_id}/{attempt}/{action}"
+        return _decode_task(await self._transport.call("POST", path))
+
+
+def _decode_resources(value: dict[str, Any]) -> records.Resources:
+    return records.Resources(
+        cores=value["cores"],
+        memory_mb=value["memory_mb"],
+        accelerators=value["accelerators"],
+    )
+
+
+def _decode_task(value: dict[str, Any]) -> records.Task:
+    return records.Task(
+        job_id=value["job_id"],
+        attempt=value["attempt"],
+        worker_id=value["worker_id"],
+        state=records.TaskState(value["state"]),
+        used=_decode_resources(value["used"]),
+        detail=value["detail"],
+    )
--- /dev/null
+++ b/src/fireflywell/platform/records.py
@@ -0,0 +1,169 @@
+"""Values exchanged with the platform's services."""
+
+import dataclasses
+import datetime
+import enum
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """One row of the table service.
+
+    Attributes:
+        key: Name of the row, with parts separated by "/".
+        version: Counts the writes to the row; 0 means that it doesn't exist.
+        revision: Revision of the whole table at the row's last write.
+        value: Text held by the row.
+        write_id: Identifier that its last writer gave to the transaction.
+    """
+
+    key: str
+    version: int
+    revision: int
+    value: str
+    write_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Condition:
+    """Requires a row to have exactly this version (0: must not exist)."""
+
+    key: str
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Write:
+    """Sets a row's value, or deletes the row if `value` is None."""
+
+    key: str
+    value: str | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transaction:
+    """Writes that are applied together if all conditions hold."""
+
+    write_id: str
+    conditions: tuple[Condition, ...]
+    writes: tuple[Write, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Committed:
+    """The transaction was applied at this revision of the table."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """A condition didn't hold; nothing was applied."""
+
+    key: str
+    actual_version: int
+
+
+TransactionResult = Committed | Conflict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ScanPage:
+    """Rows of one page of a scan.
+
+    Attributes:
+        rows: Rows in order of their keys.
+        deleted: Keys deleted since the revision asked for.
+        revision: Revision of the table when the page was read.
+        more: Whether a further page follows after the last row's key.
+    """
+
+    rows: tuple[Row, ...]
+    deleted: tuple[str, ...]
+    revision: int
+    more: bool
+
+
+class VmState(enum.StrEnum):
+    """State of a VM in the platform's list, which lags."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vm:
+    """One VM of the platform's list.
+
+    Attributes:
+        vm_id: Name of the VM.
+        address: IP number.
+        zone: Availability zone.
+        rack: Rack, the smallest failure domain above the VM.
+        state: Whether the platform is about to take the VM away.
+        boot: Counts the starts of the VM.
+    """
+
+    vm_id: str
+    address: str
+    zone: str
+    rack: str
+    state: VmState
+    boot: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Resources:
+    """Amounts of processors, memory and accelerators."""
+
+    cores: float = 0.0
+    memory_mb: float = 0.0
+    accelerators: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Worker:
+    """One worker with its capacity and its reported, lagging usage."""
+
+    worker_id: str
+    zone: str
+    rack: str
+    capacity: Resources
+    used: Resources
+
+
+class TaskState(enum.StrEnum):
+    """State of a task on a worker."""
+
+    RUNNING = "running"
+    THROTTLED = "throttled"
+    CHECKPOINTED = "checkpointed"
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Task:
+    """One attempt of a job on a worker."""
+
+    job_id: str
+    attempt: int
+    worker_id: str
+    state: TaskState
+    used: Resources
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskStart:
+    """Asks a worker to start an attempt; idempotent by job and attempt."""
+
+    job_id: str
+    attempt: int
+    command: str
+    run_seconds: float
+    resources: Resources
+    lease: datetime.timedelta
+    fencing_token: int
--- /dev/null
+++ b/src/fireflywell/platform/transport.py
@@ -0,0 +1,189 @@
+"""JSON calls to the platform over HTTP with bounded concurrency and backoff."""
+
+import contextlib
+import datetime
+import json
+import random
+from typing import Any
+
+import anyio
+import httpcore
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell import send_tracker
+from fireflywell.telemetry import metrics as metrics_lib
+
+_CONCURRENT_CALLS = 32
+_INITIAL_BACKOFF = datetime.timedelta(milliseconds=100)
+_MAXIMUM_BACKOFF = datetime.timedelta(seconds=10)
+_MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024
+
+
+class PlatformTransport:
+    """Sends calls to one base address of the platform.
+
+    After a failure, calls fail at once until a jittered backoff has passed.
+    The backoff is shared by the process, so that a store that returns meets
+    one probe for each process instead of all waiting calls.
+    """
+
+    __slots__ = (
+        "_backoff",
+        "_base",
+        "_clock",
+        "_closed_until",
+        "_limiter",
+        "_metrics",
+        "_pool",
+        "_random",
+        "_timeout",
+    )
+
+    def __init__(
+        self,
+        base_url: str,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        metrics: metrics_lib.Metrics,
+        timeout: datetime.timedelta = datetime.timedelta(seconds=2),
+    ) -> None:
+        self._base = base_url.rstrip("/")
+        self._clock = clock
+        self._random = rng
+        self._metrics = metrics
+        self._timeout = timeout
+        self._limiter = anyio.CapacityLimiter(_CONCURRENT_CALLS)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=_CONCURRENT_CALLS,
+            network_backend=httpcore.AnyIOBackend(),
+        )
+        self._backoff = datetime.timedelta()
+        self._closed_until = datetime.timedelta()
+
+    @property
+    def is_backing_off(self) -> bool:
+        """Whether calls fail at once because an earlier one failed."""
+        return self._clock.monotonic() < self._closed_until
+
+    async def call(self, method: str, path: str, document: Any = None) -> Any:
+        """Sends one call and returns the parsed answer.
+
+        Args:
+            method: HTTP method.
+            path: Path and query, starting with "/".
+            document: Value sent as JSON, or None for an empty body.
+
+        Returns:
+            The parsed JSON of the answer; None for an empty one.
+
+        Raises:
+            PlatformUnavailableError: The call surely didn't run.
+            AnswerLostError: The call was sent and may have run.
+            PlatformRejectedError: The platform refused the call as invalid.
+        """
+        body = b"" if document is None else json.dumps(document).encode()
+        return await self.call_with_bytes(method, path, body)
+
+    async def call_with_bytes(self, method: str, path: str, body: bytes) -> Any:
+        """Sends a call with a body as it is; see `call`."""
+        content = await self.fetch_bytes(method, path, body)
+        if not content:
+            return None
+        try:
+            return json.loads(content)
+        except ValueError as error:
+            raise errors.AnswerLostError(
+                f"{method} {path}: the platform's answer isn't JSON; check "
+                "that the address in the settings is the platform's"
+            ) from error
+
+    async def fetch_bytes(self, method: str, path: str, body: bytes) -> bytes:
+        """Sends a call and returns the answer's body; see `call`."""
+        if self.is_backing_off:
+            raise errors.PlatformUnavailableError(
+                f"{method} {path}: not sent, the platform failed a moment ago "
+                "and is retried after a pause"
+            )
+        sent = send_tracker.SendTracker()
+        try:
+            async with self._limiter:
+                with anyio.fail_after(self._timeout.total_seconds()):
+                    status, content = await self._exchange(
+                        method, path, body, sent
+                    )
+        except send_tracker.EXCHANGE_ERRORS as error:
+            self._note_failure()
+            raise self._classify(method, path, sent, error) from error
+        if status in (502, 503, 504):
+            self._note_failure()
+            kind = (
+                errors.PlatformUnavailableError
+                if status == 503
+                else errors.AnswerLostError
+            )
+            raise kind(f"{method} {path}: the platform answered {status}")
+        self._backoff = datetime.timedelta()
+        if status >= 400:
+            text = content[:200].decode(errors="replace")
+            raise errors.PlatformRejectedError(
+                f"{method} {path}: the platform answered {status}: {text}"
+            )
+        return content
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        with contextlib.suppress(Exception):
+            await self._pool.aclose()
+
+    async def _exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        sent: send_tracker.SendTracker,
+    ) -> tuple[int, bytes]:
+        self._metrics.count("platform.calls")
+        async with self._pool.stream(
+            method,
+            self._base + path,
+            headers=[
+                ("Content-Type", "application/json"),
+                ("Content-Length", str(len(body))),
+            ],
+            content=body,
+            extensions={"trace": sent.trace},
+        ) as response:
+            chunks = bytearray()
+            async for chunk in response.aiter_stream():
+                chunks += chunk
+                if len(chunks) > _MAXIMUM_ANSWER_BYTES:
+                    raise httpcore.RemoteProtocolError("answer is too large")
+            return response.status, bytes(chunks)
+
+    def _classify(
+        self,
+        method: str,
+        path: str,
+        sent: send_tracker.SendTracker,
+        error: Exception,
+    ) -> errors.PlatformError:
+        reason = type(error).__name__
+        if sent.has_started:
+            return errors.AnswerLostError(
+                f"{method} {path}: sent, but no answer came ({reason})"
+            )
+        return errors.PlatformUnavailableError(
+            f"{method} {path}: the platform at {self._base} can't be reached "
+            f"({reason}); check that it runs and the address in the settings"
+        )
+
+    def _note_failure(self) -> None:
+        self._metrics.count("platform.failures")
+        if self.is_backing_off:
+            return
+        self._backoff = min(
+            max(self._backoff * 2, _INITIAL_BACKOFF), _MAXIMUM_BACKOFF
+        )
+        pause = self._backoff * self._random.uniform(0.5, 1.0)
+        self._closed_until = self._clock.monotonic() + pause
--- /dev/null
+++ b/src/fireflywell/process.py
@@ -0,0 +1,73 @@
+"""Start and stop of a process: logs, signals and exit codes."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import pathlib
+import signal
+import sys
+
+import anyio
+
+from fireflywell import errors
+from fireflywell.supervision import supervisor as supervisor_lib
+from fireflywell.telemetry import logs
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+def run_process(
+    run: Callable[[anyio.Event], Awaitable[None]],
+    log_path: pathlib.Path | None,
+) -> int:
+    """Runs a daemon until it ends.
+
+    Args:
+        run: Runs the root supervisor; ends gracefully once the event that it
+            is given is set, which SIGTERM or SIGINT does.
+        log_path: File for log lines, or None for the standard output.
+
+    Returns:
+        The exit code: 0 after a graceful stop, 1 after a failure, 2 after a
+        mistake in settings or environment.
+    """
+    try:
+        output = log_path.open("a") if log_path else sys.stdout
+    except OSError as error:
+        print(f"error: {log_path}: {error.strerror}", file=sys.stderr)
+        return EXIT_USAGE
+    writer = logs.QueuedLogWriter(output)
+    writer.start()
+    try:
+        with supervisor_lib.raise_single_error():
+            anyio.run(_run_with_signals, run)
+        return EXIT_OK
+    except errors.SettingsError as error:
+        print(f"error: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    except errors.ChildFailedError as error:
+        if isinstance(error.__cause__, errors.SettingsError):
+            print(f"error: {error.__cause__}", file=sys.stderr)
+            return EXIT_USAGE
+        print(f"error: {error}", file=sys.stderr)
+        return EXIT_FAILED
+    finally:
+        writer.close()
+
+
+async def _run_with_signals(
+    run: Callable[[anyio.Event], Awaitable[None]],
+) -> None:
+    stop = anyio.Event()
+    async with anyio.create_task_group() as group:
+        group.start_soon(_watch_signals, stop)
+        await run(stop)
+        group.cancel_scope.cancel()
+
+
+async def _watch_signals(stop: anyio.Event) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for number in signals:
+            logs.log_event("process.stopping", signal=number.name)
+            stop.set()
--- /dev/null
+++ b/src/fireflywell/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the request path: admission, queues, routing, outcomes."""
--- /dev/null
+++ b/src/fireflywell/requests/outcomes.py
@@ -0,0 +1,44 @@
+"""Outcomes of a request, as told to callers."""
+
+import dataclasses
+import datetime
+
+from fireflywell import asgi
+
+OUTCOME_HEADER = "fireflywell-outcome"
+REASON_HEADER = "fireflywell-reason"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answered:
+    """The endpoint's whole response to this request."""
+
+    status: int
+    headers: tuple[asgi.Header, ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The request was certainly not run.
+
+    Attributes:
+        status: HTTP status.
+        reason: What happened and what the caller can do.
+        retry_after: Time after which a new try can help; None if none can.
+    """
+
+    status: int
+    reason: str
+    retry_after: datetime.timedelta | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """The request may have run."""
+
+    status: int
+    reason: str
+
+
+Outcome = Answered | Refused | Unknown
--- /dev/null
+++ b/src/fireflywell/supervision/__init__.py
@@ -0,0 +1,1 @@
+"""Supervisor tree: tasks with a written policy for their failure."""
--- /dev/null
+++ b/src/fireflywell/supervision/supervisor.py
@@ -0,0 +1,178 @@
+"""Supervisor: runs children as tasks and applies their failure policies."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import dataclasses
+import datetime
+import random
+
+import anyio
+import anyio.abc
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.supervision import policies
+from fireflywell.telemetry import logs
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Child:
+    """One supervised task.
+
+    Attributes:
+        name: Name in log lines, unique among the children of a supervisor.
+        run: Coroutine function that does the work until it is cancelled.
+        policy: What to do when `run` raises. A normal return ends the child.
+    """
+
+    name: str
+    run: Callable[[], Awaitable[None]]
+    policy: policies.Policy
+
+
+class _SiblingRestartError(Exception):
+    """Asks the supervisor to restart all its children."""
+
+    def __init__(self, delay: datetime.timedelta) -> None:
+        super().__init__()
+        self.delay = delay
+
+
+class Supervisor:
+    """Runs children and restarts, drops or escalates them when they fail.
+
+    A supervisor is itself run as a child of another one, up to the root.
+    Children given to the constructor are started by `run`; further children,
+    such as one for each accepted connection, are added by `start_child`.
+    """
+
+    __slots__ = ("_children", "_clock", "_group", "_name", "_random")
+
+    def __init__(
+        self,
+        name: str,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        children: tuple[Child, ...] = (),
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._random = rng
+        self._children = children
+        self._group: anyio.abc.TaskGroup | None = None
+
+    @property
+    def name(self) -> str:
+        """Name of this supervisor in log lines."""
+        return self._name
+
+    async def run(self) -> None:
+        """Runs all children until they end or a failure is escalated.
+
+        Raises:
+            ChildFailedError: A child with policy `StopProcess` failed.
+        """
+        while True:
+            try:
+                await self._run_children_once()
+                return
+            except* _SiblingRestartError as group:
+                delay = _find_longest_delay(group)
+            await self._clock.sleep(delay)
+
+    def start_child(self, child: Child) -> None:
+        """Starts one more child; the supervisor must be running.
+
+        Raises:
+            RuntimeError: The supervisor isn't running.
+        """
+        if self._group is None:
+            raise RuntimeError(f"supervisor {self._name} isn't running")
+        self._group.start_soon(self._supervise, child, name=child.name)
+
+    async def run_until_cancelled(self) -> None:
+        """Runs like `run`, but stays open for children added later."""
+        keeper = Child("keeper", anyio.sleep_forever, policies.LetEnd())
+        self._children = (*self._children, keeper)
+        await self.run()
+
+    async def _run_children_once(self) -> None:
+        async with anyio.create_task_group() as group:
+            self._group = group
+            for child in self._children:
+                self.start_child(child)
+
+    async def _supervise(self, child: Child) -> None:
+        delay = datetime.timedelta()
+        while True:
+            started = self._clock.monotonic()
+            try:
+                await child.run()
+                return
+            except _SiblingRestartError:
+                raise
+            except Exception as error:  # The policy decides on any failure.
+                logs.log_child_failure(self._name, child.name, error)
+                lasted = self._clock.monotonic() - started
+                match child.policy:
+                    case policies.LetEnd():
+                        return
+                    case policies.RestartWithBackoff() as policy:
+                        delay = self._choose_delay(policy, delay, lasted)
+                    case policies.RestartSiblings(delay=pause):
+                        raise _SiblingRestartError(pause) from error
+                    case policies.StopProcess():
+                        raise errors.ChildFailedError(
+                            f"{self._name}/{child.name} failed: {error!r}; "
+                            "the process stops, see the log line above"
+                        ) from error
+            await self._clock.sleep(delay * self._random.uniform(0.5, 1.0))
+
+    def _choose_delay(
+        self,
+        policy: policies.RestartWithBackoff,
+        previous: datetime.timedelta,
+        lasted: datetime.timedelta,
+    ) -> datetime.timedelta:
+        if lasted >= policy.reset_after or not previous:
+            return policy.initial
+        return min(previous * 2, policy.maximum)
+
+
+def _find_longest_delay(
+    group: BaseExceptionGroup[_SiblingRestartError],
+) -> datetime.timedelta:
+    """Returns the longest delay asked for in a group of restart requests."""
+    longest = datetime.timedelta()
+    for error in _flatten(group):
+        longest = max(longest, error.delay)
+    return longest
+
+
+def _flatten(
+    group: BaseExceptionGroup[_SiblingRestartError],
+) -> list[_SiblingRestartError]:
+    found: list[_SiblingRestartError] = []
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            found.extend(_flatten(error))
+        else:
+            found.append(error)
+    return found
+
+
+@contextlib.contextmanager
+def raise_single_error() -> Iterator[None]:
+    """Unwraps an exception group that holds a single `FireflywellError`."""
+    try:
+        yield
+    except BaseExceptionGroup as group:
+        matching, rest = group.split(errors.FireflywellError)
+        if matching is None or rest is not None:
+            raise
+        error: BaseException = matching
+        while isinstance(error, BaseExceptionGroup):
+            error = error.exceptions[0]
+        raise error from None
--- /dev/null
+++ b/src/fireflywell/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logs and metrics."""
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package."""
