--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES = src tests bench tools
 RUN = PYTHONPATH=src $(VENV)/bin/python
 
-.PHONY: demo test check format bench fuzz
+.PHONY: demo test check format bench mutations
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -26,3 +26,6 @@
 format: $(VENV)/.installed
 	$(VENV)/bin/ruff check --fix --exit-zero --quiet $(SOURCES)
 	$(VENV)/bin/pyink --quiet $(SOURCES)
+
+mutations: $(VENV)/.installed
+	$(RUN) tools/check_mutations.py
--- a/src/fireflywell/bundle/model.py
+++ b/src/fireflywell/bundle/model.py
@@ -28,12 +28,18 @@
     Attributes:
         name: Name of the pool.
         target_vms: Number of VMs that the pool is to have.
+        minimum_vms: Lower bound when the pool follows lasting shifts of
+            demand; None keeps the pool at its target.
+        maximum_vms: Upper bound when the pool follows lasting shifts of
+            demand; None keeps the pool at its target.
         carries: Names of the job kinds that may run on its workers.
         spare: Whether other pools' jobs may run here at peaks.
     """
 
     name: str
     target_vms: int
+    minimum_vms: int | None = None
+    maximum_vms: int | None = None
     carries: tuple[str, ...] = ()
     spare: bool = False
 
--- /dev/null
+++ b/src/fireflywell/fleet/assignment.py
@@ -0,0 +1,196 @@
+"""Which VM joins which pool: new VMs and as few moves as possible."""
+
+from collections.abc import Iterator
+import dataclasses
+
+from fireflywell.bundle import model
+from fireflywell.fleet import demand
+from fireflywell.fleet import vm_records
+from fireflywell.platform import records
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AssignVm:
+    """Gives a VM that has no record to a pool."""
+
+    vm_id: str
+    pool: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MoveVm:
+    """Moves a VM that serves from its pool to another one."""
+
+    vm_id: str
+    from_pool: str
+    to_pool: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RemoveVm:
+    """Deletes the record of a VM that the platform no longer lists."""
+
+    vm_id: str
+
+
+Assignment = AssignVm | MoveVm | RemoveVm
+
+
+@dataclasses.dataclass(slots=True)
+class _PoolCount:
+    """Members of a pool while a round is planned.
+
+    Attributes:
+        name: Name of the pool.
+        target: Number of VMs that it is to have.
+        vm_ids: Members that are listed, or on their way to the pool.
+        zones: Number of members by availability zone.
+        racks: Number of members by rack.
+    """
+
+    name: str
+    target: int
+    vm_ids: list[str]
+    zones: dict[str, int]
+    racks: dict[str, int]
+
+    @property
+    def surplus(self) -> int:
+        """Members beyond the target; negative if some are missing."""
+        return len(self.vm_ids) - self.target
+
+    def add(self, vm: records.Vm) -> None:
+        """Counts a VM as member."""
+        self.vm_ids.append(vm.vm_id)
+        self.zones[vm.zone] = self.zones.get(vm.zone, 0) + 1
+        self.racks[vm.rack] = self.racks.get(vm.rack, 0) + 1
+
+    def remove(self, vm: records.Vm) -> None:
+        """Stops counting a VM as member."""
+        self.vm_ids.remove(vm.vm_id)
+        self.zones[vm.zone] -= 1
+        self.racks[vm.rack] -= 1
+
+
+def plan_assignments(
+    bundle: model.Bundle,
+    targets: tuple[demand.PoolTarget, ...],
+    vms: tuple[records.Vm, ...],
+    assignments: tuple[vm_records.VmRecord, ...],
+    gone_vms: frozenset[str],
+) -> Iterator[Assignment]:
+    """Yields the changes that bring the pools to their targets.
+
+    New VMs are given to pools first, so that a VM moves only if no new one can
+    fill the gap. A VM in a move or in maintenance counts for the pool that it
+    is to join and isn't moved again.
+
+    Args:
+        bundle: The bundle in force.
+        targets: Number of VMs for each pool.
+        vms: The platform's list.
+        assignments: Records of all VMs.
+        gone_vms: VMs absent from the platform's list for so long that they
+            are surely gone.
+    """
+    listed = {vm.vm_id: vm for vm in vms}
+    pools = _count_members(bundle, targets, listed, assignments)
+    known = {record.vm_id for record in assignments}
+    for record in assignments:
+        if record.vm_id in gone_vms and record.vm_id not in listed:
+            yield RemoveVm(record.vm_id)
+    for vm in vms:
+        is_live = vm.state is records.VmState.LIVE
+        if vm.vm_id not in known and is_live and pools:
+            pool = min(pools, key=lambda item: _rank_joining(item, vm))
+            pool.add(vm)
+            yield AssignVm(vm.vm_id, pool.name)
+    yield from _plan_moves(pools, listed, assignments)
+
+
+def _count_members(
+    bundle: model.Bundle,
+    targets: tuple[demand.PoolTarget, ...],
+    listed: dict[str, records.Vm],
+    assignments: tuple[vm_records.VmRecord, ...],
+) -> list[_PoolCount]:
+    sizes = {item.pool: item.vms for item in targets}
+    pools = {
+        pool.name: _PoolCount(
+            pool.name,
+            sizes.get(pool.name, pool.target_vms),
+            [],
+            {},
+            {},
+        )
+        for pool in bundle.pools
+    }
+    for record in assignments:
+        pool = pools.get(record.target_pool or record.pool)
+        vm = listed.get(record.vm_id)
+        if pool is not None and vm is not None:
+            pool.add(vm)
+    return list(pools.values())
+
+
+def _rank_joining(
+    pool: _PoolCount, vm: records.Vm
+) -> tuple[float, int, int, str]:
+    """Ranks pools for a new VM: emptiest first, then the best spread."""
+    fill = len(pool.vm_ids) / pool.target if pool.target else float("inf")
+    zone_members = pool.zones.get(vm.zone, 0)
+    rack_members = pool.racks.get(vm.rack, 0)
+    return fill, zone_members, rack_members, pool.name
+
+
+def _plan_moves(
+    pools: list[_PoolCount],
+    listed: dict[str, records.Vm],
+    assignments: tuple[vm_records.VmRecord, ...],
+) -> Iterator[MoveVm]:
+    names = {pool.name: pool for pool in pools}
+    # Pools that the bundle no longer names give all their VMs away.
+    movable = [
+        record
+        for record in assignments
+        if record.phase is vm_records.VmPhase.SERVING and record.vm_id in listed
+    ]
+    while True:
+        taker = min(pools, key=lambda item: item.surplus, default=None)
+        if taker is None or taker.surplus >= 0:
+            break
+        record = _choose_giver(taker, names, movable, listed)
+        if record is None:
+            break
+        movable.remove(record)
+        vm = listed[record.vm_id]
+        if record.pool in names:
+            names[record.pool].remove(vm)
+        taker.add(vm)
+        yield MoveVm(record.vm_id, record.pool, taker.name)
+
+
+def _choose_giver(
+    taker: _PoolCount,
+    pools: dict[str, _PoolCount],
+    movable: list[vm_records.VmRecord],
+    listed: dict[str, records.Vm],
+) -> vm_records.VmRecord | None:
+    """Returns the VM whose move serves best, from a pool with a surplus."""
+    best: vm_records.VmRecord | None = None
+    best_rank: tuple[int, int, int, str] | None = None
+    for record in movable:
+        pool = pools.get(record.pool)
+        if pool is not None and pool.surplus <= 0:
+            continue
+        vm = listed[record.vm_id]
+        surplus = pool.surplus if pool is not None else len(movable)
+        rank = (
+            taker.zones.get(vm.zone, 0),
+            -surplus,
+            taker.racks.get(vm.rack, 0),
+            record.vm_id,
+        )
+        if best_rank is None or rank < best_rank:
+            best, best_rank = record, rank
+    return best
