--- /dev/null
+++ b/bench/control_state.py
@@ -0,0 +1,1 @@
+"""Measures the cost of the control state."""
