Run maintenance as a role under a fenced lease

Cause: the decisions about VMs need a process around them that any control process can take over between two steps.

Ruled out: probing from every control process (six times the load on the instances); planning before the first probe has ended (a fresh holder saw all instances as unavailable and undid the drains of its predecessor); an unconditional reboot call (a late one would hit a VM that serves again).

--- /dev/null
+++ b/src/fireflywell/control/maintenance.py
@@ -0,0 +1,299 @@
+"""Maintenance role: pools, moves and waves, run under one lease."""
+
+from collections.abc import Callable
+import datetime
+import secrets
+
+import anyio
+import anyio.abc
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.bundle import holder as holder_lib
+from fireflywell.bundle import model
+from fireflywell.control import vm_task
+from fireflywell.coordination import leases
+from fireflywell.fleet import assignment
+from fireflywell.fleet import budgets
+from fireflywell.fleet import demand
+from fireflywell.fleet import moves
+from fireflywell.fleet import vm_records
+from fireflywell.fleet import waves
+from fireflywell.platform import records
+from fireflywell.telemetry import logs
+from fireflywell.telemetry import metrics as metrics_lib
+
+_ROUND_INTERVAL = datetime.timedelta(seconds=1)
+# The platform's list lags; a VM counts as gone after this long without it.
+_GONE_AFTER = datetime.timedelta(seconds=60)
+# Time for one VM until the first one has been measured.
+_ASSUMED_TIME_PER_VM = datetime.timedelta(minutes=10)
+
+
+class MaintenanceRole:
+    """Plans a round each second and runs one task for each VM in a move."""
+
+    __slots__ = (
+        "_absent_since",
+        "_clock",
+        "_held_reason",
+        "_holder",
+        "_list_demands",
+        "_metrics",
+        "_pace",
+        "_running",
+        "_tools",
+        "_tracker",
+    )
+
+    def __init__(
+        self,
+        holder: holder_lib.BundleHolder,
+        tools: vm_task.VmTools,
+        metrics: metrics_lib.Metrics,
+        list_demands: Callable[[model.Bundle], tuple[demand.PoolDemand, ...]],
+    ) -> None:
+        """Prepares the role; `run` does the work.
+
+        Args:
+            holder: The bundle in force.
+            tools: What the tasks of VMs work with.
+            metrics: Receives counters and timers.
+            list_demands: Returns the present demand on each pool.
+        """
+        self._holder = holder
+        self._tools = tools
+        self._clock: clock_lib.Clock = tools.clock
+        self._metrics = metrics
+        self._list_demands = list_demands
+        self._tracker = demand.DemandTracker()
+        self._absent_since: dict[str, datetime.timedelta] = {}
+        self._running: dict[str, datetime.timedelta] = {}
+        self._held_reason = ""
+        self._pace: waves.PaceCheck | None = None
+
+    async def run(self, lease: leases.Lease) -> None:
+        """Runs the role until cancelled.
+
+        Raises:
+            LeaseLostError: A write was refused because the role was taken
+                over.
+        """
+        self._running.clear()
+        async with anyio.create_task_group() as group:
+            # Only the holder probes, so that the load on the instances doesn't
+            # grow with the number of control processes.
+            group.start_soon(self._tools.prober.run)
+            while True:
+                try:
+                    await self._run_round(lease, group)
+                except (
+                    errors.PlatformError,
+                    errors.ConflictError,
+                    errors.OutcomeUnknownError,
+                ) as error:
+                    logs.log_event("maintenance.round_failed", error=str(error))
+                await self._clock.sleep(_ROUND_INTERVAL)
+
+    async def _run_round(
+        self, lease: leases.Lease, group: anyio.abc.TaskGroup
+    ) -> None:
+        bundle = self._holder.current
+        if bundle is None:
+            return
+        await self._tools.store.refresh()
+        vms = self._tools.view.vms
+        if not vms:
+            return
+        self._tracker.observe(
+            bundle.pools,
+            self._list_demands(bundle),
+            self._clock.monotonic(),
+        )
+        await self._apply_assignments(bundle, vms)
+        if not self._tools.prober.has_probed_all:
+            return
+        await self._undo_drains_over_budget(bundle)
+        await self._start_wave(bundle)
+        for record in self._tools.store.records:
+            is_moving = record.phase is not vm_records.VmPhase.SERVING
+            if is_moving and record.vm_id not in self._running:
+                self._running[record.vm_id] = self._clock.monotonic()
+                group.start_soon(self._run_vm, record.vm_id, lease)
+
+    async def _run_vm(self, vm_id: str, lease: leases.Lease) -> None:
+        started = self._clock.monotonic()
+        try:
+            await vm_task.VmTask(vm_id, self._tools, lease).run()
+            took = self._clock.monotonic() - started
+            self._metrics.record_duration("maintenance.vm", took)
+        finally:
+            self._running.pop(vm_id, None)
+
+    async def _undo_drains_over_budget(self, bundle: model.Bundle) -> None:
+        """Returns draining VMs to service if failures have used the budget."""
+        state = self._make_state(bundle)
+        check = budgets.check_all_budgets(bundle.services, state.health)
+        if isinstance(check, budgets.BudgetHolds):
+            return
+        services = {
+            service.pool
+            for service in bundle.services
+            if service.name == check.service
+        }
+        for record in self._tools.store.records:
+            undone = moves.undo_drain(record)
+            if undone is not None and record.pool in services:
+                await self._tools.store.write(undone)
+                logs.log_event(
+                    "wave.drain_undone", vm=record.vm_id, reason=check.reason
+                )
+
+    async def _apply_assignments(
+        self, bundle: model.Bundle, vms: tuple[records.Vm, ...]
+    ) -> None:
+        plan = assignment.plan_assignments(
+            bundle,
+            self._tracker.list_targets(bundle.pools),
+            vms,
+            self._tools.store.records,
+            self._find_gone(vms),
+        )
+        for change in plan:
+            match change:
+                case assignment.AssignVm(vm_id=vm_id, pool=pool):
+                    # A new VM is fresh: its interval begins now.
+                    maintained = int(self._clock.now().timestamp())
+                    record = vm_records.VmRecord(
+                        vm_id, pool, maintained_at=maintained
+                    )
+                    await self._tools.store.write(record)
+                    self._log_assignment(vm_id, "", pool)
+                case assignment.RemoveVm(vm_id=vm_id):
+                    await self._tools.store.delete(vm_id)
+                    self._log_assignment(vm_id, "", "")
+                case assignment.MoveVm() as move:
+                    await self._start_move(bundle, move)
+
+    async def _start_move(
+        self, bundle: model.Bundle, move: assignment.MoveVm
+    ) -> None:
+        record = self._tools.store.find(move.vm_id)
+        is_blind = not self._tools.prober.has_probed_all
+        if record is None or is_blind or self._is_wave_full(bundle):
+            return
+        state = self._make_state(bundle)
+        match waves.check_vm_may_leave(bundle, state, move.vm_id):
+            case budgets.BudgetViolated(reason=reason):
+                self._note_held(f"move of {move.vm_id}: {reason}")
+            case budgets.BudgetHolds():
+                started = moves.start_move(
+                    record, secrets.token_hex(8), move.to_pool
+                )
+                await self._tools.store.write(started)
+                self._metrics.count("maintenance.moves")
+                self._log_assignment(move.vm_id, move.from_pool, move.to_pool)
+
+    def _is_wave_full(self, bundle: model.Bundle) -> bool:
+        moving = sum(
+            record.phase is not vm_records.VmPhase.SERVING
+            for record in self._tools.store.records
+        )
+        return moving >= bundle.maintenance.wave_size
+
+    async def _start_wave(self, bundle: model.Bundle) -> None:
+        state = self._make_state(bundle)
+        decision = waves.plan_wave(
+            bundle, state, self._clock.now(), self._check_pace(bundle, state)
+        )
+        match decision:
+            case waves.NothingDue():
+                self._note_held("")
+            case waves.WaveHeld(reason=reason):
+                self._note_held(reason)
+            case waves.DrainVms(zone=zone, rack=rack, vm_ids=vm_ids):
+                logs.log_event("wave.started", zone=zone, rack=rack, vms=vm_ids)
+                for vm_id in vm_ids:
+                    record = self._tools.store.find(vm_id)
+                    if record is None:
+                        continue
+                    started = moves.start_maintenance(
+                        record, secrets.token_hex(8)
+                    )
+                    await self._tools.store.write(started)
+
+    def _check_pace(
+        self, bundle: model.Bundle, state: waves.FleetState
+    ) -> datetime.timedelta:
+        """Reports a pace that can't be kept; returns the lead of a wave."""
+        pace = waves.check_pace(
+            bundle,
+            state.vms,
+            state.assignments,
+            min(_ASSUMED_TIME_PER_VM, bundle.maintenance.return_timeout),
+        )
+        if type(pace) is not type(self._pace):
+            match pace:
+                case waves.PaceMissed(constraint=constraint):
+                    logs.log_event("wave.pace_missed", reason=constraint)
+                case waves.PaceMet(needed=needed):
+                    logs.log_event(
+                        "wave.pace_met", needed_s=needed.total_seconds()
+                    )
+        self._pace = pace
+        return min(pace.needed, bundle.maintenance.interval / 2)
+
+    def _make_state(self, bundle: model.Bundle) -> waves.FleetState:
+        tools = self._tools
+        health: list[budgets.InstanceHealth] = []
+        for record in tools.store.records:
+            is_serving = record.phase is vm_records.VmPhase.SERVING
+            for item in tools.list_instances(record):
+                is_available = is_serving and tools.prober.is_available(
+                    item.instance_id
+                )
+                health.append(
+                    budgets.InstanceHealth(
+                        item.service,
+                        item.vm_id,
+                        item.zone,
+                        item.rack,
+                        is_available,
+                    )
+                )
+        now = self._clock.monotonic()
+        timeout = bundle.maintenance.return_timeout
+        overdue = frozenset(
+            vm_id
+            for vm_id, since in self._running.items()
+            if now - since >= timeout
+        )
+        return waves.FleetState(
+            tools.view.vms, tools.store.records, tuple(health), overdue
+        )
+
+    def _find_gone(self, vms: tuple[records.Vm, ...]) -> frozenset[str]:
+        """Returns the VMs that the list hasn't shown for a while."""
+        now = self._clock.monotonic()
+        listed = {vm.vm_id for vm in vms}
+        known = {record.vm_id for record in self._tools.store.records}
+        for vm_id in list(self._absent_since):
+            if vm_id in listed or vm_id not in known:
+                del self._absent_since[vm_id]
+        for vm_id in known - listed:
+            self._absent_since.setdefault(vm_id, now)
+        return frozenset(
+            vm_id
+            for vm_id, since in self._absent_since.items()
+            if now - since >= _GONE_AFTER
+        )
+
+    def _note_held(self, reason: str) -> None:
+        if reason and reason != self._held_reason:
+            logs.log_event("wave.held", reason=reason)
+        self._held_reason = reason
+
+    def _log_assignment(self, vm_id: str, old: str, new: str) -> None:
+        logs.log_event(
+            "placement.vm_assigned", vm=vm_id, from_pool=old, to_pool=new
+        )
--- /dev/null
+++ b/src/fireflywell/control/settings.py
@@ -0,0 +1,33 @@
+"""Settings of the control process."""
+
+import dataclasses
+
+from fireflywell.entry import settings as entry_settings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlSettings:
+    """Settings of one control process.
+
+    Attributes:
+        address: IP number on which peers reach the process.
+        peer_port: Port of the membership listener.
+        zone: Availability zone.
+        platform_url: Base address of the platform's services.
+        cluster_key_file: File with the key shared by all processes, 64
+            hexadecimal digits.
+        trust_file: TOML file with the reviewers who sign the first bundle.
+        peers: Entries and other control processes.
+        statsd: Where metrics are sent; None to send none.
+        log_file: File for log lines; None for the standard output.
+    """
+
+    address: str
+    peer_port: int
+    zone: str
+    platform_url: str
+    cluster_key_file: str
+    trust_file: str
+    peers: tuple[entry_settings.PeerSettings, ...] = ()
+    statsd: entry_settings.StatsdSettings | None = None
+    log_file: str | None = None
--- a/src/fireflywell/fleet/demand.py
+++ b/src/fireflywell/fleet/demand.py
@@ -5,6 +5,7 @@
 import math
 
 from fireflywell.bundle import model
+from fireflywell.fleet import instances as instances_lib
 
 # Half of a change of demand is followed after this time. Queues ask for five
 # times their mean for some seconds in turn; such a peak moves the average of
@@ -35,6 +36,21 @@
     busy_vms: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceUse:
+    """Use of a service as all entries report it.
+
+    Attributes:
+        service: Name of the service.
+        free_slots: Free slots of all its instances.
+        queued: Requests waiting at all entries.
+    """
+
+    service: str
+    free_slots: int
+    queued: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PoolTarget:
     """Number of VMs that a pool is to have."""
@@ -141,6 +157,33 @@
         trend.followed = follower
 
 
+def measure_demand(
+    services: tuple[model.Service, ...],
+    instances: tuple[instances_lib.Instance, ...],
+    uses: tuple[ServiceUse, ...],
+) -> tuple[PoolDemand, ...]:
+    """Returns the demand on each pool in units of one VM's capacity.
+
+    Args:
+        services: Services of the bundle in force.
+        instances: All instances.
+        uses: Use of the services; a service without one counts as idle.
+    """
+    known = {use.service: use for use in uses}
+    demands: dict[str, float] = {}
+    for service in services:
+        use = known.get(service.name)
+        slots = service.slots * sum(
+            item.service == service.name for item in instances
+        )
+        if use is None:
+            continue
+        busy = max(0, slots - use.free_slots) + use.queued
+        part = busy / service.slots
+        demands[service.pool] = demands.get(service.pool, 0.0) + part
+    return tuple(PoolDemand(pool, busy) for pool, busy in demands.items())
+
+
 def _choose_size(pool: model.Pool, average: float, settled: int) -> int:
     """Returns the size for an average demand, with hysteresis both ways."""
     size = average / TARGET_UTILISATION
--- a/src/fireflywell/fleet/waves.py
+++ b/src/fireflywell/fleet/waves.py
@@ -145,7 +145,10 @@
 
 
 def plan_wave(
-    bundle: model.Bundle, state: FleetState, now: datetime.datetime
+    bundle: model.Bundle,
+    state: FleetState,
+    now: datetime.datetime,
+    lead: datetime.timedelta = datetime.timedelta(),
 ) -> WaveDecision:
     """Decides which VMs to drain now.
 
@@ -157,6 +160,9 @@
         bundle: The bundle in force.
         state: The fleet as observed.
         now: Date, compared with the dates of the last maintenance.
+        lead: How long before the end of the interval a VM is due. VMs that
+            joined together come due together, and the last of them must still
+            be in time.
     """
     if not bundle.maintenance.enabled:
         return NothingDue()
@@ -167,7 +173,7 @@
             f"the whole last wave hasn't come back ({', '.join(lost)}); "
             "bring its VMs back or remove them from the platform's list"
         )
-    due = _list_due(bundle, state, now)
+    due = _list_due(bundle, state, now + lead)
     if not due:
         return NothingDue()
     room = bundle.maintenance.wave_size - len(busy)
--- a/src/fireflywell/platform/machines.py
+++ b/src/fireflywell/platform/machines.py
@@ -17,8 +17,12 @@
             PlatformError: The list can't be read.
         """
 
-    async def reboot_vm(self, vm_id: str) -> None:
-        """Asks the platform to reboot a VM.
+    async def reboot_vm(self, vm_id: str, expected_boot: int) -> None:
+        """Asks the platform to reboot a VM that is still in this boot.
+
+        Args:
+            vm_id: The VM.
+            expected_boot: Boot count; with another one nothing is done.
 
         Raises:
             PlatformError: The reboot may not have been started.
@@ -68,9 +72,13 @@
             for vm in answer["vms"]
         )
 
-    async def reboot_vm(self, vm_id: str) -> None:
+    async def reboot_vm(self, vm_id: str, expected_boot: int) -> None:
         """Reboots a VM; see `VmList.reboot_vm`."""
-        await self._transport.call("POST", f"/v1/vms/{vm_id}/reboot")
+        await self._transport.call(
+            "POST",
+            f"/v1/vms/{vm_id}/reboot",
+            {"expected_boot": expected_boot},
+        )
 
     async def list_workers(self) -> tuple[records.Worker, ...]:
         """Lists the workers; see `Workers.list_workers`."""
