Place jobs on workers as a role under a fenced lease

Cause: every job must land, none be lost or run twice, and urgent work start within 1.2 s while declared sizes and run times are far off.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 SOURCES = src tests bench tools
 RUN = PYTHONPATH=src $(VENV)/bin/python
 
-.PHONY: demo test check format bench mutations
+.PHONY: demo test check format bench mutations fuzz
 
 $(VENV)/.installed: pyproject.toml
 	test -x $(VENV)/bin/python || $(PYTHON) -m venv $(VENV)
@@ -29,3 +29,8 @@
 
 mutations: $(VENV)/.installed
 	$(RUN) tools/check_mutations.py
+
+SEED ?= $(shell date +%s)
+fuzz: $(VENV)/.installed
+	@echo "seed $(SEED); run again with: make fuzz SEED=$(SEED)"
+	FUZZ_EXAMPLES=2000 FUZZ_SEED=$(SEED) $(RUN) tools/run_fuzz.py
--- /dev/null
+++ b/src/fireflywell/control/job_outcomes.py
@@ -0,0 +1,106 @@
+"""Learns from reports of tasks and decides what becomes of leased jobs."""
+
+import datetime
+
+from fireflywell import clock as clock_lib
+from fireflywell.control import task_board
+from fireflywell.fleet import job_steps
+from fireflywell.fleet import jobs
+from fireflywell.fleet import quarantine as quarantine_lib
+from fireflywell.fleet import usage as usage_lib
+from fireflywell.fleet import vm_records
+from fireflywell.platform import records
+from fireflywell.telemetry import logs
+
+
+class JobOutcomes:
+    """Follows the attempts of leased jobs."""
+
+    __slots__ = (
+        "_board",
+        "_clock",
+        "_learned",
+        "_quarantine",
+        "_running_since",
+        "_usage",
+    )
+
+    def __init__(
+        self,
+        board: task_board.TaskBoard,
+        usage: usage_lib.UsageEstimator,
+        quarantine: quarantine_lib.WorkerQuarantine,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._board = board
+        self._usage = usage
+        self._quarantine = quarantine
+        self._clock = clock
+        self._running_since: dict[str, datetime.timedelta] = {}
+        # Ended attempts whose end isn't written yet; each teaches only once,
+        # however often its write fails.
+        self._learned: set[tuple[str, int]] = set()
+
+    def decide(
+        self,
+        record: jobs.JobRecord,
+        assignments: tuple[vm_records.VmRecord, ...],
+    ) -> job_steps.JobStep:
+        """Decides about one leased job by the latest report of its attempt."""
+        task = self._board.find(record.spec.job_id, record.attempt)
+        is_gone = self._board.is_worker_gone(record.worker_id)
+        if task is None or (is_gone and task_board.is_live(task)):
+            return job_steps.decide_without_task(record, is_gone)
+        if task_board.is_live(task):
+            now = self._clock.monotonic()
+            self._running_since.setdefault(record.spec.job_id, now)
+            self._usage.observe_use(record.spec, task.used)
+            return job_steps.JobUnchanged()
+        attempt = (record.spec.job_id, record.attempt)
+        if attempt not in self._learned:
+            self._learned.add(attempt)
+            self._learn(record, task, assignments)
+        return job_steps.decide_after_task(record, task.state, task.detail)
+
+    def forget(self, record: jobs.JobRecord) -> None:
+        """Drops what is known of an attempt whose end was written."""
+        self._board.forget(record.spec.job_id, record.attempt)
+        self._learned.discard((record.spec.job_id, record.attempt))
+        self._running_since.pop(record.spec.job_id, None)
+
+    def _learn(
+        self,
+        record: jobs.JobRecord,
+        task: records.Task,
+        assignments: tuple[vm_records.VmRecord, ...],
+    ) -> None:
+        """Takes an ended attempt into quarantine and run times."""
+        now = self._clock.monotonic()
+        match task.state:
+            case records.TaskState.SUCCEEDED:
+                self._quarantine.note_success(record.worker_id)
+                since = self._running_since.get(record.spec.job_id)
+                if since is not None:
+                    self._usage.observe_run(record.spec, now - since)
+            case records.TaskState.FAILED:
+                is_quarantined = self._quarantine.note_failure(
+                    record.worker_id,
+                    record.spec.job_id,
+                    _list_pool_workers(assignments, record.worker_id),
+                    now,
+                )
+                if is_quarantined:
+                    logs.log_event(
+                        "placement.worker_quarantined", worker=record.worker_id
+                    )
+            case _:
+                pass
+
+
+def _list_pool_workers(
+    assignments: tuple[vm_records.VmRecord, ...], worker_id: str
+) -> tuple[str, ...]:
+    """Returns the workers of the pool that a worker belongs to."""
+    pools = {item.vm_id: item.pool for item in assignments}
+    pool = pools.get(worker_id)
+    return tuple(vm_id for vm_id, name in pools.items() if name == pool)
--- /dev/null
+++ b/src/fireflywell/control/scheduler.py
@@ -0,0 +1,270 @@
+"""Scheduler role: places jobs on workers, run under one lease."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+import datetime
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.bundle import holder as holder_lib
+from fireflywell.bundle import model
+from fireflywell.control import job_outcomes
+from fireflywell.control import job_store
+from fireflywell.control import task_board
+from fireflywell.control import task_caller
+from fireflywell.control import worker_states
+from fireflywell.coordination import leases
+from fireflywell.fleet import job_steps
+from fireflywell.fleet import jobs
+from fireflywell.fleet import placement
+from fireflywell.fleet import preemption
+from fireflywell.fleet import quarantine as quarantine_lib
+from fireflywell.fleet import usage as usage_lib
+from fireflywell.fleet import vm_records
+from fireflywell.platform import machines
+from fireflywell.telemetry import logs
+from fireflywell.telemetry import metrics as metrics_lib
+
+# An urgent job starts within 1.2 s: one interval, a round of at most 100 ms,
+# and three calls to the platform.
+_ROUND_INTERVAL = datetime.timedelta(milliseconds=250)
+# Cancellations dealt with in one round, so that a wave of them doesn't delay
+# the start of an urgent job.
+_CANCELLATIONS_PER_ROUND = 100
+# Tasks that can't be checkpointed may end by themselves for this long after
+# their VM began to drain; then those that may run again are stopped.
+_DRAIN_GRACE = datetime.timedelta(minutes=5)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SchedulerTools:
+    """What the scheduler works with.
+
+    Attributes:
+        store: Jobs, written under the lease.
+        board: Reports of tasks and workers.
+        workers: Starts and stops tasks.
+        list_assignments: Returns the VMs' records.
+        clock: Clock of this process.
+        metrics: Receives counters and timers.
+    """
+
+    store: job_store.JobStore
+    board: task_board.TaskBoard
+    workers: machines.Workers
+    list_assignments: Callable[[], tuple[vm_records.VmRecord, ...]]
+    clock: clock_lib.Clock
+    metrics: metrics_lib.Metrics
+
+
+class SchedulerRole:
+    """Runs placement rounds while the lease is held."""
+
+    __slots__ = (
+        "_builder",
+        "_caller",
+        "_draining_since",
+        "_holder",
+        "_outcomes",
+        "_tools",
+    )
+
+    def __init__(
+        self, holder: holder_lib.BundleHolder, tools: SchedulerTools
+    ) -> None:
+        usage = usage_lib.UsageEstimator()
+        quarantine = quarantine_lib.WorkerQuarantine()
+        self._holder = holder
+        self._tools = tools
+        self._builder = worker_states.StateBuilder(
+            tools.board, usage, quarantine
+        )
+        self._outcomes = job_outcomes.JobOutcomes(
+            tools.board, usage, quarantine, tools.clock
+        )
+        self._caller = task_caller.TaskCaller(
+            tools.workers, tools.board, tools.clock, tools.metrics
+        )
+        self._draining_since: dict[str, datetime.timedelta] = {}
+
+    async def run(self, lease: leases.Lease) -> None:
+        """Runs rounds until cancelled.
+
+        Raises:
+            LeaseLostError: A write was refused because the role was taken
+                over.
+        """
+        while True:
+            try:
+                await self.run_round(lease)
+            except errors.PlatformError as error:
+                logs.log_event("scheduler.round_failed", error=str(error))
+            await self._tools.clock.sleep(_ROUND_INTERVAL)
+
+    async def run_round(self, lease: leases.Lease) -> None:
+        """Runs one round: reports, placement, cancellations, drains.
+
+        Raises:
+            PlatformError: The platform can't be reached; nothing is lost.
+            LeaseLostError: The role was taken over.
+        """
+        bundle = self._holder.current
+        if bundle is None:
+            return
+        begun = self._tools.clock.monotonic()
+        await self._tools.store.refresh()
+        await self._tools.board.refresh()
+        await self._note_reports(lease)
+        await self._place(bundle, lease)
+        await self._cancel()
+        await self._caller.preempt_all(self._list_to_vacate())
+        took = self._tools.clock.monotonic() - begun
+        self._tools.metrics.record_duration("scheduler.round", took)
+
+    async def _note_reports(self, lease: leases.Lease) -> None:
+        """Writes what became of leased jobs and repeats lost starts."""
+        assignments = self._tools.list_assignments()
+        changed: list[jobs.JobRecord] = []
+        again: list[jobs.JobRecord] = []
+        for record in self._tools.store.leased:
+            match self._outcomes.decide(record, assignments):
+                case job_steps.JobChanged(record=new):
+                    changed.append(new)
+                case job_steps.StartAgain():
+                    again.append(record)
+                case job_steps.JobUnchanged():
+                    pass
+        await self._write_ended(tuple(changed))
+        await self._caller.start_all(again, lease)
+
+    async def _write_ended(self, changed: tuple[jobs.JobRecord, ...]) -> None:
+        written = await self._tools.store.write_all(changed)
+        for record in changed:
+            name = record.spec.job_id
+            if name not in written:
+                continue
+            self._outcomes.forget(record)
+            self._tools.metrics.count(f"jobs.{record.state.value}")
+            logs.log_event(
+                "job.state",
+                job=name,
+                state=record.state.value,
+                attempt=record.attempt,
+                reason=record.reason,
+            )
+
+    async def _place(self, bundle: model.Bundle, lease: leases.Lease) -> None:
+        store, clock = self._tools.store, self._tools.clock
+        waiting = [job for job in store.queued if not job.is_cancel_requested]
+        if not waiting:
+            return
+        round_input = placement.PlacementRound(
+            bundle,
+            self._builder.list_queued(waiting),
+            self._builder.list_workers(
+                bundle,
+                self._tools.list_assignments(),
+                store.leased,
+                clock.monotonic(),
+            ),
+            self._builder.measure_team_use(store.leased, False),
+            self._builder.measure_team_use(store.leased, True),
+            clock.now(),
+        )
+        starts: list[placement.StartJob] = []
+        set_aside: list[jobs.JobRecord] = []
+        for decision in placement.plan_round(round_input):
+            match decision:
+                case placement.StartJob():
+                    starts.append(decision)
+                case placement.SetAsideJob(job=job, reason=reason):
+                    set_aside.append(_set_aside(job.record, reason))
+        # Lesser tasks give way before the urgent ones start.
+        await self._caller.preempt_all(
+            item for start in starts for item in start.preemptions
+        )
+        await self._lease_and_start(starts, lease)
+        await self._write_ended(tuple(set_aside))
+
+    async def _lease_and_start(
+        self, starts: list[placement.StartJob], lease: leases.Lease
+    ) -> None:
+        """Writes the leases of jobs, then tells the workers."""
+        leased = [
+            job_steps.lease_job(start.job.record, start.worker_id)
+            for start in starts
+        ]
+        # Urgent jobs go into a small write of their own, so that they don't
+        # wait for the writes of a backlog.
+        for is_urgent in (True, False):
+            part = tuple(
+                item
+                for item in leased
+                if (item.spec.urgency is jobs.JobUrgency.URGENT) == is_urgent
+            )
+            written = await self._tools.store.write_all(part)
+            granted = [item for item in part if item.spec.job_id in written]
+            for item in granted:
+                logs.log_event(
+                    "placement.decision",
+                    job=item.spec.job_id,
+                    worker=item.worker_id,
+                    attempt=item.attempt,
+                    token=lease.token,
+                )
+            await self._caller.start_all(granted, lease)
+
+    async def _cancel(self) -> None:
+        """Cancels waiting jobs and stops running ones, some in each round."""
+        store = self._tools.store
+        waiting = [job for job in store.queued if job.is_cancel_requested]
+        await self._write_ended(
+            tuple(
+                job_steps.cancel_job(record)
+                for record in waiting[:_CANCELLATIONS_PER_ROUND]
+            )
+        )
+        running = [job for job in store.leased if job.is_cancel_requested]
+        await self._caller.preempt_all(
+            _make_preemption(record, preemption.PreemptAction.STOP)
+            for record in running[:_CANCELLATIONS_PER_ROUND]
+        )
+
+    def _list_to_vacate(self) -> Iterator[preemption.Preemption]:
+        """Yields tasks that must leave VMs that are draining."""
+        now = self._tools.clock.monotonic()
+        draining = {
+            item.vm_id
+            for item in self._tools.list_assignments()
+            if item.phase is vm_records.VmPhase.DRAINING
+        }
+        for vm_id in self._draining_since.keys() - draining:
+            del self._draining_since[vm_id]
+        for vm_id in draining:
+            self._draining_since.setdefault(vm_id, now)
+        for record in self._tools.store.leased:
+            since = self._draining_since.get(record.worker_id)
+            if since is None:
+                continue
+            if record.spec.can_checkpoint:
+                yield _make_preemption(
+                    record, preemption.PreemptAction.CHECKPOINT
+                )
+            elif record.spec.is_idempotent and now - since >= _DRAIN_GRACE:
+                yield _make_preemption(record, preemption.PreemptAction.STOP)
+
+
+def _set_aside(record: jobs.JobRecord, reason: str) -> jobs.JobRecord:
+    logs.log_event("placement.decision", job=record.spec.job_id, refused=reason)
+    return dataclasses.replace(
+        record, state=jobs.JobState.SET_ASIDE, reason=reason
+    )
+
+
+def _make_preemption(
+    record: jobs.JobRecord, action: preemption.PreemptAction
+) -> preemption.Preemption:
+    return preemption.Preemption(
+        record.spec.job_id, record.attempt, record.worker_id, action
+    )
--- /dev/null
+++ b/src/fireflywell/control/task_caller.py
@@ -0,0 +1,104 @@
+"""Calls to workers that start tasks or make them give way."""
+
+from collections.abc import Iterable
+
+import anyio
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.control import task_board
+from fireflywell.coordination import leases
+from fireflywell.fleet import jobs
+from fireflywell.fleet import preemption
+from fireflywell.platform import machines
+from fireflywell.platform import records
+from fireflywell.telemetry import logs
+from fireflywell.telemetry import metrics as metrics_lib
+
+_CONCURRENT_CALLS = 16
+
+
+class TaskCaller:
+    """Makes calls side by side and notes the answers on the task board."""
+
+    __slots__ = ("_board", "_clock", "_limiter", "_metrics", "_workers")
+
+    def __init__(
+        self,
+        workers: machines.Workers,
+        board: task_board.TaskBoard,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
+    ) -> None:
+        self._workers = workers
+        self._board = board
+        self._clock = clock
+        self._metrics = metrics
+        self._limiter = anyio.CapacityLimiter(_CONCURRENT_CALLS)
+
+    async def start_all(
+        self, leased: Iterable[jobs.JobRecord], lease: leases.Lease
+    ) -> None:
+        """Starts the attempts of leased jobs.
+
+        A start that fails is logged; the next round finds no report of the
+        attempt and sends the same start again.
+        """
+        async with anyio.create_task_group() as group:
+            for record in leased:
+                group.start_soon(self._start, record, lease)
+
+    async def preempt_all(
+        self, preemptions: Iterable[preemption.Preemption]
+    ) -> None:
+        """Makes tasks give way; a failed call is logged."""
+        async with anyio.create_task_group() as group:
+            for item in preemptions:
+                group.start_soon(self._preempt, item)
+
+    async def _start(self, record: jobs.JobRecord, lease: leases.Lease) -> None:
+        start = records.TaskStart(
+            job_id=record.spec.job_id,
+            attempt=record.attempt,
+            command=record.spec.command,
+            run_seconds=record.spec.run_seconds,
+            resources=record.spec.declared,
+            lease=task_board.TASK_LEASE,
+            fencing_token=lease.token,
+        )
+        try:
+            async with self._limiter:
+                task = await self._workers.start_task(record.worker_id, start)
+        except errors.PlatformError as error:
+            logs.log_event(
+                "placement.start_failed",
+                job=record.spec.job_id,
+                worker=record.worker_id,
+                error=str(error),
+            )
+            return
+        self._board.note(task)
+        waited = self._clock.now() - record.spec.submitted_at
+        self._metrics.record_duration(
+            f"jobs.wait.{record.spec.urgency.value}", waited
+        )
+
+    async def _preempt(self, item: preemption.Preemption) -> None:
+        logs.log_event(
+            "placement.preemption",
+            job=item.job_id,
+            worker=item.worker_id,
+            action=item.action.value,
+        )
+        self._metrics.count(f"placement.{item.action.value}")
+        try:
+            async with self._limiter:
+                task = await self._workers.change_task(
+                    item.worker_id, item.job_id, item.attempt, item.action.value
+                )
+        except errors.PlatformError as error:
+            logs.log_event(
+                "placement.preemption_failed", job=item.job_id, error=str(error)
+            )
+            return
+        self._board.note(task)
--- /dev/null
+++ b/src/fireflywell/control/worker_states.py
@@ -0,0 +1,103 @@
+"""Builds what a placement round looks at from reports and records."""
+
+from collections.abc import Iterable
+import dataclasses
+import datetime
+
+from fireflywell.bundle import model
+from fireflywell.control import task_board
+from fireflywell.fleet import fair_share
+from fireflywell.fleet import jobs
+from fireflywell.fleet import preemption
+from fireflywell.fleet import quarantine as quarantine_lib
+from fireflywell.fleet import usage as usage_lib
+from fireflywell.fleet import vm_records
+from fireflywell.fleet import worker_pool
+from fireflywell.platform import records
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateBuilder:
+    """Sources of a placement round.
+
+    Attributes:
+        board: Reports of tasks and workers.
+        usage: Expected sizes and run times.
+        quarantine: Workers that receive no work.
+    """
+
+    board: task_board.TaskBoard
+    usage: usage_lib.UsageEstimator
+    quarantine: quarantine_lib.WorkerQuarantine
+
+    def list_workers(
+        self,
+        bundle: model.Bundle,
+        assignments: tuple[vm_records.VmRecord, ...],
+        leased: Iterable[jobs.JobRecord],
+        now: datetime.timedelta,
+    ) -> tuple[worker_pool.WorkerState, ...]:
+        """Returns all listed workers with their reserved resources."""
+        found = {item.vm_id: item for item in assignments}
+        carried = {pool.name: pool.carries for pool in bundle.pools}
+        states: dict[str, worker_pool.WorkerState] = {}
+        for worker in self.board.workers:
+            record = found.get(worker.worker_id)
+            if record is None:
+                continue
+            is_serving = record.phase is vm_records.VmPhase.SERVING
+            is_kept_away = self.quarantine.is_quarantined(worker.worker_id, now)
+            states[worker.worker_id] = worker_pool.WorkerState(
+                worker.worker_id,
+                record.pool,
+                worker.zone,
+                worker.rack,
+                worker.capacity,
+                accepts_work=is_serving and not is_kept_away,
+            )
+        for job in leased:
+            state = states.get(job.worker_id)
+            if state is not None:
+                is_lent = job.spec.kind not in carried.get(state.pool, ())
+                state.add(self._make_task(job, is_lent))
+        return tuple(states.values())
+
+    def list_queued(
+        self, waiting: Iterable[jobs.JobRecord]
+    ) -> tuple[fair_share.QueuedJob, ...]:
+        """Returns waiting jobs with what is expected of them."""
+        return tuple(
+            fair_share.QueuedJob(
+                record,
+                self.usage.estimate_size(record.spec),
+                self.usage.estimate_run(record.spec),
+            )
+            for record in waiting
+        )
+
+    def measure_team_use(
+        self, leased: Iterable[jobs.JobRecord], only_urgent: bool
+    ) -> dict[str, records.Resources]:
+        """Returns the resources reserved by each team's jobs."""
+        used: dict[str, records.Resources] = {}
+        for job in leased:
+            is_urgent = job.spec.urgency is jobs.JobUrgency.URGENT
+            if only_urgent and not is_urgent:
+                continue
+            size = self.usage.estimate_size(job.spec)
+            before = used.get(job.spec.team, records.Resources())
+            used[job.spec.team] = fair_share.add_resources(before, size)
+        return used
+
+    def _make_task(
+        self, job: jobs.JobRecord, is_lent: bool
+    ) -> worker_pool.RunningTask:
+        size = self.usage.estimate_size(job.spec)
+        task = self.board.find(job.spec.job_id, job.attempt)
+        is_throttled = (
+            task is not None and task.state is records.TaskState.THROTTLED
+        )
+        if is_throttled:
+            cores = size.cores * preemption.THROTTLED_PART
+            size = dataclasses.replace(size, cores=cores)
+        return worker_pool.RunningTask(job, size, is_lent, is_throttled)
--- /dev/null
+++ b/src/fireflywell/fleet/job_steps.py
@@ -0,0 +1,140 @@
+"""What becomes of a job after its attempt has changed."""
+
+import dataclasses
+
+from fireflywell.fleet import jobs
+from fireflywell.fleet import quarantine
+from fireflywell.platform import records
+
+# Attempts of a job that may fail before it is set aside.
+MAXIMUM_FAILURES = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobChanged:
+    """The job's record is to be written."""
+
+    record: jobs.JobRecord
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobUnchanged:
+    """Nothing is to be written."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartAgain:
+    """The worker doesn't know the attempt; the same start is sent again."""
+
+
+JobStep = JobChanged | JobUnchanged | StartAgain
+
+
+def lease_job(record: jobs.JobRecord, worker_id: str) -> jobs.JobRecord:
+    """Returns the record of a job that is given to a worker."""
+    return dataclasses.replace(
+        record,
+        state=jobs.JobState.LEASED,
+        attempt=record.attempt + 1,
+        worker_id=worker_id,
+        reason="",
+    )
+
+
+def decide_after_task(
+    record: jobs.JobRecord, state: records.TaskState, detail: str
+) -> JobStep:
+    """Decides about a leased job whose attempt has this state."""
+    match state:
+        case records.TaskState.RUNNING | records.TaskState.THROTTLED:
+            return JobUnchanged()
+        case records.TaskState.SUCCEEDED:
+            return _end(record, jobs.JobState.DONE, "")
+        case records.TaskState.FAILED:
+            return _decide_failed(record, detail)
+        case records.TaskState.CHECKPOINTED:
+            return _queue_again(record, "checkpointed for more urgent work")
+        case records.TaskState.STOPPED:
+            return _decide_interrupted(record, "stopped for more urgent work")
+        case records.TaskState.LAPSED:
+            return _decide_interrupted(record, "its lease on the worker lapsed")
+
+
+def decide_without_task(
+    record: jobs.JobRecord, is_worker_gone: bool
+) -> JobStep:
+    """Decides about a leased job whose worker doesn't report the attempt.
+
+    Args:
+        record: The job.
+        is_worker_gone: Whether the platform has not listed the worker for
+            longer than a task's lease, so that the attempt can't run any more.
+    """
+    if not is_worker_gone:
+        return StartAgain()
+    return _decide_interrupted(record, f"worker {record.worker_id} is gone")
+
+
+def cancel_job(record: jobs.JobRecord) -> jobs.JobRecord:
+    """Returns the record of a job that is cancelled and surely not running."""
+    return dataclasses.replace(
+        record,
+        state=jobs.JobState.CANCELLED,
+        worker_id="",
+        reason="cancelled by an operator",
+    )
+
+
+def _decide_failed(record: jobs.JobRecord, detail: str) -> JobStep:
+    failed = dataclasses.replace(
+        record,
+        failures=record.failures + 1,
+        failed_workers=tuple({*record.failed_workers, record.worker_id}),
+    )
+    reason = f"attempt {record.attempt} failed on {record.worker_id}"
+    if detail:
+        reason = f"{reason}: {detail}"
+    if record.is_cancel_requested:
+        return JobChanged(cancel_job(failed))
+    if not record.spec.is_idempotent:
+        return _end(failed, jobs.JobState.FAILED, reason)
+    has_failed_everywhere = (
+        len(failed.failed_workers) >= quarantine.JOB_FAILURE_LIMIT
+    )
+    if has_failed_everywhere or failed.failures >= MAXIMUM_FAILURES:
+        return _end(
+            failed,
+            jobs.JobState.SET_ASIDE,
+            f"{reason}; it failed {failed.failures} times on "
+            f"{len(failed.failed_workers)} workers, correct the job",
+        )
+    return _queue_again(failed, reason)
+
+
+def _decide_interrupted(record: jobs.JobRecord, reason: str) -> JobStep:
+    """Queues a job again only if a second run does no harm."""
+    if record.is_cancel_requested:
+        return JobChanged(cancel_job(record))
+    if record.spec.is_idempotent:
+        return _queue_again(record, reason)
+    return _end(
+        record,
+        jobs.JobState.UNKNOWN,
+        f"{reason}; it may have run in part and isn't run again",
+    )
+
+
+def _queue_again(record: jobs.JobRecord, reason: str) -> JobStep:
+    if record.is_cancel_requested:
+        return JobChanged(cancel_job(record))
+    return JobChanged(
+        dataclasses.replace(
+            record, state=jobs.JobState.QUEUED, worker_id="", reason=reason
+        )
+    )
+
+
+def _end(record: jobs.JobRecord, state: jobs.JobState, reason: str) -> JobStep:
+    return JobChanged(
+        dataclasses.replace(record, state=state, worker_id="", reason=reason)
+    )
--- /dev/null
+++ b/src/fireflywell/fleet/jobs.py
@@ -0,0 +1,158 @@
+"""Jobs: what is asked for, their states and their text in the table."""
+
+import dataclasses
+import datetime
+import enum
+import json
+
+from fireflywell.platform import records
+
+JOB_PREFIX = "job/"
+
+
+class JobUrgency(enum.StrEnum):
+    """How a job competes for workers."""
+
+    URGENT = "urgent"
+    NORMAL = "normal"
+    BATCH = "batch"
+
+
+class JobState(enum.StrEnum):
+    """State of a job."""
+
+    QUEUED = "queued"
+    LEASED = "leased"
+    DONE = "done"
+    FAILED = "failed"
+    SET_ASIDE = "set_aside"
+    CANCELLED = "cancelled"
+    UNKNOWN = "unknown"
+
+
+ENDED_STATES = frozenset(
+    (
+        JobState.DONE,
+        JobState.FAILED,
+        JobState.SET_ASIDE,
+        JobState.CANCELLED,
+        JobState.UNKNOWN,
+    )
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobSpec:
+    """What an operator or a team asks for.
+
+    Attributes:
+        job_id: Unique name.
+        kind: Kind that pools name in `carries`.
+        team: Team whose quota it uses.
+        command: Text handed to the worker.
+        declared: Declared size; the observed size goes first.
+        run_seconds: Declared run time; the observed one goes first.
+        urgency: How it competes for workers.
+        is_idempotent: Whether a second run does no harm.
+        can_checkpoint: Whether it can be checkpointed and resumed.
+        zone: Only this availability zone; empty for any.
+        deadline: When it must have ended, such as a monthly close; None for no
+            deadline.
+        submitted_at: When it was accepted.
+    """
+
+    job_id: str
+    kind: str
+    team: str
+    command: str
+    declared: records.Resources
+    run_seconds: float
+    urgency: JobUrgency = JobUrgency.NORMAL
+    is_idempotent: bool = True
+    can_checkpoint: bool = False
+    zone: str = ""
+    deadline: datetime.datetime | None = None
+    submitted_at: datetime.datetime = datetime.datetime.fromtimestamp(
+        0, datetime.UTC
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobRecord:
+    """A job with its state.
+
+    Attributes:
+        spec: What is asked for.
+        state: State of the job.
+        attempt: Number of the last attempt; 0 before the first.
+        worker_id: Worker of the attempt; empty if none.
+        failures: Attempts that failed.
+        failed_workers: Workers on which attempts failed.
+        is_cancel_requested: Whether an operator asked to cancel it.
+        reason: Why it is in its state, for operators.
+    """
+
+    spec: JobSpec
+    state: JobState = JobState.QUEUED
+    attempt: int = 0
+    worker_id: str = ""
+    failures: int = 0
+    failed_workers: tuple[str, ...] = ()
+    is_cancel_requested: bool = False
+    reason: str = ""
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the job will not run any more."""
+        return self.state in ENDED_STATES
+
+
+def make_job_key(shard: str, job_id: str) -> str:
+    """Returns the row key of a job."""
+    return f"{JOB_PREFIX}{shard}/{job_id}"
+
+
+def encode_job(record: JobRecord) -> str:
+    """Returns the text of a job's row."""
+    document = dataclasses.asdict(record)
+    spec = document["spec"]
+    deadline = record.spec.deadline
+    spec["deadline"] = deadline.isoformat() if deadline else None
+    spec["submitted_at"] = record.spec.submitted_at.isoformat()
+    return json.dumps(document)
+
+
+def decode_job(value: str) -> JobRecord:
+    """Returns the job held by a row.
+
+    Raises:
+        ValueError: The text isn't a job.
+    """
+    document = json.loads(value)
+    spec = document["spec"]
+    deadline = spec["deadline"]
+    return JobRecord(
+        spec=JobSpec(
+            job_id=spec["job_id"],
+            kind=spec["kind"],
+            team=spec["team"],
+            command=spec["command"],
+            declared=records.Resources(**spec["declared"]),
+            run_seconds=spec["run_seconds"],
+            urgency=JobUrgency(spec["urgency"]),
+            is_idempotent=spec["is_idempotent"],
+            can_checkpoint=spec["can_checkpoint"],
+            zone=spec["zone"],
+            deadline=(
+                datetime.datetime.fromisoformat(deadline) if deadline else None
+            ),
+            submitted_at=datetime.datetime.fromisoformat(spec["submitted_at"]),
+        ),
+        state=JobState(document["state"]),
+        attempt=document["attempt"],
+        worker_id=document["worker_id"],
+        failures=document["failures"],
+        failed_workers=tuple(document["failed_workers"]),
+        is_cancel_requested=document["is_cancel_requested"],
+        reason=document["reason"],
+    )
--- a/src/fireflywell/platform/machines.py
+++ b/src/fireflywell/platform/machines.py
@@ -38,6 +38,12 @@
     async def list_tasks(self, worker_id: str) -> tuple[records.Task, ...]:
         """Returns the tasks that a worker knows."""
 
+    async def list_changed_tasks(self, after_revision: int) -> records.TaskPage:
+        """Returns the tasks of all workers changed after a revision."""
+
+    async def renew_tasks(self, tasks: tuple[records.Task, ...]) -> None:
+        """Renews the leases of tasks; a task that has ended stays ended."""
+
     async def start_task(
         self, worker_id: str, start: records.TaskStart
     ) -> records.Task:
@@ -46,7 +52,7 @@
     async def change_task(
         self, worker_id: str, job_id: str, attempt: int, action: str
     ) -> records.Task:
-        """Applies `renew`, `checkpoint`, `throttle` or `stop` to a task."""
+        """Applies `checkpoint`, `throttle` or `stop` to a task."""
 
 
 class MachineClient:
@@ -101,6 +107,28 @@
         )
         return tuple(_decode_task(task) for task in answer["tasks"])
 
+    async def list_changed_tasks(self, after_revision: int) -> records.TaskPage:
+        """Lists changed tasks; see `Workers.list_changed_tasks`."""
+        answer = await self._transport.call(
+            "GET", f"/v1/tasks?after_revision={after_revision}"
+        )
+        return records.TaskPage(
+            tuple(_decode_task(task) for task in answer["tasks"]),
+            answer["revision"],
+        )
+
+    async def renew_tasks(self, tasks: tuple[records.Task, ...]) -> None:
+        """Renews leases; see `Workers.renew_tasks`."""
+        names = [
+            {
+                "worker_id": task.worker_id,
+                "job_id": task.job_id,
+                "attempt": task.attempt,
+            }
+            for task in tasks
+        ]
+        await self._transport.call("POST", "/v1/tasks/renew", {"tasks": names})
+
     async def start_task(
         self, worker_id: str, start: records.TaskStart
     ) -> records.Task:
--- a/src/fireflywell/platform/records.py
+++ b/src/fireflywell/platform/records.py
@@ -167,3 +167,16 @@
     resources: Resources
     lease: datetime.timedelta
     fencing_token: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskPage:
+    """Tasks of all workers that changed since a revision.
+
+    Attributes:
+        tasks: Tasks with a new state or a new report of their use.
+        revision: Revision to ask for next.
+    """
+
+    tasks: tuple[Task, ...]
+    revision: int
--- a/tests/test_fleet_moves.py
+++ b/tests/test_fleet_moves.py
@@ -5,7 +5,6 @@
 import itertools
 import unittest
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -15,6 +14,7 @@
 from fireflywell.fleet import moves
 from fireflywell.fleet import vm_records
 from tests import fleet_samples
+from tests import fuzz_settings
 
 NOW = datetime.datetime(2026, 6, 1, tzinfo=datetime.UTC)
 ENTRIES = ("e1", "e2", "e3")
@@ -121,13 +121,7 @@
         self.copies[mover] = (record, self.version)
 
 
-MoveMachine.TestCase.settings = hypothesis.settings(
-    derandomize=True,
-    database=None,
-    deadline=None,
-    max_examples=150,
-    stateful_step_count=40,
-)
+MoveMachine.TestCase.settings = fuzz_settings.make_settings(150, 40)
 
 
 class MoveFuzzTest(MoveMachine.TestCase):  # type: ignore[misc,name-defined]
--- a/tests/test_fleet_waves.py
+++ b/tests/test_fleet_waves.py
@@ -4,7 +4,6 @@
 import datetime
 import unittest
 
-import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
 
@@ -13,6 +12,7 @@
 from fireflywell.fleet import vm_records
 from fireflywell.fleet import waves
 from tests import fleet_samples
+from tests import fuzz_settings
 
 NOW = datetime.datetime(2026, 6, 1, tzinfo=datetime.UTC)
 BUDGET = model.Budget(3, model.FailureDomain.ZONE)
@@ -95,13 +95,7 @@
         assert len(busy) <= 3
 
 
-BudgetMachine.TestCase.settings = hypothesis.settings(
-    derandomize=True,
-    database=None,
-    deadline=None,
-    max_examples=80,
-    stateful_step_count=30,
-)
+BudgetMachine.TestCase.settings = fuzz_settings.make_settings(80, 30)
 
 
 class BudgetFuzzTest(BudgetMachine.TestCase):  # type: ignore[misc,name-defined]
--- a/tools/check_mutations.py
+++ b/tools/check_mutations.py
@@ -58,7 +58,11 @@
             [sys.executable, "-m", "nose2", "-s", "tests", "-t", ".",
              fault.test],
             cwd=copy,
-            env={"PYTHONPATH": "src", "PATH": "/usr/bin:/bin"},
+            env={
+                "FUZZ_NO_SHRINK": "1",
+                "PYTHONPATH": "src",
+                "PATH": "/usr/bin:/bin",
+            },
             capture_output=True,
             text=True,
             check=False,
