--- a/tests/test_coordination_transactions.py
+++ b/tests/test_coordination_transactions.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+import hypothesis
 from hypothesis import settings
 from hypothesis import stateful
 from hypothesis import strategies
@@ -12,7 +13,8 @@
 from fireflywell.coordination import transactions
 from fireflywell.platform import records
 from tests import stepped_calls
-from tests.stepped_calls import Fate
+
+Fate = stepped_calls.Fate
 
 _ROW = "work/a"
 _GUARD = "work/guard"
@@ -101,6 +103,7 @@
         deadline=None,
         max_examples=400,
         stateful_step_count=20,
+        phases=(hypothesis.Phase.generate,),
     )
 
 
@@ -163,6 +166,36 @@
         self.store.serve(task, Fate.SERVED)
         self.assertIsInstance(task.result, records.Committed)
 
+    def write_as_rival(self, version: int) -> None:
+        """Lets somebody else write the row over a version."""
+        self.store.apply(
+            records.Transaction(
+                f"rival-{version}",
+                (records.Condition(_ROW, version),),
+                (records.Write(_ROW, "rival"),),
+            )
+        )
+
+    def test_overwritten_row_is_unknown(self) -> None:
+        """Fails if an applied write that was overwritten counts as refused."""
+        task = self.start((records.Condition(_ROW, 0),))
+        self.store.serve(task, Fate.ANSWER_LOST)
+        self.write_as_rival(1)
+        self.store.serve(task, Fate.SERVED)
+        self.store.serve(task, Fate.SERVED)
+        self.assertIsInstance(task.error, errors.OutcomeUnknownError)
+
+    def test_old_copy_is_not_trusted_after_a_conflict(self) -> None:
+        """Fails if a late read makes an applied write look refused."""
+        task = self.start((records.Condition(_ROW, 0),))
+        self.store.serve(task, Fate.ANSWER_LOST)
+        self.store.serve(task, Fate.SERVED)
+        self.store.serve(task, Fate.STALE)
+        self.time.now += datetime.timedelta(seconds=1)
+        task.wake_if_due()
+        self.store.serve(task, Fate.SERVED)
+        self.assertIsInstance(task.result, records.Committed)
+
     def test_silence_is_reported_as_unknown(self) -> None:
         """Fails if a writer waits for ever, or guesses, in an outage."""
         task = self.start((records.Condition(_ROW, 0),))
