--- a/src/fireflywell/bundle/checks.py
+++ b/src/fireflywell/bundle/checks.py
@@ -35,7 +35,7 @@
     """Yields all broken rules of a bundle with right types."""
     if bundle.version < 1:
         yield Problem("version", f"is {bundle.version}; use 1 or more")
-    yield from _check_signing(bundle.signing)
+    yield from find_signing_problems(bundle.signing)
     for section, names in (
         ("pools", [item.name for item in bundle.pools]),
         ("services", [item.name for item in bundle.services]),
@@ -70,7 +70,8 @@
             return math.ceil(size / zones)
 
 
-def _check_signing(signing: model.Signing) -> Iterator[Problem]:
+def find_signing_problems(signing: model.Signing) -> Iterator[Problem]:
+    """Yields the broken rules of a set of signers."""
     names = [reviewer.name for reviewer in signing.reviewers]
     yield from _check_names("signing.reviewers", names)
     keys = [reviewer.public_key for reviewer in signing.reviewers]
--- /dev/null
+++ b/src/fireflywell/cli/main.py
@@ -0,0 +1,48 @@
+"""Entry point of the operators' command line."""
+
+import pathlib
+
+import click
+
+from fireflywell.cli import bundle_commands
+from fireflywell.cli import keygen
+from fireflywell.cli import running
+from fireflywell.cli import settings as cli_settings
+
+
+@click.group(
+    cls=running.CommandGroup,
+    epilog='Completion: eval "$(_FIREFLYWELL_COMPLETE=bash_source '
+    'fireflywell)"',
+)
+@click.option(
+    "--config",
+    type=click.Path(path_type=pathlib.Path),
+    envvar="FIREFLYWELL_CONFIG",
+    help="TOML settings: platform_url, trust_file, entries.",
+)
+@click.option("--json", "as_json", is_flag=True, help="Prints data as JSON.")
+@click.pass_context
+def main(
+    context: click.Context, config: pathlib.Path | None, as_json: bool
+) -> None:
+    """Controls a fleet: bundles, VMs and jobs.
+
+    Exit codes: 0 done, 1 failed or unknown, 2 a mistake of the user.
+
+    \b
+    Examples:
+      fireflywell keygen alice
+      fireflywell bundle check atlas.toml
+      fireflywell --config ops.toml bundle show
+    """
+    context.obj = cli_settings.load_context(config, as_json)
+
+
+# Other command groups are added here, one line each.
+main.add_command(keygen.keygen)
+main.add_command(bundle_commands.bundle)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/fireflywell/entry/main.py
+++ b/src/fireflywell/entry/main.py
@@ -13,11 +13,15 @@
 from fireflywell import process
 from fireflywell import settings as settings_lib
 from fireflywell.bundle import holder as holder_lib
+from fireflywell.bundle import trust
+from fireflywell.bundle import watcher as watcher_lib
 from fireflywell.entry import application as application_lib
 from fireflywell.entry import dispatcher as dispatcher_lib
 from fireflywell.entry import settings as entry_settings
 from fireflywell.fleet import view as view_lib
+from fireflywell.membership import links as links_lib
 from fireflywell.platform import machines
+from fireflywell.platform import objects
 from fireflywell.platform import tables
 from fireflywell.platform import transport as transport_lib
 from fireflywell.supervision import policies
@@ -69,6 +73,19 @@
         clock,
         rng,
     )
+    bundle_watcher = watcher_lib.BundleWatcher(
+        holder,
+        tables.TableClient(transport),
+        objects.ObjectClient(transport),
+        links_lib.NoPeers(
+            f"{settings.address}:{settings.peer_port}",
+            f"{rng.getrandbits(128):032x}",
+        ),
+        trust.load_trust(pathlib.Path(settings.trust_file)),
+        len(settings.peers),
+        clock,
+        rng,
+    )
     dispatcher = dispatcher_lib.Dispatcher(
         holder, view, settings.zone, clock, metrics
     )
@@ -85,6 +102,11 @@
             supervisor_lib.Child(
                 "fleet_watcher", watcher.run, policies.RestartWithBackoff()
             ),
+            supervisor_lib.Child(
+                "bundle_watcher",
+                bundle_watcher.run,
+                policies.RestartWithBackoff(),
+            ),
         ),
     )
     async with anyio.create_task_group() as group:
