--- a/src/fireflywell/bundle/canonical.py
+++ b/src/fireflywell/bundle/canonical.py
@@ -89,10 +89,8 @@
 def make_converter() -> cattrs.Converter:
     """Returns a converter that refuses whatever the model doesn't name."""
     converter = settings_lib.make_strict_converter()
-    converter.register_structure_hook_func(
-        lambda kind: isinstance(kind, type) and issubclass(kind, enum.StrEnum),
-        _structure_enum,
-    )
+    for kind in (model.FailureDomain, model.ClassKind):
+        converter.register_structure_hook(kind, _structure_enum)
     converter.register_structure_hook_factory(
         dataclasses.is_dataclass,
         lambda kind: _make_table_hook(kind, converter),
--- a/src/fireflywell/cli/bundle_commands.py
+++ b/src/fireflywell/cli/bundle_commands.py
@@ -43,7 +43,7 @@
       fireflywell --config ops.toml bundle rollout atlas.toml \\
           --signature atlas.toml.alice.sig --signature atlas.toml.bob.sig
       fireflywell --config ops.toml bundle wait 2
-    """
+    """  # noqa: D301
 
 
 @bundle.command()
@@ -58,7 +58,7 @@
     \b
     Example:
       fireflywell bundle check atlas.toml
-    """
+    """  # noqa: D301
     loaded = _load(file, zones)
     body = canonical.encode_bundle(loaded)
     digest = canonical.compute_digest(body)
@@ -81,7 +81,7 @@
     \b
     Example:
       fireflywell --config ops.toml bundle review atlas.toml
-    """
+    """  # noqa: D301
     new = _load(file, zones)
 
     async def work() -> tuple[review_lib.Change, ...]:
@@ -139,7 +139,7 @@
     \b
     Example:
       fireflywell --config ops.toml bundle sign atlas.toml --key alice.key
-    """
+    """  # noqa: D301
     loaded = _load(file, checks.DEFAULT_ZONES)
     body = canonical.encode_bundle(loaded)
 
@@ -188,7 +188,7 @@
     Example:
       fireflywell --config ops.toml bundle rollout atlas.toml \\
           --signature atlas.toml.alice.sig --signature atlas.toml.bob.sig
-    """
+    """  # noqa: D301
     loaded = _load(file, checks.DEFAULT_ZONES)
     head = _merge_signatures(signature_files)
     anchor = trust.load_trust(pathlib.Path(context.require("trust_file")))
@@ -222,7 +222,7 @@
     \b
     Example:
       fireflywell --config ops.toml --json bundle show
-    """
+    """  # noqa: D301
 
     async def work() -> acceptance.CurrentHead:
         async with running.connect(context) as connection:
@@ -272,7 +272,7 @@
     \b
     Example:
       fireflywell bundle wait 2 --entry http://127.0.0.1:8080
-    """
+    """  # noqa: D301
     addresses = entries or context.settings.entries
     if not addresses:
         raise errors.SettingsError(
--- a/src/fireflywell/cli/keygen.py
+++ b/src/fireflywell/cli/keygen.py
@@ -29,7 +29,7 @@
     \b
     Example:
       fireflywell keygen alice --output alice.key
-    """
+    """  # noqa: D301
     key = nacl.signing.SigningKey.generate()
     path = output or pathlib.Path(f"{name}.key")
     encoder = nacl.encoding.HexEncoder
--- a/src/fireflywell/cli/main.py
+++ b/src/fireflywell/cli/main.py
@@ -35,7 +35,7 @@
       fireflywell keygen alice
       fireflywell bundle check atlas.toml
       fireflywell --config ops.toml bundle show
-    """
+    """  # noqa: D301
     context.obj = cli_settings.load_context(config, as_json)
 
 
