--- a/src/fireflywell/bundle/canonical.py
+++ b/src/fireflywell/bundle/canonical.py
@@ -30,7 +30,7 @@
     The order of the entries in the document has no meaning, so lists are
     sorted by name.
     """
-    return _pack(_converter().unstructure(sort_bundle(bundle)))
+    return _pack(_CONVERTER.unstructure(sort_bundle(bundle)))
 
 
 def decode_bundle(body: bytes) -> model.Bundle:
@@ -46,7 +46,7 @@
         )
     try:
         document = msgpack.unpackb(body)
-        return _converter().structure(document, model.Bundle)
+        return _CONVERTER.structure(document, model.Bundle)
     except (cattrs.errors.BaseValidationError, ValueError, TypeError) as error:
         problems = "; ".join(settings_lib.describe_problems(error))
         raise errors.BundleSchemaError(
@@ -62,7 +62,7 @@
 
 def compute_signing_digest(signing: model.Signing) -> str:
     """Returns the SHA-256 of the canonical form of the signers."""
-    return compute_digest(_pack(_converter().unstructure(_sort(signing))))
+    return compute_digest(_pack(_CONVERTER.unstructure(_sort(signing))))
 
 
 def sort_bundle(bundle: model.Bundle) -> model.Bundle:
@@ -86,8 +86,17 @@
     )
 
 
-def make_converter() -> cattrs.Converter:
-    """Returns a converter that refuses whatever the model doesn't name."""
+def structure(document: Any, kind: type[T]) -> T:
+    """Returns a value of a document, refusing what the class doesn't name.
+
+    Raises:
+        BaseValidationError: The document doesn't match (of cattrs).
+        ValueError: The same, for a document that isn't a table.
+    """
+    return _CONVERTER.structure(document, kind)
+
+
+def _make_converter() -> cattrs.Converter:
     converter = settings_lib.make_strict_converter()
     for kind in (model.FailureDomain, model.ClassKind):
         converter.register_structure_hook(kind, _structure_enum)
@@ -102,10 +111,6 @@
     return converter
 
 
-def _converter() -> cattrs.Converter:
-    return _CONVERTER
-
-
 def _pack(document: Any) -> bytes:
     return bytes(msgpack.packb(_sort_keys(document)))
 
@@ -137,14 +142,14 @@
 
 
 def _make_table_hook(kind: Any, converter: cattrs.Converter) -> Any:
-    structure = cattrs.gen.make_dict_structure_fn(
+    structure_table = cattrs.gen.make_dict_structure_fn(
         kind, converter, _cattrs_forbid_extra_keys=True
     )
 
     def check_and_structure(value: Any, target: Any) -> Any:
         if not isinstance(value, dict):
             raise ValueError(f"expected a table, found {value!r}")
-        return structure(value, target)
+        return structure_table(value, target)
 
     return check_and_structure
 
@@ -171,4 +176,5 @@
     return tuple(found)
 
 
-_CONVERTER = make_converter()
+# Making a converter takes several milliseconds, so all calls share one.
+_CONVERTER = _make_converter()
--- a/src/fireflywell/bundle/documents.py
+++ b/src/fireflywell/bundle/documents.py
@@ -38,7 +38,7 @@
             f"{source}: not valid TOML: {error}; correct the line"
         ) from error
     try:
-        bundle = canonical.make_converter().structure(document, model.Bundle)
+        bundle = canonical.structure(document, model.Bundle)
     except (cattrs.errors.BaseValidationError, ValueError) as error:
         problems = [
             _name_entries(line, document)
--- a/src/fireflywell/bundle/signatures.py
+++ b/src/fireflywell/bundle/signatures.py
@@ -215,7 +215,7 @@
 def _decode(text: str, kind: type[canonical.T]) -> canonical.T:
     try:
         document: Any = json.loads(text)
-        return canonical.make_converter().structure(document, kind)
+        return canonical.structure(document, kind)
     except (cattrs.errors.BaseValidationError, ValueError) as error:
         raise errors.BundleSignatureError(
             f"not a signed bundle head ({type(error).__name__}); use the "
--- a/src/fireflywell/entry/main.py
+++ b/src/fireflywell/entry/main.py
@@ -73,18 +73,8 @@
         clock,
         rng,
     )
-    bundle_watcher = watcher_lib.BundleWatcher(
-        holder,
-        tables.TableClient(transport),
-        objects.ObjectClient(transport),
-        links_lib.NoPeers(
-            f"{settings.address}:{settings.peer_port}",
-            f"{rng.getrandbits(128):032x}",
-        ),
-        trust.load_trust(pathlib.Path(settings.trust_file)),
-        len(settings.peers),
-        clock,
-        rng,
+    bundle_watcher = make_bundle_watcher(
+        settings, holder, transport, clock, rng
     )
     dispatcher = dispatcher_lib.Dispatcher(
         holder, view, settings.zone, clock, metrics
@@ -119,6 +109,34 @@
         group.cancel_scope.cancel()
 
 
+def make_bundle_watcher(
+    settings: entry_settings.EntrySettings,
+    holder: holder_lib.BundleHolder,
+    transport: transport_lib.PlatformTransport,
+    clock: clock_lib.Clock,
+    rng: random.Random,
+) -> watcher_lib.BundleWatcher:
+    """Returns the watcher that keeps the entry's bundle current.
+
+    Raises:
+        SettingsError: The trust file can't be used.
+    """
+    links = links_lib.NoPeers(
+        f"{settings.address}:{settings.peer_port}",
+        f"{rng.getrandbits(128):032x}",
+    )
+    return watcher_lib.BundleWatcher(
+        holder,
+        tables.TableClient(transport),
+        objects.ObjectClient(transport),
+        links,
+        trust.load_trust(pathlib.Path(settings.trust_file)),
+        len(settings.peers),
+        clock,
+        rng,
+    )
+
+
 def make_metrics(
     settings: entry_settings.StatsdSettings | None,
     prefix: str,
--- a/tests/test_coordination_leases.py
+++ b/tests/test_coordination_leases.py
@@ -285,6 +285,66 @@
         self.store.deliver(0)
         self.assertEqual(self.store.read("work/row").version, 0)
 
+    def check_late_answer(self, task: stepped_calls.Task) -> None:
+        """Lets a delayed write arrive and be answered 3.5 s later."""
+        self.store.serve(task, Fate.DELAYED)
+        self.store.deliver(0)
+        self.step(self.second)
+        self.pass_seconds(3.5)
+        while not task.is_done:
+            self.store.serve(task, Fate.SERVED)
+        self.pass_seconds(2.6)
+        self.step(self.second)
+        self.assertIsNotNone(self.second.keeper.current)
+        self.assertIsNone(self.first.keeper.current)
+
+    def test_acquire_counts_from_before_it_was_sent(self) -> None:
+        """Fails if a late answer makes an acquired lease too long."""
+        task = stepped_calls.Task(self.first.keeper.step(), self.first.clock)
+        self.store.serve(task, Fate.SERVED)
+        self.check_late_answer(task)
+
+    def test_renewal_counts_from_before_it_was_sent(self) -> None:
+        """Fails if a late answer makes a renewed lease too long."""
+        self.step(self.first)
+        self.pass_seconds(0.1)
+        task = stepped_calls.Task(self.first.keeper.step(), self.first.clock)
+        self.check_late_answer(task)
+
+    def test_old_reads_dont_take_a_renewed_lease(self) -> None:
+        """Fails if an observer that reads old copies takes a live lease."""
+        self.step(self.first)
+        keys = ("lease/" + _ROLE, "fence/" + _ROLE)
+        old = tuple(self.store.read(key) for key in keys)
+        for _ in range(9):
+            self.pass_seconds(1)
+            self.step(self.first)
+            task = stepped_calls.Task(
+                self.second.keeper.step(), self.second.clock
+            )
+            task.answer(old)
+            self.store.serve(task, Fate.SERVED)
+            self.assertIsNone(self.second.keeper.current)
+        self.assertIsNotNone(self.first.keeper.current)
+
+    def test_old_reads_dont_delay_a_takeover(self) -> None:
+        """Fails if a lower version starts the observer's count again."""
+        self.step(self.first)
+        keys = ("lease/" + _ROLE, "fence/" + _ROLE)
+        old = tuple(self.store.read(key) for key in keys)
+        self.pass_seconds(1)
+        self.step(self.first)
+        self.step(self.second)
+        for _ in range(6):
+            self.pass_seconds(1)
+            task = stepped_calls.Task(
+                self.second.keeper.step(), self.second.clock
+            )
+            task.answer(old)
+        self.pass_seconds(0.1)
+        self.step(self.second)
+        self.assertIsNotNone(self.second.keeper.current)
+
     def test_fenced_write_after_takeover_drops_the_lease(self) -> None:
         """Fails if a holder goes on after the store showed a successor."""
         self.step(self.first)
@@ -325,19 +385,21 @@
                 ended.set()
 
             group.start_soon(wait_lost)
-            for _ in range(10):
-                await anyio.wait_all_tasks_blocked()
-                clock.advance(datetime.timedelta(seconds=1))
+            await self._advance(clock, 10)
             self.assertFalse(ended.is_set())
             table.set_down(True)
-            for _ in range(5):
-                await anyio.wait_all_tasks_blocked()
-                clock.advance(datetime.timedelta(seconds=1))
-            await ended.wait()
+            await self._advance(clock, 6)
+            self.assertTrue(ended.is_set())
             self.assertIsNone(keeper.current)
             table.set_down(False)
-            clock.advance(datetime.timedelta(seconds=1))
-            await keeper.wait_until_held()
+            await self._advance(clock, 2)
+            self.assertIsNotNone(keeper.current)
             group.cancel_scope.cancel()
         (row,) = await table.read(("lease/" + _ROLE,))
         self.assertIn('"holder": ""', row.value)
+
+    async def _advance(self, clock: clock_lib.ManualClock, count: int) -> None:
+        for _ in range(count):
+            await anyio.wait_all_tasks_blocked()
+            clock.advance(datetime.timedelta(seconds=1))
+        await anyio.wait_all_tasks_blocked()
