--- a/src/fireflywell/bundle/peer_heads.py
+++ b/src/fireflywell/bundle/peer_heads.py
@@ -12,6 +12,11 @@
 # All peers offer a bundle to one that lacks it. A body is asked of one of
 # them, and of another only if it hasn't come within this time.
 _REQUEST_INTERVAL = datetime.timedelta(seconds=1)
+# Every process polls the store within 1.2 s, so a peer that is behind for
+# longer missed it. Offers before that would grow with the square of the
+# number of peers at each rollout.
+_OFFER_DELAY = datetime.timedelta(milliseconds=1500)
+_OFFER_INTERVAL = datetime.timedelta(seconds=5)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,6 +45,7 @@
     """Collects what peers hold until more than half of them were heard."""
 
     __slots__ = (
+        "_behind",
         "_best",
         "_clock",
         "_confirmed",
@@ -53,6 +59,7 @@
         self._peer_count = peer_count
         self._clock = clock
         self._heard: dict[str, _Heard] = {}
+        self._behind: dict[str, _Heard] = {}
         self._best: PeerBundle | None = None
         self._confirmed = ""
         self._requested = ""
@@ -62,6 +69,27 @@
         """Notes the version that a peer holds."""
         self._heard[address] = _Heard(version, self._clock.monotonic())
 
+    def is_offer_due(self, address: str, version: int, own: int) -> bool:
+        """Returns whether a peer needs an offer, and notes that it gets one.
+
+        Args:
+            address: The peer.
+            version: Version that it holds.
+            own: Version that this process holds.
+        """
+        if version >= own:
+            self._behind.pop(address, None)
+            return False
+        now = self._clock.monotonic()
+        behind = self._behind.get(address)
+        if behind is None or behind.version != version:
+            self._behind[address] = _Heard(version, now + _OFFER_DELAY)
+            return False
+        if now < behind.at:
+            return False
+        self._behind[address] = _Heard(version, now + _OFFER_INTERVAL)
+        return True
+
     def note_confirmed(self, digest: str) -> None:
         """Notes that the store showed this bundle as the accepted one."""
         self._confirmed = digest
--- a/src/fireflywell/bundle/watcher.py
+++ b/src/fireflywell/bundle/watcher.py
@@ -277,7 +277,9 @@
 
     def _offer_if_behind(self, address: str, version: int) -> None:
         record = self._adopter.record
-        if record is not None and version < record.head.version:
+        if record is not None and self._heads.is_offer_due(
+            address, version, record.head.version
+        ):
             self._send_offer(address, record)
 
     def _pass_on(self, record: signatures.HeadRecord) -> None:
--- a/tests/test_bundle_reverting.py
+++ b/tests/test_bundle_reverting.py
@@ -97,9 +97,12 @@
         sender=strategies.integers(0, 2), receiver=strategies.integers(0, 2)
     )
     def heartbeat(self, sender: int, receiver: int) -> None:
-        """Delivers one heartbeat."""
-        if sender != receiver:
-            process = self.processes[sender]
+        """Delivers two heartbeats, far enough apart for an offer."""
+        if sender == receiver:
+            return
+        process = self.processes[sender]
+        for seconds in (0, 1.6):
+            self.time.now += datetime.timedelta(seconds=seconds)
             self.processes[receiver].receive(
                 process.address, process.make_heartbeat()
             )
@@ -122,11 +125,17 @@
         receiver = self.processes[int(address[1:])]
         receiver.receive(process.address, message)
 
-    @stateful.rule(number=strategies.integers(0, 2))
-    def restart(self, number: int) -> None:
-        """Starts a process again with an empty memory."""
+    @stateful.rule(
+        number=strategies.integers(0, 2), is_late=strategies.booleans()
+    )
+    def restart(self, number: int, is_late: bool) -> None:
+        """Starts a process again with an empty memory, maybe on old reads."""
         self.processes[number] = self.make_process(number)
         self.highest[number] = 0
+        if is_late and not self.objects.is_down:
+            self.processes[number].table.freeze_reads()
+            self.roll_out()
+            self.poll(number)
 
     @stateful.rule(is_down=strategies.booleans())
     def set_objects_fault(self, is_down: bool) -> None:
--- a/tests/test_bundle_rollout.py
+++ b/tests/test_bundle_rollout.py
@@ -128,6 +128,51 @@
         process.refresh()
         self.assertEqual(process.holder.version, 5)
 
+    def test_empty_process_doesnt_trust_an_old_read(self) -> None:
+        """Fails if a restart brings back what was replaced."""
+        self.roll_out(1)
+        self.table.freeze_reads()
+        self.roll_out(1)
+        process = self.make()
+        process.refresh()
+        self.assertIsNone(process.holder.current)
+        self.table.recover()
+        process.refresh()
+        self.assertEqual(process.holder.version, 2)
+
+    def test_old_reads_and_offers_revert_nothing(self) -> None:
+        """Fails if a late read or a peer that is behind takes a bundle back."""
+        self.roll_out(1)
+        old_record = self.operators.read_record()
+        self.table.freeze_reads()
+        old_table = self.table._old
+        self.table.recover()
+        self.roll_out(2)
+        process = self.make()
+        process.refresh()
+        self.table._old = old_table
+        name = acceptance.make_body_name(old_record.head.digest)
+        text = signatures.encode_record(old_record)
+        body = messages.BundleBody(text, self.objects.content[name])
+        for _ in range(3):
+            process.refresh()
+            process.receive("p1", messages.BundleOffer(1, text))
+            process.receive("p1", body)
+            self.assertEqual(process.holder.version, 3)
+
+    def test_missing_body_is_tried_again(self) -> None:
+        """Fails if an outage of the object store hides a bundle for ever."""
+        self.roll_out(1)
+        process = self.make()
+        self.objects.is_down = True
+        process.refresh()
+        self.assertIn("body", process.holder.missing_reason)
+        request = process.links.sent[0][1]
+        self.assertIsInstance(request, messages.BundleRequest)
+        self.objects.is_down = False
+        process.refresh()
+        self.assertEqual(process.holder.version, 1)
+
     def test_unsigned_head_in_the_store_changes_nothing(self) -> None:
         """Fails if whoever writes the store changes the behaviour."""
         self.roll_out(1)
--- a/tests/test_coordination_leases.py
+++ b/tests/test_coordination_leases.py
@@ -1,194 +1,21 @@
-"""Leases and fencing under pauses, drift, lost answers and late writes."""
+"""Single promises of the lease keeper."""
 
 import datetime
 import random
 import unittest
 
 import anyio
-import hypothesis
-from hypothesis import settings
-from hypothesis import stateful
-from hypothesis import strategies
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
-from fireflywell.coordination import lease_rows
 from fireflywell.coordination import leases
 from fireflywell.platform import records
 from fireflywell.standins import table_store
+from tests import lease_harness
 from tests import stepped_calls
 
 Fate = stepped_calls.Fate
-
-_ROLE = "maintenance"
-# With 5 s and a margin of 1 s the rates of two clocks may differ by a factor
-# of 6 / 4.
-_RATES = (0.85, 1.0, 1.2)
-_CONTENDERS = strategies.integers(0, len(_RATES) - 1)
-
-
-class Contender:
-    """One process: a clock, a keeper and at most one running call."""
-
-    def __init__(
-        self, time: stepped_calls.TrueTime, number: int, life: int
-    ) -> None:
-        start = datetime.timedelta(seconds=1000 * number)
-        self.clock = stepped_calls.DriftingClock(time, _RATES[number], start)
-        self.table = stepped_calls.SteppedTable()
-        self.keeper = leases.LeaseKeeper(
-            _ROLE,
-            f"process-{number}",
-            self.table,
-            self.clock,
-            random.Random(number * 1000 + life),
-        )
-        self.fenced = leases.FencedTable(self.table, self.keeper)
-        self.task: stepped_calls.Task | None = None
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether no call of the keeper is running."""
-        return self.task is None or self.task.is_done
-
-
-class LeaseMachine(stateful.RuleBasedStateMachine):
-    """Several contenders; time and the store are seen as they truly are."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.time = stepped_calls.TrueTime()
-        self.store = stepped_calls.Store()
-        self.lives = 0
-        self.contenders = [
-            Contender(self.time, number, 0) for number in range(len(_RATES))
-        ]
-        self.authors: dict[str, int] = {}
-
-    @stateful.rule(
-        seconds=strategies.sampled_from([0.5, 1.0, 2.0, 3.5, 4.0, 5.5])
-    )
-    def advance(self, seconds: float) -> None:
-        """Lets true time pass."""
-        self.time.now += datetime.timedelta(seconds=seconds)
-        for contender in self.contenders:
-            if contender.task is not None:
-                contender.task.wake_if_due()
-
-    @stateful.rule(holder=_CONTENDERS, observer=_CONTENDERS)
-    def race(self, holder: int, observer: int) -> None:
-        """Lets one step, another see it, and the second step till it may."""
-        self.finish_step(holder)
-        for _ in range(14):
-            self.finish_step(observer)
-            self.only_one_holder()
-            self.advance(0.5)
-
-    @stateful.rule(number=_CONTENDERS)
-    def begin_step(self, number: int) -> None:
-        """Starts a step, which then waits at its first call."""
-        contender = self.contenders[number]
-        if contender.is_idle:
-            contender.task = stepped_calls.Task(
-                contender.keeper.step(), contender.clock
-            )
-
-    @stateful.rule(number=_CONTENDERS, fate=strategies.sampled_from(Fate))
-    def serve(self, number: int, fate: Fate) -> None:
-        """Decides the fate of a pending call."""
-        contender = self.contenders[number]
-        if contender.task is not None:
-            self.store.serve(contender.task, fate)
-
-    @stateful.rule(number=_CONTENDERS)
-    def finish_step(self, number: int) -> None:
-        """Runs a step to its end without a fault."""
-        self.begin_step(number)
-        task = self.contenders[number].task
-        while task is not None and not task.is_done:
-            if isinstance(task.call, stepped_calls.SleepCall):
-                return
-            self.store.serve(task, Fate.SERVED)
-
-    @stateful.precondition(lambda self: self.store.delayed)
-    @stateful.rule(index=strategies.integers(0, 9))
-    def deliver(self, index: int) -> None:
-        """Lets a delayed transaction arrive."""
-        before = len(self.store.applied)
-        transaction = self.store.deliver(index)
-        if len(self.store.applied) > before:
-            self.check_author(transaction)
-
-    @stateful.rule(number=_CONTENDERS, is_late=strategies.booleans())
-    def write(self, number: int, is_late: bool) -> None:
-        """Writes a row of the role, at once or late."""
-        contender = self.contenders[number]
-        lease = contender.keeper.current
-        write_id = f"work-{len(self.authors)}"
-        transaction = records.Transaction(
-            write_id, (), (records.Write("work/row", write_id),)
-        )
-        task = stepped_calls.Task(
-            contender.fenced.transact(transaction), contender.clock
-        )
-        if lease is None:
-            assert isinstance(task.error, errors.LeaseLostError)
-            return
-        self.authors[write_id] = lease.token
-        self.store.serve(task, Fate.DELAYED if is_late else Fate.SERVED)
-        if isinstance(task.result, records.Committed):
-            self.check_author(transaction)
-
-    @stateful.rule(number=_CONTENDERS)
-    def restart(self, number: int) -> None:
-        """Kills a process and starts it again with an empty memory."""
-        task = self.contenders[number].task
-        if task is not None:
-            task.kill()
-        self.lives += 1
-        self.contenders[number] = Contender(self.time, number, self.lives)
-
-    @stateful.rule(number=_CONTENDERS)
-    def stop_gracefully(self, number: int) -> None:
-        """Cancels a step and begins to release."""
-        contender = self.contenders[number]
-        if contender.task is not None:
-            contender.task.kill()
-        contender.task = stepped_calls.Task(
-            contender.keeper.release(), contender.clock
-        )
-
-    @stateful.invariant()
-    def only_one_holder(self) -> None:
-        """Checks that at most one process may act."""
-        tokens = [
-            contender.keeper.current.token
-            for contender in self.contenders
-            if contender.keeper.current is not None
-        ]
-        assert len(tokens) <= 1, tokens
-
-    def check_author(self, transaction: records.Transaction) -> None:
-        """Checks an applied write against the fence at this moment."""
-        author = self.authors.get(transaction.write_id)
-        if author is None:
-            return
-        row = self.store.read(lease_rows.make_fence_key(_ROLE))
-        assert row.value == f'{{"token": {author}}}', (author, row.value)
-
-
-class LeaseModelTest(LeaseMachine.TestCase):  # type: ignore[name-defined]
-    """Fails if two processes may act, or a former holder's write counts."""
-
-    settings = settings(
-        derandomize=True,
-        database=None,
-        deadline=None,
-        max_examples=300,
-        stateful_step_count=30,
-        # Shrinking a failure of this machine takes minutes.
-        phases=(hypothesis.Phase.generate,),
-    )
+_ROLE = lease_harness.ROLE
 
 
 class LeaseTest(unittest.TestCase):
@@ -198,10 +25,10 @@
         """Starts a store and two processes."""
         self.time = stepped_calls.TrueTime()
         self.store = stepped_calls.Store()
-        self.first = Contender(self.time, 1, 0)
-        self.second = Contender(self.time, 1, 1)
+        self.first = lease_harness.Contender(self.time, 1, 0)
+        self.second = lease_harness.Contender(self.time, 1, 1)
 
-    def step(self, contender: Contender, *fates: Fate) -> None:
+    def step(self, contender: lease_harness.Contender, *fates: Fate) -> None:
         """Runs a step; the given fates apply to its first calls."""
         task = stepped_calls.Task(contender.keeper.step(), contender.clock)
         for fate in fates:
