--- a/tests/test_cli_bundles.py
+++ b/tests/test_cli_bundles.py
@@ -67,10 +67,14 @@
         self._thread.join()
 
     async def _serve(self) -> None:
-        async with anyio.create_task_group() as group:
-            for listener in self._listeners:
-                group.start_soon(listener.run)
-                await listener.wait_until_started()
+        try:
+            async with anyio.create_task_group() as group:
+                for listener in self._listeners:
+                    group.start_soon(listener.run)
+                    await listener.wait_until_started()
+                self._started.set()
+        finally:
+            # A port that is taken must fail the test, not stop it for ever.
             self._started.set()
 
 
