Ask all entries at once while waiting for a version

Cause: entries that don't answer took two seconds each, one after the other, and nothing tested the line that shows progress.

Change: one task for each entry; the clock is passed in, so that a test can skip the wait.

Conclusion: a wait with dead entries asks again after at most one timeout.

--- a/src/fireflywell/cli/bundle_commands.py
+++ b/src/fireflywell/cli/bundle_commands.py
@@ -6,6 +6,7 @@
 
 import click
 
+from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.bundle import acceptance
 from fireflywell.bundle import canonical
@@ -280,7 +281,9 @@
             "given by --config"
         )
     reports = running.run(
-        lambda: rollout_wait.wait_for_version(version, addresses, timeout)
+        lambda: rollout_wait.wait_for_version(
+            version, addresses, timeout, clock_lib.SystemClock()
+        )
     )
     running.print_result(
         context,
--- a/src/fireflywell/cli/rollout_wait.py
+++ b/src/fireflywell/cli/rollout_wait.py
@@ -4,12 +4,14 @@
 import datetime
 import json
 
+import anyio
 import click
 import httpcore
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell import send_tracker
+from fireflywell.supervision import supervisor as supervisor_lib
 
 _ASK_INTERVAL = datetime.timedelta(milliseconds=200)
 _ASK_TIMEOUT_SECONDS = 2.0
@@ -26,21 +28,27 @@
 
 
 async def wait_for_version(
-    version: int, addresses: tuple[str, ...], timeout_seconds: float
+    version: int,
+    addresses: tuple[str, ...],
+    timeout_seconds: float,
+    clock: clock_lib.Clock,
 ) -> tuple[EntryReport, ...]:
     """Asks entries until all have a version, or a higher one, in force.
 
+    Args:
+        version: Version to wait for.
+        addresses: Base addresses of the entries.
+        timeout_seconds: How long to wait.
+        clock: Measures the wait.
+
     Raises:
         OutcomeUnknownError: Some didn't in time; the message names them.
     """
-    clock = clock_lib.SystemClock()
     started = clock.monotonic()
     last_note = started
     async with httpcore.AsyncConnectionPool() as pool:
         while True:
-            reports = tuple(
-                [await _ask(pool, address) for address in addresses]
-            )
+            reports = await _ask_all(pool, addresses)
             behind = [item for item in reports if item.version < version]
             if not behind:
                 return reports
@@ -57,6 +65,22 @@
             await clock.sleep(_ASK_INTERVAL)
 
 
+async def _ask_all(
+    pool: httpcore.AsyncConnectionPool, addresses: tuple[str, ...]
+) -> tuple[EntryReport, ...]:
+    """Asks all entries at once, so that dead ones don't add up."""
+    reports: list[EntryReport] = []
+
+    async def ask(address: str) -> None:
+        reports.append(await _ask(pool, address))
+
+    with supervisor_lib.raise_single_error():
+        async with anyio.create_task_group() as group:
+            for address in addresses:
+                group.start_soon(ask, address)
+    return tuple(sorted(reports, key=lambda item: item.address))
+
+
 async def _ask(pool: httpcore.AsyncConnectionPool, address: str) -> EntryReport:
     url = f"{address.rstrip('/')}/fireflywell/status"
     limits = dict.fromkeys(
--- a/tests/test_cli_bundles.py
+++ b/tests/test_cli_bundles.py
@@ -1,5 +1,8 @@
 """The operators' command line, against the platform's stand-in."""
 
+import contextlib
+import datetime
+import io
 import json
 import pathlib
 import tempfile
@@ -11,7 +14,9 @@
 
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
+from fireflywell import errors
 from fireflywell.cli import main
+from fireflywell.cli import rollout_wait
 from fireflywell.platform import records
 from fireflywell.standins import faults
 from fireflywell.standins import machines
@@ -39,6 +44,14 @@
         await asgi.send_json(send, 200, {"bundle_version": self.version})
 
 
+class SkippingClock(clock_lib.ManualClock):
+    """A clock whose sleeps take no time."""
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Moves on at once."""
+        self.advance(duration)
+
+
 class ServerThread:
     """Serves the stand-ins on an event loop of their own."""
 
@@ -158,6 +171,25 @@
         result = self.run_command(1, "bundle", "wait", "2", "--timeout", "0")
         self.assertIn("version 2 isn't in force", result.output)
 
+    def test_long_wait_shows_progress(self) -> None:
+        """Fails if an operator sees nothing during a long wait."""
+        dead = "http://127.0.0.1:18299"
+        live = f"http://127.0.0.1:{_ENTRY_PORT}"
+        output = io.StringIO()
+        with (
+            contextlib.redirect_stderr(output),
+            self.assertRaisesRegex(errors.OutcomeUnknownError, "no answer"),
+        ):
+            anyio.run(
+                rollout_wait.wait_for_version,
+                1,
+                (live, dead),
+                5.0,
+                SkippingClock(),
+            )
+        lines = output.getvalue().splitlines()
+        self.assertEqual(lines, ["1 of 2 entries have version 1"] * 2)
+
     def test_unsigned_rollout_fails(self) -> None:
         """Fails if one signature of two needed is enough."""
         self.run_command(
