Add the fair queue of a service

Cause: requests went straight to an instance or were refused; a surge of one class or team could take every slot.

Change: ServiceQueue orders tickets by start-time fair queueing over classes and then teams, at the observed service time. Work is told apart by observed run times into quick, long and unproven lanes; a part of the slots is closed to long work. Queues are bounded for each class and, by a dynamic threshold, for each team. Deadlines that can't be met are refused at once.

Ruled out: strict priority and static shares, because the first starves and the second leaves slots idle; a fixed bound for each team, because two teams together would fill a class's queue.

--- /dev/null
+++ b/src/fireflywell/requests/service_queue.py
@@ -0,0 +1,295 @@
+"""Queue of one service at one entry."""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import datetime
+
+from fireflywell import clock as clock_lib
+from fireflywell.bundle import model
+from fireflywell.requests import admission
+from fireflywell.requests import deadlines
+from fireflywell.requests import fair_queue
+from fireflywell.requests import long_slots
+from fireflywell.requests import queue_values
+from fireflywell.requests import service_times
+
+Ticket = queue_values.Ticket
+SlotState = queue_values.SlotState
+Queued = queue_values.Queued
+QueueRefusal = queue_values.QueueRefusal
+RefusalKind = queue_values.RefusalKind
+QueueOptions = queue_values.QueueOptions
+
+_DEFAULT_OPTIONS = QueueOptions()
+
+
+class _Taken:
+    """A ticket that was handed out, with what its flow was charged."""
+
+    __slots__ = ("charge", "is_started", "team")
+
+    def __init__(self, team: fair_queue.TeamFlow, charge: float) -> None:
+        self.team = team
+        self.charge = charge
+        self.is_started = False
+
+
+class ServiceQueue:
+    """Orders the requests of one service at one entry by fair shares.
+
+    Each ticket that `take_next` returns must be reported by `note_finished`
+    in the end, also if it was never sent. An entry that runs a request which
+    a peer forwarded to it, past its own queue, asks `may_start` first and
+    reports `note_started` and `note_finished` for it too.
+    """
+
+    __slots__ = (
+        "_classes",
+        "_clock",
+        "_deadlines",
+        "_expired",
+        "_long_slots",
+        "_options",
+        "_queue",
+        "_service",
+        "_slots",
+        "_taken",
+        "_times",
+        "_long_runs",
+    )
+
+    def __init__(
+        self,
+        service: model.Service,
+        classes: Iterable[model.RequestClass],
+        teams: Iterable[model.Team],
+        clock: clock_lib.Clock,
+        options: QueueOptions = _DEFAULT_OPTIONS,
+    ) -> None:
+        self._clock = clock
+        self._options = options
+        self._queue = fair_queue.FairQueue()
+        self._deadlines = deadlines.DeadlineIndex(self._queue.__contains__)
+        self._times = service_times.ServiceTimes(options)
+        self._long_slots = long_slots.LongSlots(options)
+        self._expired: list[Ticket] = []
+        self._taken: dict[str, _Taken] = {}
+        self._long_runs: set[str] = set()
+        self._slots = service.slots
+        self.reconfigure(service, classes, teams)
+
+    @property
+    def queued(self) -> int:
+        """Number of waiting tickets."""
+        return len(self._queue)
+
+    def reconfigure(
+        self,
+        service: model.Service,
+        classes: Iterable[model.RequestClass],
+        teams: Iterable[model.Team],
+    ) -> None:
+        """Adopts a new bundle's values; waiting tickets stay in the queue."""
+        self._service = service
+        self._classes = tuple(classes)
+        self._queue.configure(self._classes, teams)
+        self._times.configure(self._classes)
+        for item in self._classes:
+            self._long_slots.set_weight(item.name, item.weight)
+
+    def offer(self, ticket: Ticket) -> Queued | QueueRefusal:
+        """Queues a ticket, or tells why it certainly won't be run."""
+        now = self._refresh()
+        flow = self._queue.find_class(ticket.class_name)
+        if flow is None:
+            return self._refuse(ticket, RefusalKind.UNKNOWN_CLASS, None)
+        team = self._queue.find_team(flow, ticket.team)
+        if team is None:
+            return self._refuse(ticket, RefusalKind.UNKNOWN_TEAM, None)
+        if ticket.request_id in self._queue or ticket.request_id in self._taken:
+            return self._refuse(ticket, RefusalKind.DUPLICATE, None)
+        times = self._times.find(ticket.class_name, ticket.route)
+        waiting = fair_queue.Waiting(ticket, times, team)
+        wait = admission.estimate_wait(
+            self._queue.list_classes(),
+            team,
+            waiting.lane,
+            self._count_slots(waiting.lane),
+        )
+        full = admission.find_full_queue(flow, team)
+        if full is not None:
+            return self._refuse(ticket, full, wait / 2)
+        if ticket.deadline is not None:
+            remaining = (ticket.deadline - now).total_seconds()
+            missing = wait + times.mean - remaining
+            if remaining <= 0.0 or missing > 0.0:
+                return self._refuse_late(ticket, remaining, missing, times.mean)
+            self._deadlines.add(
+                ticket.deadline, ticket.request_id, len(self._queue)
+            )
+        self._queue.add(waiting)
+        return Queued(datetime.timedelta(seconds=wait))
+
+    def take_next(self, slots: SlotState) -> Ticket | None:
+        """Hands out the ticket that is to start now, or returns None.
+
+        Args:
+            slots: Present state of the slots; none is handed out without a
+                free one.
+        """
+        now = self._refresh().total_seconds()
+        self._slots = slots.total
+        if slots.free <= 0 or not len(self._queue):
+            return None
+        best: fair_queue.ClassFlow | None = None
+        best_lane = service_times.Lane.QUICK
+        for flow in self._queue.list_classes():
+            if not flow.queued or (best is not None and flow.tag >= best.tag):
+                continue
+            lane = self._choose_lane(flow, slots, now)
+            if lane is not None:
+                best, best_lane = flow, lane
+        if best is None:
+            return None
+        waiting = self._queue.take(best, best_lane)
+        self._taken[waiting.ticket.request_id] = _Taken(
+            waiting.team, waiting.times.mean
+        )
+        return waiting.ticket
+
+    def may_start(self, ticket: Ticket, slots: SlotState) -> bool:
+        """Whether a request that a peer forwards may take a free slot now."""
+        now = self._refresh().total_seconds()
+        if slots.free <= 0:
+            return False
+        times = self._times.find(ticket.class_name, ticket.route)
+        return self._may_use(
+            times.lane, ticket.class_name, times.mean, slots, now
+        )
+
+    def drop_expired(self) -> Iterator[Ticket]:
+        """Yields, once, each ticket that left the queue at its deadline."""
+        self._refresh()
+        while self._expired:
+            yield self._expired.pop()
+
+    def withdraw(self, request_id: str) -> bool:
+        """Removes a waiting ticket; returns False if it isn't waiting."""
+        return self._queue.remove(request_id) is not None
+
+    def note_started(self, ticket: Ticket) -> None:
+        """Notes that the request holds a slot from now on."""
+        now = self._clock.monotonic().total_seconds()
+        taken = self._taken.get(ticket.request_id)
+        if taken is not None:
+            taken.is_started = True
+        self._times.note_started(ticket, now)
+        if self.is_long(ticket) and ticket.request_id not in self._long_runs:
+            self._long_runs.add(ticket.request_id)
+            self._long_slots.note_started(ticket.class_name, now)
+
+    def note_finished(
+        self, ticket: Ticket, duration: datetime.timedelta, succeeded: bool
+    ) -> None:
+        """Notes that the request gave its slot back, or won't be sent.
+
+        Args:
+            ticket: The request.
+            duration: Time for which it held its slot; zero if it was not sent.
+            succeeded: Whether the instance did its work.
+        """
+        seconds = duration.total_seconds()
+        taken = self._taken.pop(ticket.request_id, None)
+        if taken is not None:
+            self._queue.correct(taken.team, seconds - taken.charge)
+        self._times.note_finished(ticket.request_id, seconds, succeeded)
+        if ticket.request_id in self._long_runs:
+            self._long_runs.remove(ticket.request_id)
+            times = self._times.find(ticket.class_name, ticket.route)
+            now = self._clock.monotonic().total_seconds()
+            self._long_slots.note_finished(ticket.class_name, times.mean, now)
+        self._move_changed()
+
+    def is_long(self, ticket: Ticket) -> bool:
+        """Whether the request counts as long by what is known now."""
+        return self._times.find(ticket.class_name, ticket.route).is_long
+
+    def _refresh(self) -> datetime.timedelta:
+        now = self._clock.monotonic()
+        for request_id in self._deadlines.take_due(now):
+            waiting = self._queue.remove(request_id)
+            if waiting is not None:
+                self._expired.append(waiting.ticket)
+        self._times.note_overdue(now.total_seconds())
+        self._move_changed()
+        return now
+
+    def _move_changed(self) -> None:
+        for times in self._times.take_changed():
+            self._queue.move_route(times)
+
+    def _choose_lane(
+        self, flow: fair_queue.ClassFlow, slots: SlotState, now: float
+    ) -> service_times.Lane | None:
+        best = None
+        for lane in service_times.Lane:
+            count = flow.counts[lane]
+            if not count or (
+                best is not None
+                and flow.lane_tags[lane] >= flow.lane_tags[best]
+            ):
+                continue
+            mean = flow.costs[lane] / count
+            if self._may_use(lane, flow.config.name, mean, slots, now):
+                best = lane
+        return best
+
+    def _may_use(
+        self,
+        lane: service_times.Lane,
+        class_name: str,
+        mean: float,
+        slots: SlotState,
+        now: float,
+    ) -> bool:
+        unproven = self._times.unproven_running
+        used = slots.long_in_progress + unproven
+        match lane:
+            case service_times.Lane.QUICK:
+                return True
+            case service_times.Lane.UNPROVEN:
+                open_slots = self._long_slots.count_open(slots.total)
+                return unproven == 0 or used < open_slots
+            case service_times.Lane.LONG:
+                return self._long_slots.may_start(
+                    class_name, mean, slots.total, used, now
+                )
+
+    def _count_slots(self, lane: service_times.Lane) -> int:
+        if lane is service_times.Lane.LONG:
+            return self._long_slots.count_open(self._slots)
+        return self._slots
+
+    def _refuse_late(
+        self, ticket: Ticket, remaining: float, missing: float, run: float
+    ) -> QueueRefusal:
+        # With an empty queue it would still take `run`, so a new try with the
+        # same limit helps only if that fits.
+        can_help = 0.0 < run <= remaining
+        return self._refuse(
+            ticket, RefusalKind.DEADLINE, missing if can_help else None
+        )
+
+    def _refuse(
+        self, ticket: Ticket, kind: RefusalKind, pause: float | None
+    ) -> QueueRefusal:
+        retry_after = None
+        if pause is not None:
+            retry_after = admission.make_pause(
+                pause, self._options.maximum_retry_after
+            )
+        return QueueRefusal(
+            refusals.explain_refusal(kind, self._service.name, ticket),
+            retry_after,
+            kind,
+        )
