Import the texts of refusals in the service's queue

Cause: the import was lost when the texts moved to a module of their own, so a refusal raised NameError.

--- a/src/fireflywell/requests/service_queue.py
+++ b/src/fireflywell/requests/service_queue.py
@@ -11,6 +11,7 @@
 from fireflywell.requests import fair_queue
 from fireflywell.requests import long_slots
 from fireflywell.requests import queue_values
+from fireflywell.requests import refusals
 from fireflywell.requests import service_times
 
 Ticket = queue_values.Ticket
