--- a/src/fireflywell/requests/routing.py
+++ b/src/fireflywell/requests/routing.py
@@ -1,8 +1,14 @@
-"""Choice of the instance for a request."""
+"""Choice of the instance, or of the peer's home, for a request."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 
 from fireflywell.fleet import instances as instances_lib
+from fireflywell.membership import links
+from fireflywell.membership import messages
+
+_CLOSED_SHARE = 3 / 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -14,12 +20,37 @@
         in_progress: Requests that this entry has on it.
         is_home: Whether this entry is the home of the instance.
         is_ejected: Whether the instance was ejected for failing everything.
+        long_in_progress: Those of `in_progress` that are long.
+        is_on_trial: Whether it was ejected lately and gets one request at a
+            time.
     """
 
     instance: instances_lib.Instance
     in_progress: int
     is_home: bool
     is_ejected: bool
+    long_in_progress: int = 0
+    is_on_trial: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerHome:
+    """A peer that is the home of instances of the service.
+
+    Attributes:
+        address: Address of the peer's membership listener.
+        incarnation: Its incarnation, which must run what is forwarded.
+        zone: Its availability zone.
+        free_slots: Free slots by its last report, which may be 1 s old.
+        forwarded: Requests that this entry has in progress there and that the
+            report may not count yet.
+    """
+
+    address: str
+    incarnation: str
+    zone: str
+    free_slots: int
+    forwarded: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +60,14 @@
     instance: instances_lib.Instance
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardTo:
+    """Forwards the request to the peer that is home of a free instance."""
+
+    address: str
+    incarnation: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoRoute:
     """No instance can take the request now."""
@@ -37,36 +76,98 @@
 
 
 RouteDecision = RouteTo | NoRoute
+AnyRouteDecision = RouteTo | ForwardTo | NoRoute
 
 
 def choose_instance(
-    candidates: tuple[Candidate, ...], zone: str
+    candidates: tuple[Candidate, ...],
+    zone: str,
+    is_long: bool = False,
+    closed_share: float = _CLOSED_SHARE,
 ) -> RouteDecision:
     """Chooses the instance with the most free slots, own zone first.
 
     Args:
         candidates: All instances of the service.
         zone: Availability zone of this entry.
+        is_long: Whether the request is long.
+        closed_share: Part of each instance's slots closed to long requests.
     """
-    usable = [item for item in candidates if _can_take_work(item)]
-    if not usable:
+    best: Candidate | None = None
+    best_rank: tuple[int, bool, str] | None = None
+    for item in candidates:
+        free = _count_free(item, is_long, closed_share)
+        if free <= 0:
+            continue
+        instance = item.instance
+        rank = (free, instance.zone == zone, instance.instance_id)
+        if best_rank is None or rank > best_rank:
+            best, best_rank = item, rank
+    if best is None:
         return NoRoute(_explain_no_route(candidates))
-    best = max(usable, key=lambda item: _rank(item, zone))
     return RouteTo(best.instance)
 
 
-def _can_take_work(item: Candidate) -> bool:
-    return (
-        item.is_home
-        and not item.instance.is_leaving
-        and not item.is_ejected
-        and item.in_progress < item.instance.slots
-    )
+def choose_route(
+    candidates: tuple[Candidate, ...],
+    peers: Iterable[PeerHome],
+    zone: str,
+    is_long: bool = False,
+    closed_share: float = _CLOSED_SHARE,
+) -> AnyRouteDecision:
+    """Chooses an own home, else a peer's, else none: the request then waits.
 
-
-def _rank(item: Candidate, zone: str) -> tuple[int, bool, str]:
-    free = item.instance.slots - item.in_progress
-    return free, item.instance.zone == zone, item.instance.instance_id
+    Args:
+        candidates: All instances of the service.
+        peers: Peers that may have free slots, without those that refused this
+            request.
+        zone: Availability zone of this entry.
+        is_long: Whether the request is long.
+        closed_share: Part of each instance's slots closed to long requests.
+    """
+    decision = choose_instance(candidates, zone, is_long, closed_share)
+    if isinstance(decision, RouteTo):
+        return decision
+    usable = [peer for peer in peers if peer.free_slots > peer.forwarded]
+    if not usable:
+        return decision
+    best = max(usable, key=lambda peer: _rank_peer(peer, zone))
+    return ForwardTo(best.address, best.incarnation)
+
+
+def list_peer_homes(
+    peers: Iterable[links.PeerView], service: str
+) -> Iterator[PeerHome]:
+    """Yields the living entries that report free slots of a service."""
+    for peer in peers:
+        if (
+            peer.role is not messages.Role.ENTRY
+            or peer.state is not links.PeerState.ALIVE
+            or peer.is_leaving
+        ):
+            continue
+        for load in peer.loads:
+            if load.service == service and load.free_slots > 0:
+                yield PeerHome(
+                    peer.address, peer.incarnation, peer.zone, load.free_slots
+                )
+
+
+def _count_free(item: Candidate, is_long: bool, closed_share: float) -> int:
+    if not item.is_home or item.instance.is_leaving or item.is_ejected:
+        return 0
+    if item.is_on_trial and item.in_progress:
+        return 0
+    slots = item.instance.slots
+    free = slots - item.in_progress
+    if not is_long:
+        return free
+    open_slots = max(1, slots - round(slots * closed_share))
+    return min(free, open_slots - item.long_in_progress)
+
+
+def _rank_peer(peer: PeerHome, zone: str) -> tuple[int, bool, str]:
+    return peer.free_slots - peer.forwarded, peer.zone == zone, peer.address
 
 
 def _explain_no_route(candidates: tuple[Candidate, ...]) -> str:
