Lend slots to long work by what shorter work used of late

Ruled out: counting the slots that shorter work holds at the moment, since each short peak lets in one more borrower that outlasts it.

Change: long work beyond its share borrows only while the mean use of clearly shorter work and a margin of square roots of it stay free. A request is not refused for its estimated run time while none of its route runs, as such an estimate would never be corrected.

--- a/src/fireflywell/requests/fair_queue.py
+++ b/src/fireflywell/requests/fair_queue.py
@@ -289,7 +289,7 @@
 
     def move_route(self, times: service_times.RouteTimes) -> None:
         """Moves a route's waiting tickets to the lane where it belongs now."""
-        flow = self._classes.get(times.key.class_name)
+        flow = self._classes.get(times.class_name)
         if flow is None:
             return
         moved = [item for item in flow.list_waiting() if item.times is times]
--- a/src/fireflywell/requests/long_slots.py
+++ b/src/fireflywell/requests/long_slots.py
@@ -1,123 +1,152 @@
 """Which class may start long work: closed slots, shares and lending.
 
 A slot lent to long work comes back only when that work ends. So a class gets
-long slots beyond its share only while those stay free that classes with
-clearly shorter work have used lately.
+slots for long work beyond its share only while those slots stay free that
+clearly shorter work is likely to need: its mean use of late and a margin of
+some square roots of it, as in square-root staffing.
 """
 
+from collections.abc import Iterator
+import math
+
 from fireflywell.requests import queue_values
 
 # Work of at most this part of a borrower's run time is protected from it.
 _CLEARLY_SHORTER = 0.5
-# A class whose remembered peak is below this has no recent use to protect.
-_SMALLEST_PEAK = 0.5
+# A class with a smaller mean use of late has no part in the shares.
+_SMALLEST_USE = 0.01
 
 
-class LongUse:
-    """Long slots that one class holds and held lately."""
+class Use:
+    """Slots that one class holds, and held in the mean of late."""
 
-    __slots__ = ("in_progress", "mean", "name", "peak", "updated_at", "weight")
+    __slots__ = ("_updated_at", "in_progress", "mean", "run_time", "weight")
 
-    def __init__(self, name: str, weight: float) -> None:
-        self.name = name
+    def __init__(self, weight: float) -> None:
         self.weight = weight
         self.in_progress = 0
         self.mean = 0.0
-        self.peak = 0.0
-        self.updated_at = 0.0
+        self.run_time = 0.0
+        self._updated_at = 0.0
+
+    @property
+    def is_recent(self) -> bool:
+        """Whether the class used slots of late."""
+        return self.in_progress > 0 or self.mean > _SMALLEST_USE
 
-    def decay(self, now: float, half_life: float) -> None:
-        """Lets the remembered peak approach the present use."""
-        elapsed = now - self.updated_at
+    def update(self, now: float, half_life: float) -> None:
+        """Moves the mean towards the number in progress."""
+        elapsed = now - self._updated_at
         if elapsed > 0:
-            excess = self.peak - self.in_progress
-            self.peak = self.in_progress + excess * 0.5 ** (elapsed / half_life)
-        self.updated_at = now
+            kept = 0.5 ** (elapsed / half_life)
+            self.mean = self.in_progress + (self.mean - self.in_progress) * kept
+            self._updated_at = now
 
 
 class LongSlots:
-    """Use of long slots by class."""
+    """Use of slots by class, quick and long work apart."""
 
-    __slots__ = ("_closed_share", "_half_life", "_uses")
+    __slots__ = ("_half_life", "_long", "_options", "_quick", "_weights")
 
     def __init__(self, options: queue_values.QueueOptions) -> None:
-        self._closed_share = options.closed_share
-        self._half_life = options.peak_half_life.total_seconds()
-        self._uses: dict[str, LongUse] = {}
+        self._options = options
+        self._half_life = options.use_half_life.total_seconds()
+        self._weights: dict[str, float] = {}
+        self._quick: dict[str, Use] = {}
+        self._long: dict[str, Use] = {}
 
     def count_open(self, total: int) -> int:
         """Returns the slots out of `total` that long work may use."""
         if total == 0:
             return 0
-        return max(1, total - round(total * self._closed_share))
+        return max(1, total - round(total * self._options.closed_share))
 
     def set_weight(self, class_name: str, weight: float) -> None:
         """Sets the weight of a class."""
-        self._find(class_name).weight = weight
-
-    def note_started(self, class_name: str, now: float) -> None:
-        """Notes that long work of a class took a slot."""
-        use = self._find(class_name)
-        use.decay(now, self._half_life)
+        self._weights[class_name] = weight
+        for uses in (self._quick, self._long):
+            if class_name in uses:
+                uses[class_name].weight = weight
+
+    def note_started(self, class_name: str, is_long: bool, now: float) -> None:
+        """Notes that a class took a slot."""
+        use = self._find(class_name, is_long)
+        use.update(now, self._half_life)
         use.in_progress += 1
-        use.peak = max(use.peak, use.in_progress)
 
-    def note_finished(self, class_name: str, mean: float, now: float) -> None:
-        """Notes that long work of a class gave its slot back.
+    def note_finished(
+        self, class_name: str, is_long: bool, run_time: float, now: float
+    ) -> None:
+        """Notes that a class gave a slot back.
 
         Args:
             class_name: The class.
-            mean: Mean run time in seconds of the route.
+            is_long: As given to `note_started`.
+            run_time: Mean run time in seconds of the route.
             now: Monotonic seconds.
         """
-        use = self._find(class_name)
-        use.decay(now, self._half_life)
+        use = self._find(class_name, is_long)
+        use.update(now, self._half_life)
         use.in_progress = max(0, use.in_progress - 1)
-        use.mean = mean
+        use.run_time = run_time
 
     def may_start(
-        self, class_name: str, mean: float, total: int, used: int, now: float
+        self,
+        class_name: str,
+        run_time: float,
+        slots: queue_values.SlotState,
+        now: float,
     ) -> bool:
         """Whether a class may start long work now.
 
         Args:
             class_name: The class.
-            mean: Expected run time in seconds.
-            total: All slots.
-            used: Slots in which long work is in progress.
+            run_time: Expected run time in seconds.
+            slots: State of the slots.
             now: Monotonic seconds.
         """
-        open_slots = self.count_open(total)
-        spare = open_slots - used
-        if spare <= 0:
+        open_slots = self.count_open(slots.total)
+        if slots.free <= 0 or slots.long_in_progress >= open_slots:
             return False
-        use = self._find(class_name)
-        use.mean = mean
-        for other in self._uses.values():
-            other.decay(now, self._half_life)
-        share = self._compute_share(use, open_slots)
-        if use.in_progress < max(1.0, share):
+        use = self._find(class_name, True)
+        use.run_time = run_time
+        weights = use.weight
+        for other in self._list_others(use):
+            other.update(now, self._half_life)
+            weights += other.weight if other.is_recent else 0.0
+        share = slots.total * use.weight / weights
+        if use.in_progress < max(1.0, min(share, open_slots)):
             return True
-        return spare > sum(
-            self._count_protected(other, open_slots)
-            for other in self._uses.values()
-            if other is not use and other.mean < mean * _CLEARLY_SHORTER
-        )
-
-    def _count_protected(self, use: LongUse, open_slots: int) -> float:
-        kept = min(use.peak, self._compute_share(use, open_slots))
-        return max(0.0, kept - use.in_progress)
-
-    def _compute_share(self, use: LongUse, open_slots: int) -> float:
-        weights = sum(
-            other.weight
-            for other in self._uses.values()
-            if other is use or other.peak >= _SMALLEST_PEAK
-        )
-        return open_slots * use.weight / weights
-
-    def _find(self, class_name: str) -> LongUse:
-        use = self._uses.get(class_name)
+        return self._is_lendable(use, run_time, slots.total, weights)
+
+    def _is_lendable(
+        self, borrower: Use, run_time: float, total: int, weights: float
+    ) -> bool:
+        """Whether clearly shorter work has enough without one more slot.
+
+        What shorter work uses at this moment doesn't count: each short peak
+        would let in one more borrower, which outlasts the peak.
+        """
+        mean = share = 0.0
+        lent = borrower.in_progress + 1
+        for other in self._list_others(borrower):
+            if other.run_time >= run_time * _CLEARLY_SHORTER:
+                lent += other.in_progress
+            elif other.is_recent:
+                mean += other.mean
+                share += other.weight * total / weights
+        needed = mean + self._options.lending_margin * math.sqrt(mean)
+        return total - lent >= min(needed, share)
+
+    def _list_others(self, use: Use) -> Iterator[Use]:
+        for uses in (self._quick, self._long):
+            for other in uses.values():
+                if other is not use:
+                    yield other
+
+    def _find(self, class_name: str, is_long: bool) -> Use:
+        uses = self._long if is_long else self._quick
+        use = uses.get(class_name)
         if use is None:
-            use = self._uses[class_name] = LongUse(class_name, 1.0)
+            use = uses[class_name] = Use(self._weights.get(class_name, 1.0))
         return use
--- a/src/fireflywell/requests/queue_values.py
+++ b/src/fireflywell/requests/queue_values.py
@@ -91,8 +91,9 @@
         quick_guess: Run time assumed for quick work never observed.
         long_guess: Run time assumed for long work never observed.
         maximum_routes: Routes of a class whose times are kept apart.
-        peak_half_life: Time in which the remembered peak use of long slots
-            halves.
+        use_half_life: Half-life of the mean use of slots by class.
+        lending_margin: Slots kept free of borrowers with longer work, beyond
+            the mean use, in square roots of the mean use.
         maximum_retry_after: Upper bound of the advised pause.
     """
 
@@ -102,5 +103,6 @@
     quick_guess: datetime.timedelta = datetime.timedelta(milliseconds=50)
     long_guess: datetime.timedelta = datetime.timedelta(seconds=5)
     maximum_routes: int = 64
-    peak_half_life: datetime.timedelta = datetime.timedelta(seconds=60)
+    use_half_life: datetime.timedelta = datetime.timedelta(seconds=60)
+    lending_margin: float = 1.2
     maximum_retry_after: datetime.timedelta = datetime.timedelta(seconds=60)
--- a/src/fireflywell/requests/service_queue.py
+++ b/src/fireflywell/requests/service_queue.py
@@ -56,7 +56,7 @@
         "_slots",
         "_taken",
         "_times",
-        "_long_runs",
+        "_runs",
     )
 
     def __init__(
@@ -75,7 +75,7 @@
         self._long_slots = long_slots.LongSlots(options)
         self._expired: list[Ticket] = []
         self._taken: dict[str, _Taken] = {}
-        self._long_runs: set[str] = set()
+        self._runs: dict[str, bool] = {}
         self._slots = service.slots
         self.reconfigure(service, classes, teams)
 
@@ -122,9 +122,12 @@
             return self._refuse(ticket, full, wait / 2)
         if ticket.deadline is not None:
             remaining = (ticket.deadline - now).total_seconds()
-            missing = wait + times.mean - remaining
+            # Without a run in progress nothing would correct an estimate
+            # that is too long, and every request would be refused for ever.
+            run = times.mean if times.running else 0.0
+            missing = wait + run - remaining
             if remaining <= 0.0 or missing > 0.0:
-                return self._refuse_late(ticket, remaining, missing, times.mean)
+                return self._refuse_late(ticket, remaining, missing, run)
             self._deadlines.add(
                 ticket.deadline, ticket.request_id, len(self._queue)
             )
@@ -184,10 +187,10 @@
         taken = self._taken.get(ticket.request_id)
         if taken is not None:
             taken.is_started = True
-        self._times.note_started(ticket, now)
-        if self.is_long(ticket) and ticket.request_id not in self._long_runs:
-            self._long_runs.add(ticket.request_id)
-            self._long_slots.note_started(ticket.class_name, now)
+        if self._times.note_started(ticket, now):
+            is_long = self.is_long(ticket)
+            self._runs[ticket.request_id] = is_long
+            self._long_slots.note_started(ticket.class_name, is_long, now)
 
     def note_finished(
         self, ticket: Ticket, duration: datetime.timedelta, succeeded: bool
@@ -204,11 +207,13 @@
         if taken is not None:
             self._queue.correct(taken.team, seconds - taken.charge)
         self._times.note_finished(ticket.request_id, seconds, succeeded)
-        if ticket.request_id in self._long_runs:
-            self._long_runs.remove(ticket.request_id)
+        is_long = self._runs.pop(ticket.request_id, None)
+        if is_long is not None:
             times = self._times.find(ticket.class_name, ticket.route)
             now = self._clock.monotonic().total_seconds()
-            self._long_slots.note_finished(ticket.class_name, times.mean, now)
+            self._long_slots.note_finished(
+                ticket.class_name, is_long, times.mean, now
+            )
         self._move_changed()
 
     def is_long(self, ticket: Ticket) -> bool:
@@ -263,7 +268,10 @@
                 return unproven == 0 or used < open_slots
             case service_times.Lane.LONG:
                 return self._long_slots.may_start(
-                    class_name, mean, slots.total, used, now
+                    class_name,
+                    mean,
+                    SlotState(slots.total, slots.free, used),
+                    now,
                 )
 
     def _count_slots(self, lane: service_times.Lane) -> int:
@@ -276,7 +284,7 @@
     ) -> QueueRefusal:
         # With an empty queue it would still take `run`, so a new try with the
         # same limit helps only if that fits.
-        can_help = 0.0 < run <= remaining
+        can_help = remaining > 0.0 and run <= remaining
         return self._refuse(
             ticket, RefusalKind.DEADLINE, missing if can_help else None
         )
--- a/src/fireflywell/requests/service_times.py
+++ b/src/fireflywell/requests/service_times.py
@@ -3,7 +3,6 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
-import dataclasses
 import enum
 import math
 
@@ -32,14 +31,6 @@
     LONG = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RouteKey:
-    """Names a record of run times."""
-
-    class_name: str
-    route: str
-
-
 class RouteTimes:
     """Run times of one route of one class; durations in seconds.
 
@@ -48,17 +39,17 @@
     """
 
     __slots__ = (
+        "class_name",
         "count",
         "is_long",
-        "key",
         "log_mean",
         "mean",
         "overdue",
         "running",
     )
 
-    def __init__(self, key: RouteKey, guess: float, is_long: bool) -> None:
-        self.key = key
+    def __init__(self, class_name: str, guess: float, is_long: bool) -> None:
+        self.class_name = class_name
         self.mean = guess
         self.log_mean = math.log(guess)
         self.is_long = is_long
@@ -113,7 +104,6 @@
         "_log_threshold",
         "_options",
         "_routes",
-        "_route_counts",
         "_runs",
         "_threshold",
         "_unproven",
@@ -125,8 +115,7 @@
         self._threshold = options.long_threshold.total_seconds()
         self._log_threshold = math.log(self._threshold)
         self._classes: dict[str, model.RequestClass] = {}
-        self._routes: dict[RouteKey, RouteTimes] = {}
-        self._route_counts: collections.Counter[str] = collections.Counter()
+        self._routes: dict[str, dict[str, RouteTimes]] = {}
         self._runs: dict[str, _Run] = {}
         self._young: collections.OrderedDict[str, _Run] = (
             collections.OrderedDict()
@@ -146,23 +135,24 @@
 
     def find(self, class_name: str, route: str) -> RouteTimes:
         """Returns the record of a route, a new one if it is unknown."""
-        key = RouteKey(class_name, route)
-        times = self._routes.get(key)
+        routes = self._routes.get(class_name)
+        if routes is None:
+            routes = self._routes[class_name] = {}
+        times = routes.get(route)
         if times is not None:
             return times
-        if self._route_counts[class_name] >= self._options.maximum_routes:
-            key = RouteKey(class_name, _OTHER_ROUTES)
-            times = self._routes.get(key)
+        if len(routes) >= self._options.maximum_routes:
+            route = _OTHER_ROUTES
+            times = routes.get(route)
             if times is not None:
                 return times
-        self._route_counts[class_name] += 1
-        times = self._routes[key] = self._make_route(key)
+        times = routes[route] = self._make_route(class_name)
         return times
 
-    def note_started(self, ticket: queue_values.Ticket, now: float) -> None:
-        """Notes that a request holds a slot from now on."""
+    def note_started(self, ticket: queue_values.Ticket, now: float) -> bool:
+        """Notes a request that took a slot; returns False if known already."""
         if ticket.request_id in self._runs:
-            return
+            return False
         times = self.find(ticket.class_name, ticket.route)
         run = _Run(now, times)
         self._runs[ticket.request_id] = run
@@ -170,6 +160,7 @@
         times.running += 1
         if times.lane is Lane.UNPROVEN:
             self._unproven += 1
+        return True
 
     def note_finished(
         self, request_id: str, duration: float, succeeded: bool
@@ -232,10 +223,10 @@
         times.is_long = is_long
         self._changed.append(times)
 
-    def _make_route(self, key: RouteKey) -> RouteTimes:
-        declared = self._classes.get(key.class_name)
+    def _make_route(self, class_name: str) -> RouteTimes:
+        declared = self._classes.get(class_name)
         is_long = declared is not None and declared.kind is model.ClassKind.LONG
         guess = (
             self._options.long_guess if is_long else self._options.quick_guess
         )
-        return RouteTimes(key, guess.total_seconds(), is_long)
+        return RouteTimes(class_name, guess.total_seconds(), is_long)
