--- a/bench/flood.py
+++ b/bench/flood.py
@@ -59,6 +59,7 @@
     p50: float
     p99_before: float
     p99: float
+    late: float
 
     @property
     def kept(self) -> float:
@@ -219,6 +220,7 @@
             result.find_latency(50),
             usual.find_latency(99) if usual else math.nan,
             result.find_latency(99),
+            result.late / max(1, result.offered),
         )
 
 
@@ -235,7 +237,8 @@
         f"{row.factor:4.0f}x {times:12}{row.group:15}{row.requests:8}"
         f"{row.goodput_before:8.3f}{row.goodput:8.3f}"
         f"{row.p50_before:9.3f}{row.p50:9.3f}"
-        f"{row.p99_before:9.3f}{row.p99:9.3f}{row.stretch:8.2f} {verdict}",
+        f"{row.p99_before:9.3f}{row.p99:9.3f}{row.stretch:8.2f}"
+        f"{row.late:8.4f} {verdict}",
         flush=True,
     )
 
@@ -259,7 +262,7 @@
     print(
         f"{'':9}{'':9}{'flood of':15}{'':5} {'run times':12}{'group':15}"
         f"{'requests':>8}{'good 0':>8}{'good':>8}{'p50 0':>9}{'p50':>9}"
-        f"{'p99 0':>9}{'p99':>9}{'ratio':>8} targets"
+        f"{'p99 0':>9}{'p99':>9}{'ratio':>8}{'late':>8} targets"
     )
     rows = []
     for name in names:
--- a/bench/flood_model.py
+++ b/bench/flood_model.py
@@ -166,7 +166,7 @@
         self.run_time = run_time
         self.arrived = arrived
         self.is_counted = is_counted
-        self.origin: "_Entry | None" = None
+        self.origin: _Entry | None = None
 
 
 class _Entry:
--- a/src/fireflywell/requests/admission.py
+++ b/src/fireflywell/requests/admission.py
@@ -18,9 +18,9 @@
 ) -> float:
     """Returns the expected wait in seconds of a ticket that comes now.
 
-    The class gets at least its share among the classes with work, and the
-    team its share of that. A team with little work waits at most for one turn
-    of all of its class.
+    The class gets at least its share among the classes with work for the same
+    slots, and the team its share of that. A team with little work waits at
+    most for one turn of all of its class.
 
     Args:
         classes: All classes of the queue.
@@ -36,7 +36,7 @@
     weights = own + sum(
         other.config.weight
         for other in classes
-        if other is not flow and other.queued
+        if other is not flow and _has_work(other, lane)
     )
     class_rate = max(1, slots) * own / weights
     class_wait = ahead / class_rate
@@ -72,6 +72,13 @@
     return min(pause, maximum)
 
 
+def _has_work(flow: fair_queue.ClassFlow, lane: service_times.Lane) -> bool:
+    long_count = flow.counts[service_times.Lane.LONG]
+    if lane is service_times.Lane.LONG:
+        return long_count > 0
+    return flow.queued > long_count
+
+
 def _estimate_first_turn(
     flow: fair_queue.ClassFlow, team: fair_queue.TeamFlow, class_rate: float
 ) -> float:
--- a/src/fireflywell/requests/deadlines.py
+++ b/src/fireflywell/requests/deadlines.py
@@ -17,16 +17,20 @@
     they are the larger part, so that leaving costs nothing.
     """
 
-    __slots__ = ("_heap", "_is_waiting")
+    __slots__ = ("_find_deadline", "_heap")
 
-    def __init__(self, is_waiting: Callable[[str], bool]) -> None:
+    def __init__(
+        self, find_deadline: Callable[[str], datetime.timedelta | None]
+    ) -> None:
         """Makes an empty index.
 
         Args:
-            is_waiting: Tells whether a ticket is still in the queue.
+            find_deadline: Returns the deadline of a waiting ticket. It tells
+                whether an entry is that of the waiting ticket or of an earlier
+                one with the same id.
         """
         self._heap: list[tuple[datetime.timedelta, str]] = []
-        self._is_waiting = is_waiting
+        self._find_deadline = find_deadline
 
     def __len__(self) -> int:
         return len(self._heap)
@@ -34,7 +38,7 @@
     def add(
         self, deadline: datetime.timedelta, request_id: str, waiting: int
     ) -> None:
-        """Adds a ticket.
+        """Adds a ticket that is in the queue by now.
 
         Args:
             deadline: Monotonic time.
@@ -44,13 +48,15 @@
         heapq.heappush(self._heap, (deadline, request_id))
         if len(self._heap) > 2 * waiting + _DEAD_ENTRIES:
             self._heap = [
-                item for item in self._heap if self._is_waiting(item[1])
+                item
+                for item in self._heap
+                if self._find_deadline(item[1]) == item[0]
             ]
             heapq.heapify(self._heap)
 
     def take_due(self, now: datetime.timedelta) -> Iterator[str]:
         """Removes and yields the waiting tickets that are due at `now`."""
         while self._heap and self._heap[0][0] <= now:
-            _, request_id = heapq.heappop(self._heap)
-            if self._is_waiting(request_id):
+            deadline, request_id = heapq.heappop(self._heap)
+            if self._find_deadline(request_id) == deadline:
                 yield request_id
--- a/src/fireflywell/requests/fair_queue.py
+++ b/src/fireflywell/requests/fair_queue.py
@@ -9,6 +9,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
+import datetime
 import heapq
 import itertools
 
@@ -218,6 +219,11 @@
     def __contains__(self, request_id: str) -> bool:
         return request_id in self._index
 
+    def find_deadline(self, request_id: str) -> datetime.timedelta | None:
+        """Returns the deadline of a waiting ticket that has one, or None."""
+        waiting = self._index.get(request_id)
+        return None if waiting is None else waiting.ticket.deadline
+
     def configure(
         self,
         classes: Iterable[model.RequestClass],
--- a/src/fireflywell/requests/routing.py
+++ b/src/fireflywell/requests/routing.py
@@ -126,11 +126,17 @@
         closed_share: Part of each instance's slots closed to long requests.
     """
     decision = choose_instance(candidates, zone, is_long, closed_share)
-    if isinstance(decision, RouteTo):
-        return decision
+    match decision:
+        case RouteTo():
+            return decision
+        case NoRoute():
+            return _choose_peer(peers, zone) or decision
+
+
+def _choose_peer(peers: Iterable[PeerHome], zone: str) -> ForwardTo | None:
     usable = [peer for peer in peers if peer.free_slots > peer.forwarded]
     if not usable:
-        return decision
+        return None
     best = max(usable, key=lambda peer: _rank_peer(peer, zone))
     return ForwardTo(best.address, best.incarnation)
 
--- a/src/fireflywell/requests/service_queue.py
+++ b/src/fireflywell/requests/service_queue.py
@@ -27,12 +27,11 @@
 class _Taken:
     """A ticket that was handed out, with what its flow was charged."""
 
-    __slots__ = ("charge", "is_started", "team")
+    __slots__ = ("charge", "team")
 
     def __init__(self, team: fair_queue.TeamFlow, charge: float) -> None:
         self.team = team
         self.charge = charge
-        self.is_started = False
 
 
 class ServiceQueue:
@@ -70,13 +69,13 @@
         self._clock = clock
         self._options = options
         self._queue = fair_queue.FairQueue()
-        self._deadlines = deadlines.DeadlineIndex(self._queue.__contains__)
+        self._deadlines = deadlines.DeadlineIndex(self._queue.find_deadline)
         self._times = service_times.ServiceTimes(options)
         self._long_slots = long_slots.LongSlots(options)
         self._expired: list[Ticket] = []
         self._taken: dict[str, _Taken] = {}
         self._runs: dict[str, bool] = {}
-        self._slots = service.slots
+        self._slots = SlotState(service.slots, service.slots, 0)
         self.reconfigure(service, classes, teams)
 
     @property
@@ -128,10 +127,11 @@
             missing = wait + run - remaining
             if remaining <= 0.0 or missing > 0.0:
                 return self._refuse_late(ticket, remaining, missing, run)
+        self._queue.add(waiting)
+        if ticket.deadline is not None:
             self._deadlines.add(
                 ticket.deadline, ticket.request_id, len(self._queue)
             )
-        self._queue.add(waiting)
         return Queued(datetime.timedelta(seconds=wait))
 
     def take_next(self, slots: SlotState) -> Ticket | None:
@@ -142,7 +142,7 @@
                 free one.
         """
         now = self._refresh().total_seconds()
-        self._slots = slots.total
+        self._slots = slots
         if slots.free <= 0 or not len(self._queue):
             return None
         best: fair_queue.ClassFlow | None = None
@@ -184,9 +184,6 @@
     def note_started(self, ticket: Ticket) -> None:
         """Notes that the request holds a slot from now on."""
         now = self._clock.monotonic().total_seconds()
-        taken = self._taken.get(ticket.request_id)
-        if taken is not None:
-            taken.is_started = True
         if self._times.note_started(ticket, now):
             is_long = self.is_long(ticket)
             self._runs[ticket.request_id] = is_long
@@ -276,8 +273,8 @@
 
     def _count_slots(self, lane: service_times.Lane) -> int:
         if lane is service_times.Lane.LONG:
-            return self._long_slots.count_open(self._slots)
-        return self._slots
+            return self._long_slots.count_open(self._slots.total)
+        return self._slots.total - self._slots.long_in_progress
 
     def _refuse_late(
         self, ticket: Ticket, remaining: float, missing: float, run: float
