Give classes below their share a bounded credit and one free slot

Requests of a class below its share queued for each other when some came together, and short work waited for the ends of runs three times as long.

Change: a class may continue up to 250 ms of its share below the virtual time; a class above its share leaves one slot free for clearly shorter work; long work keeps to its share on average and borrows with a margin of 1.6 square roots. The expected wait counts what other classes use of late, not only what waits, and carries a margin.

--- a/src/fireflywell/requests/admission.py
+++ b/src/fireflywell/requests/admission.py
@@ -1,6 +1,5 @@
 """Limits of a service's queue and estimates of the time in it."""
 
-from collections.abc import Iterable
 import datetime
 
 from fireflywell.requests import fair_queue
@@ -11,35 +10,20 @@
 
 
 def estimate_wait(
-    classes: Iterable[fair_queue.ClassFlow],
-    team: fair_queue.TeamFlow,
-    lane: service_times.Lane,
-    slots: int,
+    team: fair_queue.TeamFlow, lane: service_times.Lane, class_rate: float
 ) -> float:
     """Returns the expected wait in seconds of a ticket that comes now.
 
-    The class gets at least its share among the classes with work for the same
-    slots, and the team its share of that. A team with little work waits at
-    most for one turn of all of its class.
+    The team gets its share of what the class gets. A team with little work
+    waits at most for one turn of all of its class.
 
     Args:
-        classes: All classes of the queue.
         team: Team of the ticket.
         lane: Lane of the ticket.
-        slots: Slots that the lane may use.
+        class_rate: Slots that the class is expected to get.
     """
     flow = team.owner
-    ahead = flow.costs[lane]
-    if ahead <= 0.0:
-        return 0.0
-    own = flow.config.weight
-    weights = own + sum(
-        other.config.weight
-        for other in classes
-        if other is not flow and _has_work(other, lane)
-    )
-    class_rate = max(1, slots) * own / weights
-    class_wait = ahead / class_rate
+    class_wait = flow.costs[lane] / class_rate
     team_ahead = team.costs[lane]
     if team_ahead <= 0.0:
         return min(class_wait, _estimate_first_turn(flow, team, class_rate))
@@ -72,13 +56,6 @@
     return min(pause, maximum)
 
 
-def _has_work(flow: fair_queue.ClassFlow, lane: service_times.Lane) -> bool:
-    long_count = flow.counts[service_times.Lane.LONG]
-    if lane is service_times.Lane.LONG:
-        return long_count > 0
-    return flow.queued > long_count
-
-
 def _estimate_first_turn(
     flow: fair_queue.ClassFlow, team: fair_queue.TeamFlow, class_rate: float
 ) -> float:
--- a/src/fireflywell/requests/fair_queue.py
+++ b/src/fireflywell/requests/fair_queue.py
@@ -3,7 +3,9 @@
 Start-time fair queueing: each flow carries a tag that grows by the cost of its
 served work divided by its weight, and the waiting flow with the lowest tag is
 next. A flow that was idle continues at the tag of the work served last, so it
-neither saves up nor owes for the time in which others used its share.
+doesn't owe for a time in which others left their shares unused. A class may
+continue a bounded credit below that, so that bursts of a class that keeps to
+its share find slots at once.
 """
 
 import collections
@@ -40,6 +42,9 @@
         self.team = team
 
 
+# A team that used less than its share may catch up this many runs, so that its
+# next request goes before the backlog of the others.
+_TEAM_CREDIT = 2.0
 _LANES = len(service_times.Lane)
 _LaneQueue = collections.OrderedDict[str, Waiting]
 
@@ -131,7 +136,8 @@
         if not self.counts[lane]:
             self._activate_lane(lane)
         if not team.queued:
-            team.tag = max(team.tag, self.virtual_time)
+            credit = _TEAM_CREDIT * waiting.cost / team.weight
+            team.tag = max(team.tag, self.virtual_time - credit)
             self.active_weight += team.weight
         if not team.in_heap[lane]:
             team.in_heap[lane] = True
@@ -205,14 +211,26 @@
 class FairQueue:
     """All classes of one service."""
 
-    __slots__ = ("_classes", "_index", "_team_weights", "_virtual_time")
+    __slots__ = (
+        "_classes",
+        "_credit",
+        "_index",
+        "_team_weights",
+        "_virtual_time",
+    )
 
     def __init__(self) -> None:
+        self._credit = 0.0
         self._classes: dict[str, ClassFlow] = {}
         self._team_weights: dict[str, float] = {}
         self._index: dict[str, Waiting] = {}
         self._virtual_time = 0.0
 
+    @property
+    def credit(self) -> float:
+        """Slot seconds for each unit of weight that a class may catch up."""
+        return self._credit
+
     def __len__(self) -> int:
         return len(self._index)
 
@@ -228,10 +246,18 @@
         self,
         classes: Iterable[model.RequestClass],
         teams: Iterable[model.Team],
+        burst: float,
     ) -> None:
         """Sets classes and teams; waiting tickets stay where they are.
 
         A class that is gone serves what waits in it and accepts no more.
+
+        Args:
+            classes: Classes of the bundle in force.
+            teams: Its teams.
+            burst: Slot seconds that all classes together may catch up. Without
+                it the requests of a class well below its share queue for each
+                other whenever some come together.
         """
         self._team_weights = {team.name: team.weight for team in teams}
         for flow in self._classes.values():
@@ -245,6 +271,8 @@
                 del self._classes[name]
                 continue
             self._reweight_teams(flow)
+        weights = sum(flow.config.weight for flow in self._classes.values())
+        self._credit = burst / weights if weights else 0.0
 
     def list_classes(self) -> Iterable[ClassFlow]:
         """Returns all classes."""
@@ -269,7 +297,7 @@
         """Appends a ticket."""
         flow = waiting.team.owner
         if not flow.queued:
-            flow.tag = max(flow.tag, self._virtual_time)
+            flow.tag = max(flow.tag, self._virtual_time - self._credit)
         flow.add(waiting)
         self._index[waiting.ticket.request_id] = waiting
 
--- a/src/fireflywell/requests/long_slots.py
+++ b/src/fireflywell/requests/long_slots.py
@@ -90,6 +90,29 @@
         use.in_progress = max(0, use.in_progress - 1)
         use.run_time = run_time
 
+    def estimate_rate(self, class_name: str, total: int, now: float) -> float:
+        """Returns the slots that a class with a backlog will get.
+
+        It gets its share, and more while others don't use theirs.
+
+        Args:
+            class_name: The class.
+            total: All slots.
+            now: Monotonic seconds.
+        """
+        weights = sum(self._weights.values())
+        used: dict[str, float] = {}
+        for uses in (self._quick, self._long):
+            for name, use in uses.items():
+                if name != class_name:
+                    use.update(now, self._half_life)
+                    used[name] = used.get(name, 0.0) + use.mean
+        left = total - sum(
+            min(mean, total * self._weights.get(name, 0.0) / weights)
+            for name, mean in used.items()
+        )
+        return max(left, total * self._weights[class_name] / weights)
+
     def may_start(
         self,
         class_name: str,
@@ -109,16 +132,52 @@
         if slots.free <= 0 or slots.long_in_progress >= open_slots:
             return False
         use = self._find(class_name, True)
+        use.update(now, self._half_life)
         use.run_time = run_time
         weights = use.weight
         for other in self._list_others(use):
             other.update(now, self._half_life)
             weights += other.weight if other.is_recent else 0.0
-        share = slots.total * use.weight / weights
-        if use.in_progress < max(1.0, min(share, open_slots)):
+        share = max(1.0, min(slots.total * use.weight / weights, open_slots))
+        if use.in_progress + 1 <= share:
+            return True
+        # A share of 1.2 slots is one slot always and a second one at times.
+        if use.in_progress < share and use.mean < share:
             return True
         return self._is_lendable(use, run_time, slots.total, weights)
 
+    def may_start_quick(
+        self,
+        class_name: str,
+        run_time: float,
+        slots: queue_values.SlotState,
+        now: float,
+    ) -> bool:
+        """Whether a class may start quick work now.
+
+        A class above its share leaves one slot free for clearly shorter work,
+        which would otherwise wait for the end of a run that is long for it.
+
+        Args:
+            class_name: The class.
+            run_time: Expected run time in seconds.
+            slots: State of the slots.
+            now: Monotonic seconds.
+        """
+        if slots.free != 1:
+            return slots.free > 1
+        use = self._find(class_name, False)
+        weights = sum(self._weights.values()) or use.weight
+        share = slots.total * use.weight / weights
+        if use.in_progress + 1 <= max(1.0, share):
+            return True
+        for other in self._list_others(use):
+            if other.run_time < run_time * _CLEARLY_SHORTER:
+                other.update(now, self._half_life)
+                if other.is_recent:
+                    return False
+        return True
+
     def _is_lendable(
         self, borrower: Use, run_time: float, total: int, weights: float
     ) -> bool:
--- a/src/fireflywell/requests/queue_values.py
+++ b/src/fireflywell/requests/queue_values.py
@@ -94,6 +94,7 @@
         use_half_life: Half-life of the mean use of slots by class.
         lending_margin: Slots kept free of borrowers with longer work, beyond
             the mean use, in square roots of the mean use.
+        burst: Time of its share that a class which used less may catch up.
         maximum_retry_after: Upper bound of the advised pause.
     """
 
@@ -104,5 +105,6 @@
     long_guess: datetime.timedelta = datetime.timedelta(seconds=5)
     maximum_routes: int = 64
     use_half_life: datetime.timedelta = datetime.timedelta(seconds=60)
-    lending_margin: float = 1.2
+    lending_margin: float = 1.6
+    burst: datetime.timedelta = datetime.timedelta(milliseconds=250)
     maximum_retry_after: datetime.timedelta = datetime.timedelta(seconds=60)
--- a/src/fireflywell/requests/service_queue.py
+++ b/src/fireflywell/requests/service_queue.py
@@ -22,6 +22,10 @@
 QueueOptions = queue_values.QueueOptions
 
 _DEFAULT_OPTIONS = QueueOptions()
+# Waits spread around their estimate. Without a margin most requests of a long
+# queue would be run and end just after their deadline.
+_WAIT_MARGIN = 1.2
+_LANES = tuple(service_times.Lane)
 
 
 class _Taken:
@@ -55,6 +59,7 @@
         "_slots",
         "_taken",
         "_times",
+        "_refreshed_at",
         "_runs",
     )
 
@@ -75,6 +80,7 @@
         self._expired: list[Ticket] = []
         self._taken: dict[str, _Taken] = {}
         self._runs: dict[str, bool] = {}
+        self._refreshed_at: datetime.timedelta | None = None
         self._slots = SlotState(service.slots, service.slots, 0)
         self.reconfigure(service, classes, teams)
 
@@ -92,7 +98,8 @@
         """Adopts a new bundle's values; waiting tickets stay in the queue."""
         self._service = service
         self._classes = tuple(classes)
-        self._queue.configure(self._classes, teams)
+        burst = self._options.burst.total_seconds() * service.slots
+        self._queue.configure(self._classes, teams, burst)
         self._times.configure(self._classes)
         for item in self._classes:
             self._long_slots.set_weight(item.name, item.weight)
@@ -110,12 +117,7 @@
             return self._refuse(ticket, RefusalKind.DUPLICATE, None)
         times = self._times.find(ticket.class_name, ticket.route)
         waiting = fair_queue.Waiting(ticket, times, team)
-        wait = admission.estimate_wait(
-            self._queue.list_classes(),
-            team,
-            waiting.lane,
-            self._count_slots(waiting.lane),
-        )
+        wait = self._estimate_wait(waiting, now.total_seconds())
         full = admission.find_full_queue(flow, team)
         if full is not None:
             return self._refuse(ticket, full, wait / 2)
@@ -124,7 +126,7 @@
             # Without a run in progress nothing would correct an estimate
             # that is too long, and every request would be refused for ever.
             run = times.mean if times.running else 0.0
-            missing = wait + run - remaining
+            missing = wait * _WAIT_MARGIN + run - remaining
             if remaining <= 0.0 or missing > 0.0:
                 return self._refuse_late(ticket, remaining, missing, run)
         self._queue.add(waiting)
@@ -219,6 +221,9 @@
 
     def _refresh(self) -> datetime.timedelta:
         now = self._clock.monotonic()
+        if now == self._refreshed_at:
+            return now
+        self._refreshed_at = now
         for request_id in self._deadlines.take_due(now):
             waiting = self._queue.remove(request_id)
             if waiting is not None:
@@ -235,7 +240,7 @@
         self, flow: fair_queue.ClassFlow, slots: SlotState, now: float
     ) -> service_times.Lane | None:
         best = None
-        for lane in service_times.Lane:
+        for lane in _LANES:
             count = flow.counts[lane]
             if not count or (
                 best is not None
@@ -259,7 +264,9 @@
         used = slots.long_in_progress + unproven
         match lane:
             case service_times.Lane.QUICK:
-                return True
+                return self._long_slots.may_start_quick(
+                    class_name, mean, slots, now
+                )
             case service_times.Lane.UNPROVEN:
                 open_slots = self._long_slots.count_open(slots.total)
                 return unproven == 0 or used < open_slots
@@ -271,10 +278,15 @@
                     now,
                 )
 
-    def _count_slots(self, lane: service_times.Lane) -> int:
+    def _estimate_wait(self, waiting: fair_queue.Waiting, now: float) -> float:
+        flow, lane = waiting.team.owner, waiting.lane
+        if not flow.counts[lane]:
+            return 0.0
+        total = max(1, self._slots.total)
+        rate = self._long_slots.estimate_rate(flow.config.name, total, now)
         if lane is service_times.Lane.LONG:
-            return self._long_slots.count_open(self._slots.total)
-        return self._slots.total - self._slots.long_in_progress
+            rate = min(rate, self._long_slots.count_open(total))
+        return admission.estimate_wait(waiting.team, lane, rate)
 
     def _refuse_late(
         self, ticket: Ticket, remaining: float, missing: float, run: float
