Bound the lead of blocked classes and the trials of unproven work

Work declared quick that runs 20 s could take five slots of an entry before the first 500 ms were over, and was then charged and lent slots at its first guess of 50 ms. A class above its share that has to leave a slot free fell behind the virtual time without a bound, so that it later displaced the others. The slot was also left by classes below their share.

Ruled out: a shorter threshold for overdue runs, since the slots are taken within milliseconds.

Change: one unproven request at a time for eight slots; a route that its running requests show to be long gets the first guess of long work; a class is never further behind than its credit; only a class that isn't behind leaves a slot free.

--- a/src/fireflywell/requests/fair_queue.py
+++ b/src/fireflywell/requests/fair_queue.py
@@ -227,9 +227,9 @@
         self._virtual_time = 0.0
 
     @property
-    def credit(self) -> float:
-        """Slot seconds for each unit of weight that a class may catch up."""
-        return self._credit
+    def virtual_time(self) -> float:
+        """Highest tag of the classes served so far."""
+        return self._virtual_time
 
     def __len__(self) -> int:
         return len(self._index)
@@ -310,6 +310,9 @@
 
     def take(self, flow: ClassFlow, lane: service_times.Lane) -> Waiting:
         """Removes and returns the next ticket of a class and lane."""
+        # A class that had to wait for slots it may use falls behind all the
+        # time. Without a bound it would then displace the others for long.
+        flow.tag = max(flow.tag, self._virtual_time - self._credit)
         self._virtual_time = max(self._virtual_time, flow.tag)
         waiting = flow.take(lane)
         del self._index[waiting.ticket.request_id]
--- a/src/fireflywell/requests/long_slots.py
+++ b/src/fireflywell/requests/long_slots.py
@@ -171,7 +171,7 @@
         use = self._find(class_name, False)
         weights = sum(self._weights.values()) or use.weight
         share = slots.total * use.weight / weights
-        if use.in_progress + 1 <= max(1.0, share):
+        if use.in_progress < max(1.0, share):
             return True
         for other in self._list_others(use):
             if other.run_time < run_time * _CLEARLY_SHORTER:
--- a/src/fireflywell/requests/service_queue.py
+++ b/src/fireflywell/requests/service_queue.py
@@ -25,6 +25,9 @@
 # Waits spread around their estimate. Without a margin most requests of a long
 # queue would be run and end just after their deadline.
 _WAIT_MARGIN = 1.2
+# One unproven request runs for this many slots. More of them could turn out to
+# be long, and would then keep shorter work out for one of their run times.
+_SLOTS_PER_TRIAL = 8
 _LANES = tuple(service_times.Lane)
 
 
@@ -239,6 +242,8 @@
         self, flow: fair_queue.ClassFlow, slots: SlotState, now: float
     ) -> service_times.Lane | None:
         best = None
+        # A class that got less than its share need not leave a slot free.
+        is_behind = flow.tag < self._queue.virtual_time
         for lane in _LANES:
             count = flow.counts[lane]
             if not count or (
@@ -247,7 +252,11 @@
             ):
                 continue
             mean = flow.costs[lane] / count
-            if self._may_use(lane, flow.config.name, mean, slots, now):
+            if (
+                lane is service_times.Lane.QUICK
+                and is_behind
+                or self._may_use(lane, flow.config.name, mean, slots, now)
+            ):
                 best = lane
         return best
 
@@ -267,8 +276,7 @@
                     class_name, mean, slots, now
                 )
             case service_times.Lane.UNPROVEN:
-                open_slots = self._long_slots.count_open(slots.total)
-                return unproven == 0 or used < open_slots
+                return unproven < max(1, slots.total // _SLOTS_PER_TRIAL)
             case service_times.Lane.LONG:
                 return self._long_slots.may_start(
                     class_name,
--- a/src/fireflywell/requests/service_times.py
+++ b/src/fireflywell/requests/service_times.py
@@ -22,8 +22,8 @@
 class Lane(enum.IntEnum):
     """Work of a flow waits apart by what is known of its length.
 
-    Work that is declared quick and was never seen to end is unproven: only
-    one such request at a time may use the slots that are closed to long work.
+    Work that is declared quick and was never seen to end is unproven: it runs
+    one by one until the first has ended, beside long work if need be.
     """
 
     QUICK = 0
@@ -201,7 +201,12 @@
             del self._young[request_id]
             run.is_overdue = True
             run.times.overdue += 1
+            was_long = run.times.is_long
             self._update(run.times)
+            if run.times.is_long and not was_long:
+                # The mean so far says nothing about the runs in progress.
+                guess = self._options.long_guess.total_seconds()
+                run.times.mean = max(run.times.mean, guess)
 
     def take_changed(self) -> Iterator[RouteTimes]:
         """Yields the routes that changed lanes since the last call."""
--- a/tests/test_requests_long_work.py
+++ b/tests/test_requests_long_work.py
@@ -88,6 +88,50 @@
         assert ticket is not None
         self.assertEqual(ticket.route, "usual")
 
+    def test_undetected_long_work_borrows_as_long_work(self) -> None:
+        """Fails if work shown long by its age borrows at its first guess."""
+        bench = make_bench()
+        busy = [bench.make_ticket("quick") for _ in range(4)]
+        for ticket in busy:
+            bench.queue.note_started(ticket)
+        bench.clock.advance(requests_support.seconds(600))
+        for ticket in busy:
+            bench.finish(ticket, 0.04)
+        for _ in range(20):
+            bench.offer("slow", route="bulk")
+            bench.offer("quick", route="bulk")
+        first = bench.start_all()
+        bench.clock.advance(requests_support.seconds(1.0))
+        later = bench.start_all(running=len(first))
+        # 4 slots in the mean and 1.6 of its square roots are protected, within
+        # the share of 9 in 10 of the other classes.
+        slow = [item for item in first + later if item.class_name == "slow"]
+        self.assertEqual(len(slow), 1)
+
+    def test_blocked_class_earns_no_unbounded_lead(self) -> None:
+        """Fails if a class blocked at its limit later displaces the others."""
+        bench = make_bench()
+        for _ in range(50):
+            bench.offer("quick", route="usual")
+            bench.offer("medium")
+        full = service_queue.SlotState(8, 3, 5)
+        for _ in range(2000):
+            bench.offer("quick")
+            ticket = bench.queue.take_next(full)
+            assert ticket is not None
+            bench.run(ticket, 0.04)
+        # Now the blocked class turns out to be quick.
+        bench.observe("medium", 0.04, count=80)
+        served = 0
+        for _ in range(60):
+            bench.offer("quick")
+            bench.offer("medium")
+            ticket = bench.queue.take_next(requests_support.NO_WORK)
+            assert ticket is not None
+            served += ticket.class_name == "quick"
+            bench.run(ticket, 0.04)
+        self.assertGreater(served, 25)
+
     def test_new_quick_route_is_tried_beside_long_work(self) -> None:
         """Fails if a route never seen waits for the end of long runs."""
         bench = make_bench()
