--- /dev/null
+++ b/src/fireflywell/requests/long_slots.py
@@ -0,0 +1,213 @@
+"""Which class may start long work: closed slots, shares and lending.
+
+A slot lent to long work comes back only when that work ends. So a class gets
+slots for long work beyond its share only while those slots stay free that
+clearly shorter work is likely to need: its mean use of late and a margin of
+some square roots of it, as in square-root staffing.
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import math
+
+from fireflywell.bundle import model
+from fireflywell.requests import queue_values
+
+# Work of at most this part of a borrower's run time is protected from it.
+_CLEARLY_SHORTER = 0.5
+# A class with a smaller mean use of late has no part in the shares.
+_SMALLEST_USE = 0.01
+
+
+class Use:
+    """Slots that one class holds, and held in the mean of late."""
+
+    __slots__ = ("_updated_at", "in_progress", "mean", "run_time", "weight")
+
+    def __init__(self, weight: float) -> None:
+        self.weight = weight
+        self.in_progress = 0
+        self.mean = 0.0
+        self.run_time = 0.0
+        self._updated_at = 0.0
+
+    @property
+    def is_recent(self) -> bool:
+        """Whether the class used slots of late."""
+        return self.in_progress > 0 or self.mean > _SMALLEST_USE
+
+    def update(self, now: float, half_life: float) -> None:
+        """Moves the mean towards the number in progress."""
+        elapsed = now - self._updated_at
+        if elapsed > 0:
+            kept = 0.5 ** (elapsed / half_life)
+            self.mean = self.in_progress + (self.mean - self.in_progress) * kept
+            self._updated_at = now
+
+
+class LongSlots:
+    """Use of slots by class, quick and long work apart."""
+
+    __slots__ = ("_half_life", "_long", "_options", "_quick", "_weights")
+
+    def __init__(self, options: queue_values.QueueOptions) -> None:
+        self._options = options
+        self._half_life = options.use_half_life.total_seconds()
+        self._weights: dict[str, float] = {}
+        self._quick: dict[str, Use] = {}
+        self._long: dict[str, Use] = {}
+
+    def count_open(self, total: int) -> int:
+        """Returns the slots out of `total` that long work may use."""
+        if total == 0:
+            return 0
+        return max(1, total - round(total * self._options.closed_share))
+
+    def configure(self, classes: Iterable[model.RequestClass]) -> None:
+        """Sets the classes and their weights."""
+        self._weights = {item.name: item.weight for item in classes}
+        for uses in (self._quick, self._long):
+            for name, use in uses.items():
+                use.weight = self._weights.get(name, use.weight)
+
+    def note_started(self, class_name: str, is_long: bool, now: float) -> None:
+        """Notes that a class took a slot."""
+        use = self._find(class_name, is_long)
+        use.update(now, self._half_life)
+        use.in_progress += 1
+
+    def note_finished(
+        self, class_name: str, is_long: bool, run_time: float, now: float
+    ) -> None:
+        """Notes that a class gave a slot back.
+
+        Args:
+            class_name: The class.
+            is_long: As given to `note_started`.
+            run_time: Mean run time in seconds of the route.
+            now: Monotonic seconds.
+        """
+        use = self._find(class_name, is_long)
+        use.update(now, self._half_life)
+        use.in_progress = max(0, use.in_progress - 1)
+        use.run_time = run_time
+
+    def estimate_rate(self, class_name: str, total: int, now: float) -> float:
+        """Returns the slots that a class with a backlog will get.
+
+        It gets its share, and more while others don't use theirs.
+
+        Args:
+            class_name: The class.
+            total: All slots.
+            now: Monotonic seconds.
+        """
+        weights = sum(self._weights.values())
+        used: dict[str, float] = {}
+        for uses in (self._quick, self._long):
+            for name, use in uses.items():
+                if name != class_name:
+                    use.update(now, self._half_life)
+                    used[name] = used.get(name, 0.0) + use.mean
+        left = total - sum(
+            min(mean, total * self._weights.get(name, 0.0) / weights)
+            for name, mean in used.items()
+        )
+        return max(left, total * self._weights[class_name] / weights)
+
+    def may_start(
+        self,
+        class_name: str,
+        run_time: float,
+        slots: queue_values.SlotState,
+        now: float,
+    ) -> bool:
+        """Whether a class may start long work now.
+
+        Args:
+            class_name: The class.
+            run_time: Expected run time in seconds.
+            slots: State of the slots.
+            now: Monotonic seconds.
+        """
+        open_slots = self.count_open(slots.total)
+        if slots.free <= 0 or slots.long_in_progress >= open_slots:
+            return False
+        use = self._find(class_name, True)
+        use.update(now, self._half_life)
+        use.run_time = run_time
+        weights = use.weight
+        for other in self._list_others(use):
+            other.update(now, self._half_life)
+            weights += other.weight if other.is_recent else 0.0
+        share = max(1.0, min(slots.total * use.weight / weights, open_slots))
+        if use.in_progress + 1 <= share:
+            return True
+        # A share of 1.2 slots is one slot always and a second one at times.
+        if use.in_progress < share and use.mean < share:
+            return True
+        return self._is_lendable(use, run_time, slots.total, weights)
+
+    def may_start_quick(
+        self,
+        class_name: str,
+        run_time: float,
+        slots: queue_values.SlotState,
+        now: float,
+    ) -> bool:
+        """Whether a class may start quick work now.
+
+        A class above its share leaves one slot free for clearly shorter work,
+        which would otherwise wait for the end of a run that is long for it.
+
+        Args:
+            class_name: The class.
+            run_time: Expected run time in seconds.
+            slots: State of the slots.
+            now: Monotonic seconds.
+        """
+        if slots.free != 1:
+            return slots.free > 1
+        use = self._find(class_name, False)
+        weights = sum(self._weights.values()) or use.weight
+        share = slots.total * use.weight / weights
+        if use.in_progress < max(1.0, share):
+            return True
+        for other in self._list_others(use):
+            if other.run_time < run_time * _CLEARLY_SHORTER:
+                other.update(now, self._half_life)
+                if other.is_recent:
+                    return False
+        return True
+
+    def _is_lendable(
+        self, borrower: Use, run_time: float, total: int, weights: float
+    ) -> bool:
+        """Whether clearly shorter work has enough without one more slot.
+
+        What shorter work uses at this moment doesn't count: each short peak
+        would let in one more borrower, which outlasts the peak.
+        """
+        mean = share = 0.0
+        lent = borrower.in_progress + 1
+        for other in self._list_others(borrower):
+            if other.run_time >= run_time * _CLEARLY_SHORTER:
+                lent += other.in_progress
+            elif other.is_recent:
+                mean += other.mean
+                share += other.weight * total / weights
+        needed = mean + self._options.lending_margin * math.sqrt(mean)
+        return total - lent >= min(needed, share)
+
+    def _list_others(self, use: Use) -> Iterator[Use]:
+        for uses in (self._quick, self._long):
+            for other in uses.values():
+                if other is not use:
+                    yield other
+
+    def _find(self, class_name: str, is_long: bool) -> Use:
+        uses = self._long if is_long else self._quick
+        use = uses.get(class_name)
+        if use is None:
+            use = uses[class_name] = Use(self._weights.get(class_name, 1.0))
+        return use
