Add authenticated links between processes

Cause: entries and control processes need to exchange heartbeats, loads, drains, homes and forwarded requests, and nobody else may take part.

Ruled out: one connection for each pair with a rule for the side that dials it; a process whose settings lack a peer would then never be heard. Text frames and full digests in each heartbeat; at 12 peers they would take most of the 4 KB/s of a node.

HandOver names the receiving incarnation.

--- a/src/fireflywell/membership/messages.py
+++ b/src/fireflywell/membership/messages.py
@@ -22,6 +22,37 @@
     protocol_version: int
 
 
+class LinkPurpose(enum.StrEnum):
+    """What a connection is used for."""
+
+    CONTROL = "control"
+    FORWARD = "forward"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Opening:
+    """First frame of each side of a new connection.
+
+    Attributes:
+        purpose: What the connection is used for.
+        hello: Claimed identity of the sender.
+        target: Address that was dialled.
+        nonce: 16 random bytes, never used before.
+    """
+
+    purpose: LinkPurpose
+    hello: Hello
+    target: str
+    nonce: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proof:
+    """Shows that the sender knows the cluster key."""
+
+    tag: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Heartbeat:
     """Says once a second that a process lives and what it holds."""
@@ -116,10 +147,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class HandOver:
-    """Gives the home of an instance to the receiver."""
+    """Gives the home of an instance to the receiver.
+
+    Attributes:
+        instance_id: The instance.
+        epoch: Epoch of the receiver's ownership.
+        receiver: Incarnation that may accept; any other ignores the message.
+    """
 
     instance_id: str
     epoch: int
+    receiver: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
