Keep one home for each instance by handover or proof of death

Cause: an instance's limits of slots and connections hold only if one entry alone sends to it, also while the store is down, processes are paused and answers get lost.

Ruled out: a row with the owner alone. While the store is down the owner may hand over to anyone and die; whoever then takes the dead owner's row makes a second home beside the receiver. The row therefore names one successor, the only process that the owner may hand over to without the store. A takeover needs proof of the death of both, or is done by the successor itself.

--- /dev/null
+++ b/src/fireflywell/requests/home_planner.py
@@ -0,0 +1,142 @@
+"""Decides which rows of homes an entry writes.
+
+The rules that make a write safe are explained in `homes`.
+"""
+
+import dataclasses
+
+from fireflywell.requests import home_balance
+from fireflywell.requests import home_records as records
+from fireflywell.requests import homes
+
+# A handover without the store may have used the epoch in between.
+_TAKEOVER_STEP = 2
+
+
+def plan_write(
+    instance_id: str, state: records.HomeState, world: records.World
+) -> homes.WriteRecord | None:
+    """Returns the write that the entry should send for an instance, if any."""
+    if state.has_pending:
+        return None
+    record = state.record
+    if record is None:
+        if instance_id not in world.claims:
+            return None
+        return _make_write(instance_id, None, world.own, 1, world)
+    marked = _mark_predecessors(record, world.own)
+    if marked != record:
+        return homes.WriteRecord(marked, record.version)
+    if state.held > record.epoch:
+        # Accepted by handover; the row still names the giver.
+        return _make_write(instance_id, record, world.own, state.held, world)
+    if state.held:
+        return None if state.has_handover else _plan_successor(record, world)
+    return _plan_takeover(record, world)
+
+
+def is_free(state: records.HomeState, world: records.World) -> bool:
+    """Whether no process can be the home, so that anyone may claim it."""
+    if state.held:
+        return False
+    if state.record is None:
+        return True
+    return _is_owner_out(state.record, world) and _is_successor_out(
+        state.record, world
+    )
+
+
+def _mark_predecessors(
+    record: records.HomeRecord, own: records.EntryId
+) -> records.HomeRecord:
+    """Marks former processes at the entry's own address as dead.
+
+    This process listens there, so no other one does.
+    """
+    owner = record.owner
+    if owner.address == own.address and owner != own:
+        record = dataclasses.replace(record, is_owner_dead=True, heir=own)
+    successor = record.successor
+    if successor is None or successor == own:
+        return record
+    if successor.address == own.address:
+        record = dataclasses.replace(record, is_successor_dead=True)
+    return record
+
+
+def _plan_successor(
+    record: records.HomeRecord, world: records.World
+) -> homes.WriteRecord | None:
+    current = record.successor
+    alive = {one.entry for one in world.candidates}
+    wanted = next(
+        (
+            move.receiver
+            for move in world.moves
+            if move.instance_id == record.instance_id
+        ),
+        None,
+    )
+    if wanted is None:
+        if current in alive and not record.is_successor_dead:
+            return None
+        wanted = home_balance.choose_successor(
+            record.instance_id, world.own, world.candidates
+        )
+    if wanted is None or wanted == current:
+        return None
+    changed = dataclasses.replace(
+        record, successor=wanted, is_successor_dead=False
+    )
+    return homes.WriteRecord(changed, record.version)
+
+
+def _plan_takeover(
+    record: records.HomeRecord, world: records.World
+) -> homes.WriteRecord | None:
+    if not _is_owner_out(record, world):
+        return None
+    is_successor = record.successor == world.own
+    is_giver = record.owner == world.own
+    may_claim = is_giver or record.instance_id in world.claims
+    is_free_to_claim = may_claim and _is_successor_out(record, world)
+    if not is_successor and not is_free_to_claim:
+        return None
+    epoch = record.epoch + _TAKEOVER_STEP
+    owner = world.own
+    if is_successor and record.heir in {one.entry for one in world.candidates}:
+        owner = record.heir or owner
+    return _make_write(record.instance_id, record, owner, epoch, world)
+
+
+def _is_owner_out(record: records.HomeRecord, world: records.World) -> bool:
+    # A living owner that the row names is asked only after it handed over.
+    return (
+        record.owner == world.own
+        or record.is_owner_dead
+        or record.owner in world.dead
+    )
+
+
+def _is_successor_out(record: records.HomeRecord, world: records.World) -> bool:
+    return (
+        record.successor is None
+        or record.is_successor_dead
+        or record.successor in world.dead
+    )
+
+
+def _make_write(
+    instance_id: str,
+    former: records.HomeRecord | None,
+    owner: records.EntryId,
+    epoch: int,
+    world: records.World,
+) -> homes.WriteRecord:
+    successor = home_balance.choose_successor(
+        instance_id, owner, world.candidates
+    )
+    return homes.WriteRecord(
+        records.HomeRecord(instance_id, owner, epoch, successor),
+        0 if former is None else former.version,
+    )
