--- a/src/fireflywell/entry/home_keeper.py
+++ b/src/fireflywell/entry/home_keeper.py
@@ -116,6 +116,11 @@
         self._next_poll = datetime.timedelta()
         links.subscribe(self._receive)
 
+    @property
+    def has_handovers(self) -> bool:
+        """Whether a handover to another entry isn't finished."""
+        return bool(self._book.list_handovers())
+
     def is_home(self, instance_id: str) -> bool:
         """Whether this entry may send to the instance now."""
         return self._book.is_home(instance_id)
@@ -165,7 +170,7 @@
         stays until the process ends.
         """
         self.set_leaving(True)
-        while self._book.list_held() or self._book.list_handovers():
+        while self._book.list_held() or self.has_handovers:
             await self._clock.sleep(_HANDOVER_INTERVAL)
 
     def set_leaving(self, is_leaving: bool) -> None:
