--- a/bench/mesh.py
+++ b/bench/mesh.py
@@ -22,6 +22,7 @@
 _KEY = bytes(range(32))
 _SERVICES = 5
 _OFFERS = 20
+_CLOCK = clock_lib.SystemClock()
 
 
 class _ChangingLoads:
@@ -69,7 +70,6 @@
     addresses = tuple(
         f"127.0.18.{number + 1}:{18310 + number}" for number in range(count)
     )
-    clock = clock_lib.SystemClock()
     made = []
     for number, address in enumerate(addresses):
         is_entry = number % 2 == 0
@@ -79,7 +79,7 @@
             channel.make_identity(address, "a", role, _KEY),
             addresses,
             status.read,
-            clock,
+            _CLOCK,
             random.Random(number),
         )
         mesh.subscribe(arrivals.receive)
@@ -99,9 +99,9 @@
         sent = sum(mesh.control_bytes_sent for mesh in meshes)
         received = sum(mesh.control_bytes_received for mesh in meshes)
         used = time.process_time()
-        started = time.monotonic()
+        started = _CLOCK.monotonic()
         await anyio.sleep(seconds)
-        elapsed = time.monotonic() - started
+        elapsed = (_CLOCK.monotonic() - started).total_seconds()
         used = time.process_time() - used
         sent = sum(mesh.control_bytes_sent for mesh in meshes) - sent
         received = (
@@ -125,10 +125,10 @@
     meshes: tuple[mesh_lib.Mesh, ...], arrivals: _Arrivals, version: int
 ) -> float:
     arrivals.expect(len(meshes) - 1)
-    started = time.monotonic()
+    started = _CLOCK.monotonic()
     meshes[0].broadcast(messages.BundleOffer(version, "h" * 500))
     await arrivals.arrived.wait()
-    return time.monotonic() - started
+    return (_CLOCK.monotonic() - started).total_seconds()
 
 
 async def _measure_all(sizes: tuple[int, ...], seconds: float) -> None:
--- a/src/fireflywell/entry/home_store.py
+++ b/src/fireflywell/entry/home_store.py
@@ -6,8 +6,8 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
+from fireflywell.coordination import home_rows
 from fireflywell.coordination import transactions
-from fireflywell.entry import home_rows
 from fireflywell.platform import records
 from fireflywell.platform import tables
 from fireflywell.requests import homes
--- /dev/null
+++ b/tests/test_homes_takeover.py
@@ -0,0 +1,135 @@
+"""Takeovers in the one order of events that needs each rule."""
+
+import datetime
+
+from fireflywell.membership import messages
+from fireflywell.requests import home_records
+from tests import homes_case
+from tests import homes_helpers as helpers
+
+_KEY = "quotes@vm0"
+
+
+class TakeoverTest(homes_case.HomesCase):
+    """Takes homes over with and without proof."""
+
+    def test_silence_is_no_proof(self) -> None:
+        """Fails if a frozen owner's home is taken by time."""
+        for process in (self.successor, self.third):
+            process.lose(self.owner.address)
+            self.rounds(process, 50)
+        self.assert_homes(self.owner)
+
+    def test_one_absent_read_is_no_proof(self) -> None:
+        """Fails if one wrong list of the platform costs a home."""
+        host = self.owner.address.partition(":")[0]
+        self.network.hosts.discard(host)
+        self.successor.lose(self.owner.address)
+        self.rounds(self.successor, 1)
+        self.network.hosts.add(host)
+        self.rounds(self.successor, 1)
+        self.network.hosts.discard(host)
+        self.rounds(self.successor, 1)
+        self.assert_homes(self.owner)
+
+    def test_list_without_the_own_vm_is_no_proof(self) -> None:
+        """Fails if an empty list of the platform is taken for deaths."""
+        self.network.hosts.clear()
+        self.successor.lose(self.owner.address)
+        self.rounds(self.successor, 5)
+        self.assert_homes(self.owner)
+
+    def test_successor_takes_over_with_free_slots_only(self) -> None:
+        """Fails if a dead owner's requests don't count on the instance."""
+        self.owner.in_progress[_KEY] = 5
+        self.remove(self.owner)
+        self.prove(self.successor, self.owner)
+        self.assert_homes(self.successor)
+        self.assertEqual(self.successor.keeper.usable_slots(_KEY), 3)
+        self.network.busy.clear()
+        self.successor.step()
+        self.assertEqual(self.successor.keeper.usable_slots(_KEY), 8)
+
+    def test_no_slot_before_the_status_was_read(self) -> None:
+        """Fails if a successor sends before it knows the free slots."""
+        self.remove(self.owner)
+        self.successor.lose(self.owner.address)
+        for _ in range(4):
+            self.network.clock.advance(datetime.timedelta(seconds=2))
+            helpers.run_sync(self.successor.keeper.step())
+        self.assert_homes(self.successor)
+        self.assertEqual(self.successor.keeper.usable_slots(_KEY), 0)
+
+    def test_third_entry_waits_for_the_successor(self) -> None:
+        """Fails if a dead owner's home is taken although it was given."""
+        self.successor.table.is_cut = True
+        self.offer(self.owner)
+        self.network.deliver_all()
+        self.remove(self.owner)
+        self.third.lose(self.successor.address)
+        self.prove(self.third, self.owner)
+        self.rounds(self.third, 5)
+        self.assert_homes(self.successor)
+
+    def test_third_entry_takes_over_from_both(self) -> None:
+        """Fails if the death of two entries leaves no home for ever."""
+        self.remove(self.owner)
+        self.remove(self.successor)
+        self.third.lose(self.successor.address)
+        self.prove(self.third, self.owner)
+        self.assert_homes(self.third)
+
+    def test_new_incarnation_takes_its_predecessors_homes(self) -> None:
+        """Fails if a restarted entry stays without its homes."""
+        self.network.kill(self.owner)
+        number = int(self.owner.address.split(".")[3].split(":")[0])
+        latter = self.network.start(number)
+        self.assert_homes()
+        for peer in self.network.list_living():
+            if peer is not latter:
+                latter.hear(peer)
+                peer.hear(latter)
+        latter.step()
+        self.assert_homes()
+        self.successor.step()
+        latter.step()
+        self.assert_homes(latter)
+
+    def test_restart_without_store_owns_nothing(self) -> None:
+        """Fails if a process believes in homes of its former self."""
+        self.network.kill(self.owner)
+        number = int(self.owner.address.split(".")[3].split(":")[0])
+        latter = self.network.start(number)
+        latter.table.is_cut = True
+        self.rounds(latter, 5)
+        self.assert_homes()
+
+    def test_offer_of_a_dead_owner_is_declined(self) -> None:
+        """Fails if an offer arrives after the home went to somebody else."""
+        self.offer(self.owner)
+        (offer,) = self.network.on_way
+        self.network.on_way.clear()
+        self.remove(self.owner)
+        self.successor.table.delays = True
+        self.prove(self.successor, self.owner)
+        self.successor.receive(offer)
+        self.assert_homes()
+
+    def test_home_stops_on_a_higher_row(self) -> None:
+        """Fails if a home goes on beside the owner that the store names."""
+        other = home_records.EntryId("10.0.0.9:7000", "x")
+        self.write_record(owner=other, epoch=9)
+        self.owner.step()
+        self.assert_homes()
+
+    def test_home_stops_on_a_higher_notice(self) -> None:
+        """Fails if a home goes on although a peer names a later one."""
+        notice = messages.HomeNotice(_KEY, "10.0.0.9:7000", "x", 9)
+        self.owner.receive(helpers.Envelope(self.third, self.owner, notice))
+        self.assert_homes()
+
+    def test_home_keeps_on_a_lower_notice(self) -> None:
+        """Fails if a late notice takes a home away."""
+        notice = messages.HomeNotice(_KEY, "10.0.0.9:7000", "x", 1)
+        self.owner.receive(helpers.Envelope(self.third, self.owner, notice))
+        self.assert_homes(self.owner)
