Read the status page after a handover too

Cause: with entries that always use all usable slots, the stateful test found 16 requests on an instance of 8 slots. A receiver took all slots of a home whose giver had itself taken over from a dead entry, while requests of that entry still ran.

Ruled out: the giver waiting for those requests; a long run of a dead entry would leave the instance without a home for as long.

Change: a receiver sends nothing until it has read the instance's status page, like after a takeover.

--- a/src/fireflywell/entry/home_keeper.py
+++ b/src/fireflywell/entry/home_keeper.py
@@ -243,12 +243,18 @@
             async with limiter:
                 await self.read_status(instance_id)
 
+        next_read = datetime.timedelta()
         while True:
+            # A first status is read at once: until then no slot is usable.
+            is_due = self._clock.monotonic() >= next_read
+            if is_due:
+                next_read = self._clock.monotonic() + _INTERVAL
             async with anyio.create_task_group() as group:
                 for instance_id in self._book.list_held():
-                    if self._book.count_busy_elsewhere(instance_id) != 0:
+                    busy = self._book.count_busy_elsewhere(instance_id)
+                    if busy is None or (busy and is_due):
                         group.start_soon(read_limited, instance_id)
-            await self._clock.sleep(_INTERVAL)
+            await self._clock.sleep(_HANDOVER_INTERVAL)
 
     def _note_fleet(self) -> None:
         view = self._sources.view
--- a/src/fireflywell/requests/homes.py
+++ b/src/fireflywell/requests/homes.py
@@ -218,8 +218,9 @@
             return False
         home.accepted = epoch
         home.held = epoch
-        # The giver waited for the end of its exchanges.
-        home.busy_elsewhere = 0
+        # The giver waited for the end of its own exchanges, but requests of
+        # a dead home before it may still run.
+        home.busy_elsewhere = None
         home.note_known(self._self, epoch)
         return True
 
--- a/tests/test_homes_handover.py
+++ b/tests/test_homes_handover.py
@@ -18,6 +18,8 @@
         self.offer(self.owner)
         self.network.deliver_all()
         self.assert_homes(self.successor)
+        self.assertEqual(self.successor.keeper.usable_slots(_KEY), 0)
+        self.successor.step()
         self.assertEqual(self.successor.keeper.usable_slots(_KEY), 8)
         self.assertEqual(self.read_record().owner.address, self.owner.address)
         self.successor.table.is_cut = False
@@ -37,6 +39,14 @@
         self.network.deliver_all()
         self.assert_homes(self.successor)
 
+    def test_requests_of_a_dead_home_count_after_a_handover(self) -> None:
+        """Fails if a receiver counts on slots that orphans still use."""
+        self.network.busy[_KEY] = 5
+        self.offer(self.owner)
+        self.network.deliver_all()
+        self.successor.step()
+        self.assertEqual(self.successor.keeper.usable_slots(_KEY), 3)
+
     def test_unsent_offer_is_withdrawn(self) -> None:
         """Fails if an instance is left without a home by a dead receiver."""
         self.owner.in_progress[_KEY] = 1
