--- a/src/fireflywell/errors.py
+++ b/src/fireflywell/errors.py
@@ -56,6 +56,10 @@
     """The lease has lapsed or belongs to another holder."""
 
 
+class InvalidKeyError(FireflywellError):
+    """An idempotency key can't be used."""
+
+
 class PeerProtocolError(FireflywellError):
     """A peer sent a frame or message that isn't valid."""
 
--- a/src/fireflywell/fleet/view.py
+++ b/src/fireflywell/fleet/view.py
@@ -21,13 +21,19 @@
 class FleetView:
     """Latest known VMs, their records and the instances on them."""
 
-    __slots__ = ("_assignments", "_changed", "_drained", "_vms")
+    __slots__ = ("_assignments", "_changed", "_drained", "_version", "_vms")
 
     def __init__(self) -> None:
         self._vms: tuple[records.Vm, ...] = ()
         self._assignments: dict[str, vm_records.VmRecord] = {}
         self._drained: dict[str, str] = {}
         self._changed = anyio.Event()
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """Counts the changes, so that derived lists can be kept until one."""
+        return self._version
 
     @property
     def vms(self) -> tuple[records.Vm, ...]:
@@ -90,6 +96,7 @@
         await self._changed.wait()
 
     def _signal(self) -> None:
+        self._version += 1
         self._changed.set()
         self._changed = anyio.Event()
 
--- a/src/fireflywell/requests/outcomes.py
+++ b/src/fireflywell/requests/outcomes.py
@@ -41,4 +41,19 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """The caller left before the request was sent; nobody is told."""
+
+
 Outcome = Answered | Refused | Unknown
+RunResult = Outcome | Withdrawn
+
+
+def make_other_body_refusal() -> Refused:
+    """Returns the refusal of a request that reuses another request's key."""
+    return Refused(
+        409,
+        "the idempotency key was used with another request; this one was not "
+        "run, send it with a key of its own",
+    )
