Take requests through admission, at-most-once gates, routing and retries

The dispatcher hands requests to the ledger of bound keys, to the row of a recorded key or to the key's owner, and from there to the lane of the service, which grants a slot of an own instance or leave to forward to another home. The list of instances is kept until the fleet or bundle changes. A pause of the process is checked right before the first byte.

--- a/src/fireflywell/asgi.py
+++ b/src/fireflywell/asgi.py
@@ -46,7 +46,7 @@
 class Listener:
     """One listening address that serves an ASGI application."""
 
-    __slots__ = ("_server",)
+    __slots__ = ("_server", "_stopped")
 
     def __init__(
         self,
@@ -75,6 +75,7 @@
             timeout_keep_alive=int(idle_timeout.total_seconds()),
         )
         self._server = _SupervisedServer(config)
+        self._stopped = anyio.Event()
 
     @property
     def is_started(self) -> bool:
@@ -95,6 +96,8 @@
                 f"can't listen on {config.host}:{config.port}; check that the "
                 "address belongs to this machine and that the port is free"
             ) from error
+        finally:
+            self._stopped.set()
 
     def stop(self) -> None:
         """Closes the listening socket; `run` ends after the last response."""
@@ -105,6 +108,10 @@
         while not self._server.started:
             await anyio.sleep(0.005)
 
+    async def wait_until_stopped(self) -> None:
+        """Waits until `run` has ended."""
+        await self._stopped.wait()
+
 
 class _SupervisedServer(uvicorn.Server):
     """Leaves signals to the process's root."""
--- a/src/fireflywell/entry/application.py
+++ b/src/fireflywell/entry/application.py
@@ -2,37 +2,72 @@
 
 import datetime
 import math
-import secrets
+import random
+import urllib.parse
 
 import anyio
 
 from fireflywell import asgi
+from fireflywell import clock as clock_lib
+from fireflywell import errors
 from fireflywell.bundle import holder as holder_lib
 from fireflywell.entry import dispatcher as dispatcher_lib
+from fireflywell.entry import intake as intake_lib
+from fireflywell.entry import recorded_keys
+from fireflywell.entry import service_lane
+from fireflywell.requests import classification
+from fireflywell.requests import idempotency
+from fireflywell.requests import key_ledger
 from fireflywell.requests import outcomes
 from fireflywell.telemetry import metrics as metrics_lib
 
 BODY_LIMIT_BYTES = 1024 * 1024
 BODY_TIMEOUT = datetime.timedelta(seconds=10)
-DEFAULT_TIMEOUT = datetime.timedelta(minutes=10)
+KEYS_PATH = "/fireflywell/keys"
+_RETRY_AFTER = datetime.timedelta(seconds=1)
 
 
 class EntryApplication:
     """ASGI application that callers and the balancer reach."""
 
-    __slots__ = ("_dispatcher", "_holder", "_is_stopping", "_metrics")
+    __slots__ = (
+        "_clock",
+        "_cluster_key",
+        "_dispatcher",
+        "_holder",
+        "_intake",
+        "_is_stopping",
+        "_ledger",
+        "_metrics",
+        "_random",
+    )
 
     def __init__(
         self,
         holder: holder_lib.BundleHolder,
         dispatcher: dispatcher_lib.Dispatcher,
+        ledger: key_ledger.KeyLedger,
+        cluster_key: bytes,
+        clock: clock_lib.Clock,
+        rng: random.Random,
         metrics: metrics_lib.Metrics,
+        intake: intake_lib.Intake | None = None,
     ) -> None:
         self._holder = holder
         self._dispatcher = dispatcher
+        self._ledger = ledger
+        self._cluster_key = cluster_key
+        self._clock = clock
+        self._random = rng
         self._metrics = metrics
+        self._intake = intake or intake_lib.Intake()
         self._is_stopping = False
 
+    @property
+    def in_progress(self) -> int:
+        """Requests that are being received or served."""
+        return self._intake.requests
+
     def stop_being_ready(self) -> None:
         """Tells the balancer to send no more callers."""
         self._is_stopping = True
@@ -46,6 +81,8 @@
                 await asgi.send_json(send, 200, {})
             case "/readyz":
                 await self._answer_ready(send)
+            case "/fireflywell/keys":
+                await self._issue_keys(scope, send)
             case _:
                 await self._serve(scope, receive, send)
 
@@ -56,50 +93,148 @@
         status = 503 if reason else 200
         await asgi.send_json(send, status, {"reason": reason})
 
+    async def _issue_keys(self, scope: asgi.Scope, send: asgi.Send) -> None:
+        if scope["method"] != "POST":
+            refusal = outcomes.Refused(405, f"use POST {KEYS_PATH}?count=N")
+            await send_outcome(send, refusal)
+            return
+        query = urllib.parse.parse_qs(scope["query_string"].decode("latin-1"))
+        text = query.get("count", ["1"])[0]
+        is_number = text.isascii() and text.isdigit() and len(text) < 10
+        try:
+            keys = self._ledger.issue(int(text) if is_number else 0)
+        except errors.InvalidKeyError as error:
+            await send_outcome(send, outcomes.Refused(400, str(error)))
+            return
+        texts = [
+            idempotency.encode_bound_key(key, self._cluster_key) for key in keys
+        ]
+        await asgi.send_json(send, 200, {"keys": texts})
+
     async def _serve(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
+        received_at = self._clock.monotonic()
+        headers = asgi.decode_headers(scope)
+        try:
+            key = self._find_key(scope["method"], headers)
+        except errors.InvalidKeyError as error:
+            await send_outcome(send, outcomes.Refused(400, str(error)))
+            return
+        size = intake_lib.declare_body_bytes(headers, BODY_LIMIT_BYTES)
+        with self._intake.admit(size) as is_admitted:
+            if not is_admitted:
+                refusal = outcomes.Refused(
+                    503, "the entry holds too many requests", _RETRY_AFTER
+                )
+                await send_outcome(send, self._refuse_unread(key, refusal))
+                return
+            body = await self._read_body(receive)
+            if isinstance(body, outcomes.Refused):
+                await send_outcome(send, self._refuse_unread(key, body))
+                return
+            if body is None:
+                self._metrics.count("requests.caller_gone")
+                return
+            incoming = self._make_incoming(
+                scope, headers, body, key, received_at
+            )
+            result = await self._dispatcher.dispatch(
+                incoming, make_gone_watcher(receive)
+            )
+        match result:
+            case outcomes.Withdrawn():
+                self._metrics.count("requests.caller_gone")
+            case outcome:
+                self._metrics.count(f"outcomes.{outcomes.name_kind(outcome)}")
+                await send_outcome(send, outcome)
+
+    def _find_key(
+        self, method: str, headers: tuple[asgi.Header, ...]
+    ) -> idempotency.IdempotencyKey | None:
+        if method in classification.SAFE_METHODS:
+            return None
+        texts = [
+            item.value
+            for item in headers
+            if item.name == idempotency.KEY_HEADER
+        ]
+        if not texts:
+            return None
+        if len(texts) > 1:
+            raise errors.InvalidKeyError(
+                f"{len(texts)} headers Idempotency-Key were sent; send one"
+            )
+        return idempotency.parse_key(texts[0], self._cluster_key)
+
+    async def _read_body(
+        self, receive: asgi.Receive
+    ) -> bytes | outcomes.Refused | None:
+        """Returns the body, why it is refused, or None if the caller left."""
         try:
             with anyio.fail_after(BODY_TIMEOUT.total_seconds()):
-                body = await asgi.read_body(receive, BODY_LIMIT_BYTES)
+                return await asgi.read_body(receive, BODY_LIMIT_BYTES)
         except asgi.BodyTooLargeError as error:
-            await send_outcome(send, outcomes.Refused(413, str(error)))
-            return
+            return outcomes.Refused(413, str(error))
         except TimeoutError:
-            refusal = outcomes.Refused(
+            return outcomes.Refused(
                 408, "the body didn't arrive in time; send it faster"
             )
-            await send_outcome(send, refusal)
-            return
         except asgi.CallerGoneError:
-            self._metrics.count("requests.caller_gone")
-            return
-        await send_outcome(send, await self._decide(scope, body))
+            return None
 
-    async def _decide(self, scope: asgi.Scope, body: bytes) -> outcomes.Outcome:
-        bundle = self._holder.current
-        if bundle is None:
-            return outcomes.Refused(
-                503, self._holder.missing_reason, datetime.timedelta(seconds=1)
-            )
-        _, _, rest = scope["path"].partition("/")
-        name, _, route = rest.partition("/")
-        service = bundle.find_service(name)
-        if service is None:
-            return outcomes.Refused(
-                404, f"no service {name!r}; the path starts with its name"
-            )
+    def _refuse_unread(
+        self,
+        key: idempotency.IdempotencyKey | None,
+        refusal: outcomes.Refused,
+    ) -> outcomes.Outcome:
+        """Returns the refusal if it is final for the key, else `Unknown`."""
+        match key:
+            case None:
+                return refusal
+            case idempotency.BoundKey(
+                incarnation=incarnation, sequence=sequence
+            ) if (incarnation == self._ledger.incarnation):
+                if self._ledger.refuse_unread(sequence, refusal):
+                    return refusal
+        return recorded_keys.make_not_run_outcome(
+            refusal.status, refusal.reason
+        )
+
+    def _make_incoming(
+        self,
+        scope: asgi.Scope,
+        headers: tuple[asgi.Header, ...],
+        body: bytes,
+        key: idempotency.IdempotencyKey | None,
+        received_at: datetime.timedelta,
+    ) -> classification.IncomingRequest:
+        # The path as sent: a decoded one could carry separators.
+        path = scope["raw_path"].decode("latin-1")
+        service, _, route = path[1:].partition("/")
         query = scope["query_string"].decode("latin-1")
-        request = dispatcher_lib.ServiceRequest(
-            request_id=secrets.token_hex(8),
+        return classification.IncomingRequest(
+            request_id=f"{self._random.getrandbits(64):016x}",
             service=service,
             method=scope["method"],
             target=f"/{route}?{query}" if query else f"/{route}",
-            headers=asgi.decode_headers(scope),
+            headers=headers,
             body=body,
-            timeout=DEFAULT_TIMEOUT,
+            key=key,
+            received_at=received_at,
         )
-        return await self._dispatcher.dispatch(request)
+
+
+def make_gone_watcher(
+    receive: asgi.Receive,
+) -> service_lane.WaitUntilGone:
+    """Returns a coroutine function that waits until the caller has left."""
+
+    async def wait_until_gone() -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+
+    return wait_until_gone
 
 
 async def send_outcome(send: asgi.Send, outcome: outcomes.Outcome) -> None:
--- a/src/fireflywell/entry/dispatcher.py
+++ b/src/fireflywell/entry/dispatcher.py
@@ -1,130 +1,258 @@
-"""Sends admitted requests to instances and logs each routing decision."""
+"""Takes requests past the at-most-once gates to the lanes of the services."""
 
-import dataclasses
 import datetime
 
-from fireflywell import asgi
+import anyio
+
 from fireflywell import clock as clock_lib
+from fireflywell import errors
 from fireflywell.bundle import holder as holder_lib
-from fireflywell.bundle import model
-from fireflywell.entry import instance_client
-from fireflywell.fleet import instances as instances_lib
-from fireflywell.fleet import view as view_lib
+from fireflywell.entry import bound_keys
+from fireflywell.entry import forwarding
+from fireflywell.entry import instance_table
+from fireflywell.entry import key_owner
+from fireflywell.entry import recorded_keys
+from fireflywell.entry import remote_homes
+from fireflywell.entry import request_runner
+from fireflywell.entry import run_control
+from fireflywell.entry import service_lane
+from fireflywell.membership import messages
+from fireflywell.requests import classification
+from fireflywell.requests import idempotency
 from fireflywell.requests import outcomes
-from fireflywell.requests import routing
-from fireflywell.telemetry import logs
-from fireflywell.telemetry import metrics as metrics_lib
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceRequest:
-    """A parsed request of a caller.
-
-    Attributes:
-        request_id: Unique id, passed on to the instance.
-        service: The service that it is for.
-        method: HTTP method.
-        target: Path and query below the service.
-        headers: Headers of the caller.
-        body: Whole body.
-        timeout: Remaining time for the exchange.
-    """
-
-    request_id: str
-    service: model.Service
-    method: str
-    target: str
-    headers: tuple[asgi.Header, ...]
-    body: bytes
-    timeout: datetime.timedelta
+
+_TICK = datetime.timedelta(milliseconds=50)
 
 
 class Dispatcher:
-    """Keeps one client for each instance and routes requests to them."""
+    """Serves requests of callers and of peers."""
 
-    __slots__ = ("_clients", "_clock", "_holder", "_metrics", "_view", "_zone")
+    __slots__ = (
+        "_bound",
+        "_classifier",
+        "_clock",
+        "_cluster_key",
+        "_holder",
+        "_in_progress",
+        "_lanes",
+        "_owners",
+        "_recorded",
+        "_remote",
+        "_runner",
+        "_table",
+    )
 
     def __init__(
         self,
         holder: holder_lib.BundleHolder,
-        view: view_lib.FleetView,
-        zone: str,
+        table: instance_table.InstanceTable,
+        remote: remote_homes.RemoteHomes,
+        runner: request_runner.RequestRunner,
+        bound: bound_keys.BoundKeyGate,
+        owners: key_owner.KeyOwners,
+        recorded: recorded_keys.RecordedKeyGate,
+        cluster_key: bytes,
         clock: clock_lib.Clock,
-        metrics: metrics_lib.Metrics,
     ) -> None:
         self._holder = holder
-        self._view = view
-        self._zone = zone
+        self._table = table
+        self._remote = remote
+        self._runner = runner
+        self._bound = bound
+        self._owners = owners
+        self._recorded = recorded
+        self._cluster_key = cluster_key
         self._clock = clock
-        self._metrics = metrics
-        self._clients: dict[str, instance_client.InstanceClient] = {}
+        self._classifier: classification.Classifier | None = None
+        self._lanes: dict[str, service_lane.ServiceLane] = {}
+        self._in_progress = 0
+
+    @property
+    def in_progress(self) -> int:
+        """Requests of callers and peers that aren't answered yet."""
+        return self._in_progress
+
+    async def dispatch(
+        self,
+        incoming: classification.IncomingRequest,
+        wait_until_gone: service_lane.WaitUntilGone,
+    ) -> outcomes.RunResult:
+        """Serves one request of a caller.
+
+        Args:
+            incoming: The request.
+            wait_until_gone: Returns when the caller has left.
+        """
+        self._in_progress += 1
+        try:
+            match incoming.key:
+                case None:
+                    return await self._run_without_key(
+                        incoming, wait_until_gone
+                    )
+                case idempotency.BoundKey() as key:
+                    if key.incarnation != self._bound.ledger.incarnation:
+                        return await self._owners.serve(key, incoming)
+                    return await self._run_bound(key, incoming, wait_until_gone)
+                case idempotency.RecordedKey() as key:
+                    return await self._run_recorded(
+                        key, incoming, wait_until_gone
+                    )
+        finally:
+            self._in_progress -= 1
+
+    async def answer_peer(
+        self, request: messages.ForwardRequest
+    ) -> messages.ForwardReply:
+        """Serves a request that a peer forwarded."""
+        if request.incarnation != self._bound.ledger.incarnation:
+            refusal = outcomes.Refused(
+                forwarding.STATUS_OTHER_INCARNATION,
+                f"incarnation {request.incarnation} has ended; it was not run",
+            )
+            return forwarding.make_reply(refusal)
+        self._in_progress += 1
+        try:
+            match request.kind:
+                case messages.ForwardKind.KEY_OWNER:
+                    outcome = await self._answer_as_owner(request)
+                case messages.ForwardKind.HOME:
+                    outcome = await self._answer_as_home(request)
+        finally:
+            self._in_progress -= 1
+        return forwarding.make_reply(outcome)
 
-    async def dispatch(self, request: ServiceRequest) -> outcomes.Outcome:
-        """Routes one request and returns its outcome."""
-        decision = routing.choose_instance(
-            self._list_candidates(request.service.name), self._zone
+    def list_loads(self) -> tuple[messages.ServiceLoad, ...]:
+        """Returns free slots and queue lengths for the report to peers."""
+        self._update()
+        return tuple(
+            messages.ServiceLoad(name, lane.free_slots, lane.queued)
+            for name, lane in self._lanes.items()
         )
-        match decision:
-            case routing.RouteTo(instance=instance):
-                logs.log_event(
-                    "routing.decision",
-                    request=request.request_id,
-                    service=request.service.name,
-                    instance=instance.instance_id,
-                )
-                return await self._exchange(request, instance)
-            case routing.NoRoute(reason=reason):
-                logs.log_event(
-                    "routing.decision",
-                    request=request.request_id,
-                    service=request.service.name,
-                    refused=reason,
-                )
-                return outcomes.Refused(
-                    503, reason, datetime.timedelta(seconds=1)
-                )
 
-    async def close(self) -> None:
-        """Closes all connections."""
-        for client in self._clients.values():
-            await client.close()
+    async def run(self) -> None:
+        """Ends expired waits and notices new slots, until cancelled."""
+        while True:
+            await self._clock.sleep(_TICK)
+            self._update()
+            for lane in self._lanes.values():
+                if lane.queued:
+                    lane.hand_out()
+            await self._table.close_retired()
+
+    async def _run_without_key(
+        self,
+        incoming: classification.IncomingRequest,
+        wait_until_gone: service_lane.WaitUntilGone,
+        control: run_control.RunControl | None = None,
+    ) -> outcomes.RunResult:
+        request = self._classify(incoming)
+        if isinstance(request, outcomes.Refused):
+            return request
+        lane = self._lanes[request.service.name]
+        return await self._runner.run(lane, request, wait_until_gone, control)
+
+    async def _run_bound(
+        self,
+        key: idempotency.BoundKey,
+        incoming: classification.IncomingRequest,
+        wait_until_gone: service_lane.WaitUntilGone,
+    ) -> outcomes.RunResult:
+        async def run(control: run_control.RunControl) -> outcomes.RunResult:
+            return await self._run_without_key(
+                incoming, wait_until_gone, control
+            )
+
+        return await self._bound.serve(key, incoming.compute_digest(), run)
+
+    async def _run_recorded(
+        self,
+        key: idempotency.RecordedKey,
+        incoming: classification.IncomingRequest,
+        wait_until_gone: service_lane.WaitUntilGone,
+    ) -> outcomes.RunResult:
+        request = self._classify(incoming)
+        if isinstance(request, outcomes.Refused):
+            # Another delivery may have run under an earlier bundle.
+            return recorded_keys.make_not_run_outcome(
+                request.status, request.reason
+            )
+        lane = self._lanes[request.service.name]
+
+        async def run(
+            control: run_control.RunControl, declare: recorded_keys.Declare
+        ) -> outcomes.RunResult:
+            return await self._runner.run(
+                lane, request, wait_until_gone, control, declare
+            )
 
-    async def _exchange(
-        self, request: ServiceRequest, instance: instances_lib.Instance
+        return await self._recorded.serve(
+            key, request.team, incoming.compute_digest(), run
+        )
+
+    async def _answer_as_owner(
+        self, request: messages.ForwardRequest
     ) -> outcomes.Outcome:
-        started = self._clock.monotonic()
-        outcome = await self._find_client(instance).exchange(
-            request.method,
-            request.target,
-            request.headers,
-            request.body,
-            request.request_id,
-            request.timeout,
-            request.service.echoes_request_id,
+        text = forwarding.find_header(request, idempotency.KEY_HEADER)
+        try:
+            key = idempotency.parse_key(text, self._cluster_key)
+        except errors.InvalidKeyError as error:
+            return outcomes.Refused(400, str(error))
+        incoming = forwarding.read_request(
+            request, key, self._clock.monotonic()
         )
-        self._metrics.record_duration(
-            f"requests.{request.service.name}.exchange",
-            self._clock.monotonic() - started,
+        match key:
+            case idempotency.BoundKey() if (
+                key.incarnation == self._bound.ledger.incarnation
+            ):
+                result = await self._run_bound(
+                    key, incoming, anyio.sleep_forever
+                )
+            case _:
+                return outcomes.Refused(400, "the key isn't this entry's")
+        match result:
+            case outcomes.Withdrawn():
+                return outcomes.Unknown(504, "the request was withdrawn")
+            case outcome:
+                return outcome
+
+    async def _answer_as_home(
+        self, request: messages.ForwardRequest
+    ) -> outcomes.Outcome:
+        # The forwarder holds the key's record; the marker only satisfies the
+        # rule that such requests need a key.
+        marker = idempotency.RecordedKey("forwarded")
+        incoming = forwarding.read_request(
+            request, marker, self._clock.monotonic()
         )
-        return outcome
+        classified = self._classify(incoming)
+        if isinstance(classified, outcomes.Refused):
+            return classified
+        lane = self._lanes[classified.service.name]
+        return await self._runner.run_forwarded(lane, classified)
 
-    def _list_candidates(self, service: str) -> tuple[routing.Candidate, ...]:
-        return tuple(
-            routing.Candidate(
-                instance=instance,
-                in_progress=self._find_client(instance).in_progress,
-                is_home=True,
-                is_ejected=False,
+    def _classify(
+        self, incoming: classification.IncomingRequest
+    ) -> classification.ServiceRequest | outcomes.Refused:
+        classifier = self._update()
+        if classifier is None:
+            return outcomes.Refused(
+                503, self._holder.missing_reason, datetime.timedelta(seconds=1)
             )
-            for instance in self._view.list_instances(self._holder)
-            if instance.service == service
-        )
+        return classifier.classify(incoming)
 
-    def _find_client(
-        self, instance: instances_lib.Instance
-    ) -> instance_client.InstanceClient:
-        client = self._clients.get(instance.instance_id)
-        if client is None:
-            client = instance_client.InstanceClient(instance)
-            self._clients[instance.instance_id] = client
-        return client
+    def _update(self) -> classification.Classifier | None:
+        bundle = self._holder.current
+        if bundle is None:
+            return None
+        if self._classifier is None or self._classifier.bundle is not bundle:
+            self._classifier = classification.Classifier(bundle)
+            for service in bundle.services:
+                lane = self._lanes.get(service.name)
+                if lane is None:
+                    self._lanes[service.name] = service_lane.ServiceLane(
+                        service, bundle, self._table, self._remote, self._clock
+                    )
+                else:
+                    lane.reconfigure(service, bundle)
+        return self._classifier
--- a/src/fireflywell/entry/forwarding.py
+++ b/src/fireflywell/entry/forwarding.py
@@ -46,6 +46,14 @@
     )
 
 
+def find_header(request: messages.ForwardRequest, name: str) -> str:
+    """Returns the first header of that lower-case name, or an empty text."""
+    for item in request.headers:
+        if item.name == name:
+            return item.value
+    return ""
+
+
 def read_request(
     request: messages.ForwardRequest,
     key: idempotency.IdempotencyKey | None,
--- a/src/fireflywell/entry/instance_client.py
+++ b/src/fireflywell/entry/instance_client.py
@@ -1,22 +1,28 @@
 """HTTP exchanges with one instance."""
 
 import datetime
+from typing import Any
 
 import anyio
 import httpcore
 
 from fireflywell import asgi
 from fireflywell import send_tracker
+from fireflywell.entry import pause_guard
 from fireflywell.fleet import instances as instances_lib
 from fireflywell.requests import outcomes
 
 RESPONSE_LIMIT_BYTES = 4 * 1024 * 1024
 REQUEST_ID_HEADER = "fireflywell-request-id"
-# Fields that belong to one connection and are not passed on (RFC 9110, 7.6.1).
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+# Fields that belong to one connection and are not passed on (RFC 9110, 7.6.1),
+# and those that the entry sets itself.
 _HOP_HEADERS = frozenset(
     (
         "connection",
         "content-length",
+        "fireflywell-deadline-ms",
+        "fireflywell-request-id",
         "host",
         "keep-alive",
         "proxy-authenticate",
@@ -28,14 +34,24 @@
     )
 )
 
+# Set by the entry alone, so that an endpoint can't imitate an outcome.
+_DROPPED_FROM_RESPONSES = (
+    _HOP_HEADERS | {outcomes.OUTCOME_HEADER, outcomes.REASON_HEADER}
+) - {REQUEST_ID_HEADER}
+
 
 class InstanceClient:
     """Sends requests to one instance over a bounded set of connections."""
 
-    __slots__ = ("_base", "_in_progress", "_instance", "_pool")
+    __slots__ = ("_base", "_guard", "_in_progress", "_instance", "_pool")
 
-    def __init__(self, instance: instances_lib.Instance) -> None:
+    def __init__(
+        self,
+        instance: instances_lib.Instance,
+        guard: pause_guard.SendGuard,
+    ) -> None:
         self._instance = instance
+        self._guard = guard
         self._base = f"http://{instance.address}:{instance.port}"
         self._in_progress = 0
         self._pool = httpcore.AsyncConnectionPool(
@@ -51,6 +67,16 @@
         """Requests sent and not yet answered."""
         return self._in_progress
 
+    def serves(self, instance: instances_lib.Instance) -> bool:
+        """Whether this client's connections fit the instance."""
+        own = self._instance
+        return (
+            own.address == instance.address
+            and own.port == instance.port
+            and own.slots == instance.slots
+            and own.connections == instance.connections
+        )
+
     async def exchange(
         self,
         method: str,
@@ -59,6 +85,7 @@
         body: bytes,
         request_id: str,
         timeout: datetime.timedelta,
+        has_deadline: bool,
         check_echo: bool,
     ) -> outcomes.Outcome:
         """Sends one request and reads the whole response.
@@ -70,19 +97,26 @@
             body: Whole body.
             request_id: Sent in `Fireflywell-Request-Id`.
             timeout: Time for the whole exchange.
+            has_deadline: Whether the caller waits no longer than `timeout`;
+                the instance is then told the remaining time.
             check_echo: Whether the response must carry the request id.
 
         Returns:
             `Refused` only if no byte was sent.
         """
-        progress = send_tracker.SendTracker()
+        progress = _GuardedTracker(self._guard)
+        deadline = timeout if has_deadline else None
         self._in_progress += 1
         try:
             with anyio.fail_after(timeout.total_seconds()):
                 answer = await self._send(
-                    method, target, headers, body, request_id, progress
+                    method,
+                    target,
+                    self._make_headers(headers, request_id, deadline),
+                    body,
+                    progress,
                 )
-        except send_tracker.EXCHANGE_ERRORS as error:
+        except (*send_tracker.EXCHANGE_ERRORS, _StaleViewError) as error:
             return self._explain_failure(progress, error)
         finally:
             self._in_progress -= 1
@@ -100,27 +134,38 @@
         """Closes all connections."""
         await self._pool.aclose()
 
-    async def _send(
+    def _make_headers(
         self,
-        method: str,
-        target: str,
         headers: tuple[asgi.Header, ...],
-        body: bytes,
         request_id: str,
-        progress: send_tracker.SendTracker,
-    ) -> outcomes.Answered:
-        sent = [
+        deadline: datetime.timedelta | None,
+    ) -> list[tuple[str, str]]:
+        made = [
             (item.name, item.value)
             for item in headers
             if item.name not in _HOP_HEADERS
         ]
-        sent.append(("host", f"{self._instance.address}"))
-        sent.append((REQUEST_ID_HEADER, request_id))
-        sent.append(("content-length", str(len(body))))
+        made.append(("host", self._instance.address))
+        made.append((REQUEST_ID_HEADER, request_id))
+        if deadline is not None:
+            milliseconds = max(1, deadline // _MILLISECOND)
+            made.append(("fireflywell-deadline-ms", str(milliseconds)))
+        return made
+
+    async def _send(
+        self,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+        progress: "_GuardedTracker",
+    ) -> outcomes.Answered:
+        if body or method not in ("GET", "HEAD"):
+            headers.append(("content-length", str(len(body))))
         async with self._pool.stream(
             method,
             self._base + target,
-            headers=sent,
+            headers=headers,
             content=body,
             extensions={"trace": progress.trace},
         ) as response:
@@ -138,7 +183,7 @@
             )
 
     def _explain_failure(
-        self, progress: send_tracker.SendTracker, error: Exception
+        self, progress: "_GuardedTracker", error: Exception
     ) -> outcomes.Outcome:
         name = self._instance.instance_id
         cause = str(error) or type(error).__name__
@@ -154,6 +199,33 @@
         )
 
 
+class _StaleViewError(Exception):
+    """The process was paused between the choice and the first byte."""
+
+
+class _GuardedTracker:
+    """Stops an exchange before its first byte if the view became stale."""
+
+    __slots__ = ("_guard", "_tracker")
+
+    def __init__(self, guard: pause_guard.SendGuard) -> None:
+        self._guard = guard
+        self._tracker = send_tracker.SendTracker()
+
+    @property
+    def has_started(self) -> bool:
+        """Whether any byte of the request may have left this process."""
+        return self._tracker.has_started
+
+    async def trace(self, event: str, info: dict[str, Any]) -> None:
+        """Receives httpcore's trace events."""
+        is_first = not self._tracker.has_started
+        await self._tracker.trace(event, info)
+        if is_first and self._tracker.has_started and self._guard.is_stale:
+            self._tracker = send_tracker.SendTracker()
+            raise _StaleViewError("the process was paused before the send")
+
+
 def _decode_headers(
     headers: list[tuple[bytes, bytes]],
 ) -> tuple[asgi.Header, ...]:
@@ -161,4 +233,6 @@
         asgi.Header(name.decode("latin-1").lower(), value.decode("latin-1"))
         for name, value in headers
     )
-    return tuple(item for item in decoded if item.name not in _HOP_HEADERS)
+    return tuple(
+        item for item in decoded if item.name not in _DROPPED_FROM_RESPONSES
+    )
--- a/src/fireflywell/entry/instance_table.py
+++ b/src/fireflywell/entry/instance_table.py
@@ -1,7 +1,6 @@
 """Instances as this entry uses them: connections, slots, home, ejection."""
 
 from collections.abc import Iterator
-import random
 
 from fireflywell import clock as clock_lib
 from fireflywell.bundle import holder as holder_lib
@@ -17,7 +16,7 @@
 class InstanceEntry:
     """One instance with the slots that this entry holds on it."""
 
-    __slots__ = ("client", "in_progress", "instance")
+    __slots__ = ("client", "in_progress", "instance", "long_in_progress")
 
     def __init__(
         self,
@@ -27,6 +26,7 @@
         self.instance = instance
         self.client = client
         self.in_progress = 0
+        self.long_in_progress = 0
 
 
 class InstanceTable:
@@ -40,7 +40,6 @@
         "_guard",
         "_holder",
         "_homes",
-        "_random",
         "_retired",
         "_view",
         "_view_version",
@@ -56,7 +55,6 @@
         guard: pause_guard.SendGuard,
         zone: str,
         clock: clock_lib.Clock,
-        rng: random.Random,
     ) -> None:
         self._holder = holder
         self._view = view
@@ -64,7 +62,6 @@
         self._guard = guard
         self._zone = zone
         self._clock = clock
-        self._random = rng
         self._entries: dict[str, InstanceEntry] = {}
         self._by_service: dict[str, tuple[InstanceEntry, ...]] = {}
         self._ejections: dict[str, ejection_lib.EjectionTracker] = {}
@@ -79,9 +76,14 @@
 
     def count_free_slots(self, service: str) -> int:
         """Returns the slots that this entry can fill now."""
-        return sum(
-            self._count_free(entry) for entry in self._list_usable(service)
-        )
+        ejections = self._find_ejections(service)
+        free = 0
+        for entry in self._list_usable(service):
+            if ejections.is_on_trial(entry.instance.instance_id):
+                free += not entry.in_progress
+            else:
+                free += self._count_free(entry)
+        return free
 
     def count_slots(self, service: str) -> int:
         """Returns all slots that this entry may fill."""
@@ -90,9 +92,18 @@
         )
 
     def reserve(
-        self, service: str, excluded: frozenset[str] = frozenset()
+        self,
+        service: str,
+        is_long: bool,
+        excluded: frozenset[str] = frozenset(),
     ) -> InstanceEntry | routing.NoRoute:
-        """Takes a slot on the best instance; call `release` in the end."""
+        """Takes a slot on the best instance; call `release` in the end.
+
+        Args:
+            service: Name of the service.
+            is_long: Whether the request is long.
+            excluded: Instances not to use.
+        """
         entries = self.list_service(service)
         decision = routing.choose_instance(
             tuple(
@@ -101,18 +112,21 @@
                 if entry.instance.instance_id not in excluded
             ),
             self._zone,
+            is_long,
         )
         match decision:
             case routing.RouteTo(instance=instance):
                 entry = self._entries[instance.instance_id]
                 entry.in_progress += 1
+                entry.long_in_progress += is_long
                 return entry
             case routing.NoRoute() as no_route:
                 return no_route
 
-    def release(self, entry: InstanceEntry) -> None:
-        """Gives a slot back."""
+    def release(self, entry: InstanceEntry, is_long: bool) -> None:
+        """Gives a slot back that `reserve` took with the same `is_long`."""
         entry.in_progress -= 1
+        entry.long_in_progress -= is_long
 
     def may_send(self, entry: InstanceEntry) -> bool:
         """Whether new work may go to an instance whose slot was reserved."""
@@ -230,11 +244,13 @@
             in_progress=instance.slots - free,
             is_home=self._homes.is_home(instance.instance_id),
             is_ejected=ejections.is_ejected(instance.instance_id),
+            long_in_progress=entry.long_in_progress,
+            is_on_trial=ejections.is_on_trial(instance.instance_id),
         )
 
     def _find_ejections(self, service: str) -> ejection_lib.EjectionTracker:
         tracker = self._ejections.get(service)
         if tracker is None:
-            tracker = ejection_lib.EjectionTracker(self._clock, self._random)
+            tracker = ejection_lib.EjectionTracker(self._clock)
             self._ejections[service] = tracker
         return tracker
--- a/src/fireflywell/entry/main.py
+++ b/src/fireflywell/entry/main.py
@@ -13,10 +13,12 @@
 from fireflywell import process
 from fireflywell import settings as settings_lib
 from fireflywell.bundle import holder as holder_lib
-from fireflywell.entry import application as application_lib
-from fireflywell.entry import dispatcher as dispatcher_lib
+from fireflywell.entry import assembly
+from fireflywell.entry import homes as homes_lib
+from fireflywell.entry import pause_guard
 from fireflywell.entry import settings as entry_settings
 from fireflywell.fleet import view as view_lib
+from fireflywell.membership import links as links_lib
 from fireflywell.platform import machines
 from fireflywell.platform import tables
 from fireflywell.platform import transport as transport_lib
@@ -25,6 +27,8 @@
 from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
 
+_CLUSTER_KEY_BYTES = 32
+
 
 @click.command()
 @click.argument("settings_file", type=click.Path(path_type=pathlib.Path))
@@ -55,25 +59,40 @@
     Raises:
         ChildFailedError: A part without which the entry is of no use failed.
     """
-    rng = random.Random()
+    rng = random.SystemRandom()
     metrics = make_metrics(settings.statsd, "entry", clock)
+    cluster_key = read_cluster_key(settings.cluster_key_file)
     transport = transport_lib.PlatformTransport(
         settings.platform_url, clock, rng, metrics
     )
+    store = tables.TableClient(transport)
     holder = holder_lib.BundleHolder()
     view = view_lib.FleetView()
     watcher = view_lib.FleetWatcher(
-        view,
-        tables.TableClient(transport),
-        machines.MachineClient(transport),
-        clock,
-        rng,
+        view, store, machines.MachineClient(transport), clock, rng
+    )
+    links = links_lib.NoPeers(
+        f"{settings.address}:{settings.peer_port}",
+        f"{rng.getrandbits(128):032x}",
     )
-    dispatcher = dispatcher_lib.Dispatcher(
-        holder, view, settings.zone, clock, metrics
+    guard = pause_guard.PauseGuard(watcher.refresh, links, clock)
+    homes = homes_lib.OnlyEntry()
+    parts = assembly.assemble_entry(
+        assembly.EntryContext(
+            holder=holder,
+            view=view,
+            store=store,
+            links=links,
+            homes=homes,
+            guard=guard,
+            cluster_key=cluster_key,
+            zone=settings.zone,
+            clock=clock,
+            rng=rng,
+            metrics=metrics,
+        )
     )
-    application = application_lib.EntryApplication(holder, dispatcher, metrics)
-    listener = asgi.Listener(application, settings.address, settings.port)
+    listener = asgi.Listener(parts.application, settings.address, settings.port)
     root = supervisor_lib.Supervisor(
         "entry",
         clock,
@@ -85,16 +104,51 @@
             supervisor_lib.Child(
                 "fleet_watcher", watcher.run, policies.RestartWithBackoff()
             ),
+            supervisor_lib.Child(
+                "pause_guard", guard.run, policies.RestartWithBackoff()
+            ),
+            *parts.list_children(),
         ),
     )
     async with anyio.create_task_group() as group:
         group.start_soon(root.run)
         await stop.wait()
-        application.stop_being_ready()
+        parts.application.stop_being_ready()
         await clock.sleep(settings.balancer_lag)
         listener.stop()
+        await listener.wait_until_stopped()
+        await assembly.drain_entry(parts, homes, clock, settings.stop_timeout)
         logs.log_event("entry.stopped")
         group.cancel_scope.cancel()
+    await parts.instances.close()
+    await transport.close()
+
+
+def read_cluster_key(path: str) -> bytes:
+    """Reads the key shared by all processes.
+
+    Raises:
+        SettingsError: The file can't be read or doesn't hold such a key.
+    """
+    try:
+        text = pathlib.Path(path).read_text(encoding="ascii").strip()
+        key = bytes.fromhex(text)
+    except OSError as error:
+        raise settings_lib.SettingsFileError(
+            pathlib.Path(path), error
+        ) from error
+    except ValueError as error:
+        raise _make_cluster_key_error(path) from error
+    if len(key) != _CLUSTER_KEY_BYTES:
+        raise _make_cluster_key_error(path)
+    return key
+
+
+def _make_cluster_key_error(path: str) -> errors.SettingsError:
+    return errors.SettingsError(
+        f"{path} must hold a cluster key of {2 * _CLUSTER_KEY_BYTES} "
+        "hexadecimal digits; give all processes the same file"
+    )
 
 
 def make_metrics(
--- a/src/fireflywell/entry/pause_guard.py
+++ b/src/fireflywell/entry/pause_guard.py
@@ -128,9 +128,7 @@
         peers = self._links.list_peers()
         since = self._resumed_at + _PEER_INTERVAL
         heard = sum(
-            1
-            for peer in peers
-            if self._heard.get(peer.address, since) > since
+            1 for peer in peers if self._heard.get(peer.address, since) > since
         )
         return heard * 2 > len(peers)
 
--- a/src/fireflywell/entry/recorded_keys.py
+++ b/src/fireflywell/entry/recorded_keys.py
@@ -26,9 +26,7 @@
 _RESULTS_PER_PASS = 50
 
 Declare = Callable[[], Awaitable[outcomes.Outcome | None]]
-Run = Callable[
-    [run_control.RunControl, Declare], Awaitable[outcomes.RunResult]
-]
+Run = Callable[[run_control.RunControl, Declare], Awaitable[outcomes.RunResult]]
 
 
 class RecordedKeyGate:
@@ -127,6 +125,16 @@
         self, intent: "_Intent", result: outcomes.RunResult
     ) -> outcomes.RunResult:
         match result:
+            case outcomes.Withdrawn() if intent.version:
+                await self._record(
+                    intent,
+                    outcomes.Refused(
+                        503,
+                        "the caller left before the request was sent; it was "
+                        "not run, send it with another key",
+                    ),
+                )
+                return result
             case outcomes.Withdrawn():
                 return result
             case _ if intent.version:
--- a/src/fireflywell/entry/remote_homes.py
+++ b/src/fireflywell/entry/remote_homes.py
@@ -1,11 +1,13 @@
 """Chooses another entry that has a free slot for a request."""
 
+from collections.abc import Iterable
+from collections.abc import Iterator
 import dataclasses
 import datetime
 
 from fireflywell import clock as clock_lib
 from fireflywell.membership import links as links_lib
-from fireflywell.membership import messages
+from fireflywell.requests import routing
 
 # Loads are reported each second.
 _FULL_FOR = datetime.timedelta(seconds=1)
@@ -25,8 +27,8 @@
 
     __slots__ = ("full_until", "reported", "sent")
 
-    def __init__(self, reported: int) -> None:
-        self.reported = reported
+    def __init__(self) -> None:
+        self.reported = 0
         self.sent = 0
         self.full_until = datetime.timedelta()
 
@@ -34,29 +36,27 @@
 class RemoteHomes:
     """Free slots of the peers, less what was forwarded since they reported."""
 
-    __slots__ = ("_clock", "_links", "_slots")
+    __slots__ = ("_clock", "_links", "_slots", "_zone")
 
     def __init__(
-        self, links: links_lib.PeerLinks, clock: clock_lib.Clock
+        self, links: links_lib.PeerLinks, zone: str, clock: clock_lib.Clock
     ) -> None:
         self._links = links
+        self._zone = zone
         self._clock = clock
         self._slots: dict[tuple[str, str], _PeerSlots] = {}
 
     def find(self, service: str) -> RemoteHome | None:
         """Returns the entry with the most free slots of a service, if any."""
-        best: RemoteHome | None = None
-        best_free = 0
-        for peer in self._links.list_peers():
-            is_entry = peer.role is messages.Role.ENTRY
-            is_alive = peer.state is links_lib.PeerState.ALIVE
-            if not is_entry or not is_alive or peer.is_leaving:
-                continue
-            free = self._count_free(peer, service)
-            if free > best_free:
-                best = RemoteHome(peer.address, peer.incarnation, service)
-                best_free = free
-        return best
+        peers = routing.list_peer_homes(self._links.list_peers(), service)
+        decision = routing.choose_route(
+            (), self._subtract_sent(peers, service), self._zone
+        )
+        match decision:
+            case routing.ForwardTo(address=address, incarnation=incarnation):
+                return RemoteHome(address, incarnation, service)
+            case _:
+                return None
 
     def note_sent(self, home: RemoteHome) -> None:
         """Counts a request that is being forwarded."""
@@ -72,23 +72,23 @@
         slots = self._find_slots(home)
         slots.full_until = self._clock.monotonic() + _FULL_FOR
 
-    def _count_free(self, peer: links_lib.PeerView, service: str) -> int:
-        for load in peer.loads:
-            if load.service != service:
-                continue
+    def _subtract_sent(
+        self, peers: Iterable[routing.PeerHome], service: str
+    ) -> Iterator[routing.PeerHome]:
+        for peer in peers:
             slots = self._slots.get((peer.address, service))
             if slots is None:
-                slots = _PeerSlots(load.free_slots)
-                self._slots[peer.address, service] = slots
-            if slots.reported != load.free_slots:
-                slots.reported = load.free_slots
+                yield peer
+                continue
+            if slots.reported != peer.free_slots:
+                slots.reported = peer.free_slots
                 slots.sent = 0
-            if slots.full_until > self._clock.monotonic():
-                return 0
-            return load.free_slots - slots.sent
-        return 0
+            if slots.full_until <= self._clock.monotonic():
+                yield dataclasses.replace(peer, forwarded=slots.sent)
 
     def _find_slots(self, home: RemoteHome) -> _PeerSlots:
-        return self._slots.setdefault(
-            (home.address, home.service), _PeerSlots(0)
-        )
+        key = (home.address, home.service)
+        slots = self._slots.get(key)
+        if slots is None:
+            slots = self._slots[key] = _PeerSlots()
+        return slots
--- a/src/fireflywell/entry/stored_results.py
+++ b/src/fireflywell/entry/stored_results.py
@@ -165,7 +165,9 @@
             return outcomes.Refused(
                 document["status"],
                 document["reason"],
-                None if seconds is None else datetime.timedelta(seconds=seconds),
+                None
+                if seconds is None
+                else datetime.timedelta(seconds=seconds),
             )
         case "unknown":
             return outcomes.Unknown(document["status"], document["reason"])
--- a/src/fireflywell/requests/key_ledger.py
+++ b/src/fireflywell/requests/key_ledger.py
@@ -297,9 +297,7 @@
         for sequence in range(first, first + BLOCK_KEYS):
             record = self._finished.get(sequence)
             if record is not None:
-                yield KeptResult(
-                    sequence, record.digest or b"", record.outcome
-                )
+                yield KeptResult(sequence, record.digest or b"", record.outcome)
 
     def _keep(
         self, sequence: int, digest: bytes | None, outcome: outcomes.Outcome
--- a/src/fireflywell/requests/outcomes.py
+++ b/src/fireflywell/requests/outcomes.py
@@ -50,6 +50,17 @@
 RunResult = Outcome | Withdrawn
 
 
+def name_kind(outcome: Outcome) -> str:
+    """Returns the name of an outcome in headers and metrics."""
+    match outcome:
+        case Answered():
+            return "answered"
+        case Refused():
+            return "refused"
+        case Unknown():
+            return "unknown"
+
+
 def make_other_body_refusal() -> Refused:
     """Returns the refusal of a request that reuses another request's key."""
     return Refused(
--- a/tests/test_thin_path.py
+++ b/tests/test_thin_path.py
@@ -7,35 +7,8 @@
 
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
-from fireflywell.bundle import holder as holder_lib
-from fireflywell.bundle import model
-from fireflywell.entry import application
-from fireflywell.entry import dispatcher
-from fireflywell.fleet import view
-from fireflywell.fleet import vm_records
-from fireflywell.platform import records
 from fireflywell.standins import endpoint
-from fireflywell.telemetry import metrics
-
-
-def make_bundle(port: int) -> model.Bundle:
-    """Returns a bundle with one service."""
-    return model.Bundle(
-        version=1,
-        signing=model.Signing(1, ()),
-        pools=(model.Pool("quotes", 1),),
-        services=(
-            model.Service(
-                "quotes",
-                "quotes",
-                port,
-                model.Budget(0),
-                echoes_request_id=True,
-            ),
-        ),
-        classes=(model.RequestClass("quick", 1.0),),
-        teams=(model.Team("sales"),),
-    )
+from tests import entry_helpers
 
 
 class ThinPathTest(unittest.TestCase):
@@ -49,23 +22,11 @@
         clock = clock_lib.SystemClock()
         instance = endpoint.EndpointApplication("quotes@vm1", clock)
         listeners = [asgi.Listener(instance, "127.0.0.1", 18911)]
-        holder = holder_lib.BundleHolder()
-        holder.adopt(make_bundle(18911))
-        fleet = view.FleetView()
-        fleet.set_vms(
-            (
-                records.Vm(
-                    "vm1", "127.0.0.1", "a", "r1", records.VmState.LIVE, 1
-                ),
-            )
-        )
-        fleet.set_assignment(vm_records.VmRecord("vm1", "quotes"))
-        no_metrics = metrics.NullMetrics()
-        entry = application.EntryApplication(
-            holder,
-            dispatcher.Dispatcher(holder, fleet, "a", clock, no_metrics),
-            no_metrics,
+        parts = entry_helpers.make_entry(
+            entry_helpers.make_bundle(18911),
+            entry_helpers.make_view("127.0.0.1"),
         )
+        entry = parts.application
         listeners.append(asgi.Listener(entry, "127.0.0.1", 18912))
         async with anyio.create_task_group() as group:
             for listener in listeners:
