--- a/src/fireflywell/entry/assembly.py
+++ b/src/fireflywell/entry/assembly.py
@@ -1,5 +1,7 @@
 """Builds the parts of an entry, for the process, tests and benchmarks."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import datetime
 import random
@@ -139,7 +141,7 @@
 
 async def drain_entry(
     parts: EntryParts,
-    homes: homes_lib.Homes,
+    hand_over_homes: Callable[[], Awaitable[None]],
     clock: clock_lib.Clock,
     stop_timeout: datetime.timedelta,
 ) -> None:
@@ -147,13 +149,13 @@
 
     Args:
         parts: Parts of the entry, which still serves what reaches it.
-        homes: Hands the homes over once their exchanges have ended.
+        hand_over_homes: Gives the homes to other entries.
         clock: Measures the wait.
         stop_timeout: After each such time a log line tells what is still in
             progress; nothing is interrupted.
     """
     await _wait_until_idle(parts, clock, stop_timeout)
-    await homes.hand_over_all()
+    await hand_over_homes()
     # A peer may have forwarded a request until the last home was given away.
     await _wait_until_idle(parts, clock, stop_timeout)
     is_complete = await parts.copier.close()
