--- a/src/fireflywell/requests/service_queue.py
+++ b/src/fireflywell/requests/service_queue.py
@@ -27,12 +27,11 @@
 class _Taken:
     """A ticket that was handed out, with what its flow was charged."""
 
-    __slots__ = ("charge", "is_started", "team")
+    __slots__ = ("charge", "team")
 
     def __init__(self, team: fair_queue.TeamFlow, charge: float) -> None:
         self.team = team
         self.charge = charge
-        self.is_started = False
 
 
 class ServiceQueue:
@@ -56,7 +55,7 @@
         "_slots",
         "_taken",
         "_times",
-        "_long_runs",
+        "_runs",
     )
 
     def __init__(
@@ -70,13 +69,13 @@
         self._clock = clock
         self._options = options
         self._queue = fair_queue.FairQueue()
-        self._deadlines = deadlines.DeadlineIndex(self._queue.__contains__)
+        self._deadlines = deadlines.DeadlineIndex(self._queue.find_deadline)
         self._times = service_times.ServiceTimes(options)
         self._long_slots = long_slots.LongSlots(options)
         self._expired: list[Ticket] = []
         self._taken: dict[str, _Taken] = {}
-        self._long_runs: set[str] = set()
-        self._slots = service.slots
+        self._runs: dict[str, bool] = {}
+        self._slots = SlotState(service.slots, service.slots, 0)
         self.reconfigure(service, classes, teams)
 
     @property
@@ -122,13 +121,17 @@
             return self._refuse(ticket, full, wait / 2)
         if ticket.deadline is not None:
             remaining = (ticket.deadline - now).total_seconds()
-            missing = wait + times.mean - remaining
+            # Without a run in progress nothing would correct an estimate
+            # that is too long, and every request would be refused for ever.
+            run = times.mean if times.running else 0.0
+            missing = wait + run - remaining
             if remaining <= 0.0 or missing > 0.0:
-                return self._refuse_late(ticket, remaining, missing, times.mean)
+                return self._refuse_late(ticket, remaining, missing, run)
+        self._queue.add(waiting)
+        if ticket.deadline is not None:
             self._deadlines.add(
                 ticket.deadline, ticket.request_id, len(self._queue)
             )
-        self._queue.add(waiting)
         return Queued(datetime.timedelta(seconds=wait))
 
     def take_next(self, slots: SlotState) -> Ticket | None:
@@ -139,7 +142,7 @@
                 free one.
         """
         now = self._refresh().total_seconds()
-        self._slots = slots.total
+        self._slots = slots
         if slots.free <= 0 or not len(self._queue):
             return None
         best: fair_queue.ClassFlow | None = None
@@ -181,13 +184,10 @@
     def note_started(self, ticket: Ticket) -> None:
         """Notes that the request holds a slot from now on."""
         now = self._clock.monotonic().total_seconds()
-        taken = self._taken.get(ticket.request_id)
-        if taken is not None:
-            taken.is_started = True
-        self._times.note_started(ticket, now)
-        if self.is_long(ticket) and ticket.request_id not in self._long_runs:
-            self._long_runs.add(ticket.request_id)
-            self._long_slots.note_started(ticket.class_name, now)
+        if self._times.note_started(ticket, now):
+            is_long = self.is_long(ticket)
+            self._runs[ticket.request_id] = is_long
+            self._long_slots.note_started(ticket.class_name, is_long, now)
 
     def note_finished(
         self, ticket: Ticket, duration: datetime.timedelta, succeeded: bool
@@ -204,11 +204,13 @@
         if taken is not None:
             self._queue.correct(taken.team, seconds - taken.charge)
         self._times.note_finished(ticket.request_id, seconds, succeeded)
-        if ticket.request_id in self._long_runs:
-            self._long_runs.remove(ticket.request_id)
+        is_long = self._runs.pop(ticket.request_id, None)
+        if is_long is not None:
             times = self._times.find(ticket.class_name, ticket.route)
             now = self._clock.monotonic().total_seconds()
-            self._long_slots.note_finished(ticket.class_name, times.mean, now)
+            self._long_slots.note_finished(
+                ticket.class_name, is_long, times.mean, now
+            )
         self._move_changed()
 
     def is_long(self, ticket: Ticket) -> bool:
@@ -263,20 +265,23 @@
                 return unproven == 0 or used < open_slots
             case service_times.Lane.LONG:
                 return self._long_slots.may_start(
-                    class_name, mean, slots.total, used, now
+                    class_name,
+                    mean,
+                    SlotState(slots.total, slots.free, used),
+                    now,
                 )
 
     def _count_slots(self, lane: service_times.Lane) -> int:
         if lane is service_times.Lane.LONG:
-            return self._long_slots.count_open(self._slots)
-        return self._slots
+            return self._long_slots.count_open(self._slots.total)
+        return self._slots.total - self._slots.long_in_progress
 
     def _refuse_late(
         self, ticket: Ticket, remaining: float, missing: float, run: float
     ) -> QueueRefusal:
         # With an empty queue it would still take `run`, so a new try with the
         # same limit helps only if that fits.
-        can_help = 0.0 < run <= remaining
+        can_help = remaining > 0.0 and run <= remaining
         return self._refuse(
             ticket, RefusalKind.DEADLINE, missing if can_help else None
         )
