--- a/src/fireflywell/membership/codec.py
+++ b/src/fireflywell/membership/codec.py
@@ -13,7 +13,7 @@
 from typing import Any
 
 import cattrs
-import msgpack  # type: ignore[import-untyped]
+import msgpack
 
 from fireflywell import errors
 from fireflywell.membership import messages
