Let stand-in instances misbehave at byte level and serve a deployment

Served by uvicorn, a stand-in instance could neither reset a connection before the first byte nor refuse connections while its VM was away, so those failures were never seen by the entry. Raising an error from the ASGI application was ruled out: uvicorn answers 500 instead.

Faults apply by path.

--- /dev/null
+++ b/src/fireflywell/standins/deployment.py
@@ -0,0 +1,265 @@
+"""The stand-ins of a whole deployment: platform, VMs and all instances."""
+
+import collections
+from collections.abc import Iterator
+import dataclasses
+import datetime
+import functools
+import random
+from typing import Any
+
+from fireflywell import asgi
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.fleet import instances
+from fireflywell.platform import records
+from fireflywell.standins import endpoint
+from fireflywell.standins import endpoint_server
+from fireflywell.standins import machines as machines_lib
+from fireflywell.standins import platform
+from fireflywell.standins import settings as standin_settings
+from fireflywell.supervision import policies
+from fireflywell.supervision import supervisor as supervisor_lib
+
+_RETURN_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
+
+
+class Deployment:
+    """Runs one listener for the platform and one for each instance."""
+
+    __slots__ = (
+        "_clock",
+        "_listener",
+        "_machines",
+        "_platform",
+        "_random",
+        "_returns",
+        "_servers",
+        "_settings",
+    )
+
+    def __init__(
+        self,
+        settings: standin_settings.StandinSettings,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+    ) -> None:
+        check_settings(settings)
+        self._settings = settings
+        self._clock = clock
+        self._random = rng
+        self._machines = make_machines(settings, clock)
+        self._machines.set_reboot_hook(self._note_away)
+        self._platform = platform.PlatformApplication(
+            clock, self._machines, settings.platform_latency
+        )
+        self._platform.set_deployment_hooks(self._describe, self._set_fault)
+        self._listener = asgi.Listener(
+            self._platform, settings.address, settings.port
+        )
+        self._servers = {
+            vm.vm_id: tuple(self._make_servers(vm)) for vm in settings.vms
+        }
+        self._returns = supervisor_lib.Supervisor("returns", clock, rng)
+
+    async def run(self) -> None:
+        """Serves until cancelled.
+
+        Raises:
+            ChildFailedError: An address can't be bound.
+        """
+        servers = supervisor_lib.Supervisor(
+            "instances",
+            self._clock,
+            self._random,
+            tuple(
+                supervisor_lib.Child(
+                    server.application.name, server.run, policies.StopProcess()
+                )
+                for group in self._servers.values()
+                for server in group
+            ),
+        )
+        root = supervisor_lib.Supervisor(
+            "standin",
+            self._clock,
+            self._random,
+            (
+                supervisor_lib.Child(
+                    "instances", servers.run, policies.StopProcess()
+                ),
+                supervisor_lib.Child(
+                    "returns",
+                    self._returns.run_until_cancelled,
+                    policies.StopProcess(),
+                ),
+                supervisor_lib.Child(
+                    "platform", self._listener.run, policies.StopProcess()
+                ),
+            ),
+        )
+        await root.run()
+
+    def _make_servers(
+        self, vm: standin_settings.VmSettings
+    ) -> Iterator[endpoint_server.EndpointServer]:
+        if vm.is_system:
+            return
+        latencies = {zone.name: zone.latency for zone in self._settings.zones}
+        for service in self._settings.services:
+            if vm.services and service.name not in vm.services:
+                continue
+            application = endpoint.EndpointApplication(
+                instances.make_instance_id(service.name, vm.vm_id),
+                self._clock,
+                latencies[vm.zone],
+            )
+            yield endpoint_server.EndpointServer(
+                application,
+                vm.address,
+                service.port,
+                self._clock,
+                self._random,
+            )
+
+    async def _note_away(self, vm_id: str) -> None:
+        for server in self._servers.get(vm_id, ()):
+            server.application.go_away()
+        self._returns.start_child(
+            supervisor_lib.Child(
+                f"return {vm_id}",
+                functools.partial(self._bring_back, vm_id),
+                policies.LetEnd(),
+            )
+        )
+
+    async def _bring_back(self, vm_id: str) -> None:
+        while self._machines.is_away(vm_id):
+            await self._clock.sleep(_RETURN_CHECK_INTERVAL)
+        for server in self._servers.get(vm_id, ()):
+            server.application.come_back()
+
+    async def _set_fault(self, document: dict[str, Any]) -> bool:
+        match document:
+            case {"kind": "lost", "domain": str(domain)}:
+                await self._machines.lose(domain)
+            case {"kind": "restored", "domain": str(domain)}:
+                await self._machines.restore(domain)
+            case {"kind": "latency", "zone": str(zone), "seconds": seconds}:
+                self._set_latency(zone, datetime.timedelta(seconds=seconds))
+            case _:
+                return False
+        return True
+
+    def _set_latency(self, zone: str, latency: datetime.timedelta) -> None:
+        for vm in self._settings.vms:
+            if vm.zone == zone:
+                for server in self._servers[vm.vm_id]:
+                    server.application.set_latency(latency)
+
+    def _describe(self) -> dict[str, Any]:
+        applications = [
+            server.application
+            for group in self._servers.values()
+            for server in group
+        ]
+        return dataclasses.asdict(summarize_instances(applications))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceSummary:
+    """Counts over all instances of a deployment.
+
+    Attributes:
+        runs: Requests run.
+        postings: Requests run with another method than GET and HEAD.
+        postings_run_twice: Postings to the same service with the same body,
+            beyond the first.
+        requests_cut: Requests in progress when their VM went away.
+        highest_in_progress: Largest number at any one instance.
+        highest_open_connections: Largest number at any one instance.
+    """
+
+    runs: int
+    postings: int
+    postings_run_twice: int
+    requests_cut: int
+    highest_in_progress: int
+    highest_open_connections: int
+
+
+def summarize_instances(
+    applications: list[endpoint.EndpointApplication],
+) -> InstanceSummary:
+    """Returns the counts over all instances."""
+    postings: collections.Counter[str] = collections.Counter()
+    for application in applications:
+        service = application.name.partition("@")[0]
+        postings.update(
+            f"{service} {run.body}"
+            for run in application.runs
+            if run.method not in ("GET", "HEAD")
+        )
+    return InstanceSummary(
+        runs=sum(item.run_count for item in applications),
+        postings=postings.total(),
+        postings_run_twice=postings.total() - len(postings),
+        requests_cut=sum(item.requests_cut for item in applications),
+        highest_in_progress=max(
+            (item.highest_in_progress for item in applications), default=0
+        ),
+        highest_open_connections=max(
+            (item.highest_open_connections for item in applications), default=0
+        ),
+    )
+
+
+def make_machines(
+    settings: standin_settings.StandinSettings, clock: clock_lib.Clock
+) -> machines_lib.Machines:
+    """Returns the VMs and workers that the settings describe."""
+    machines = machines_lib.Machines(
+        clock,
+        (),
+        records.Resources(),
+        settings.reboot_time,
+        settings.list_lag,
+    )
+    for vm in settings.vms:
+        capacity = records.Resources(
+            vm.capacity.cores, vm.capacity.memory_mb, vm.capacity.accelerators
+        )
+        machines.add_vm(
+            records.Vm(
+                vm.vm_id,
+                vm.address,
+                vm.zone,
+                vm.rack,
+                records.VmState.LIVE,
+                1,
+            ),
+            records.Resources() if vm.is_system else capacity,
+        )
+    return machines
+
+
+def check_settings(settings: standin_settings.StandinSettings) -> None:
+    """Checks the references between parts of the settings.
+
+    Raises:
+        SettingsError: A VM names a zone or service that isn't described.
+    """
+    zones = {zone.name for zone in settings.zones}
+    services = {service.name for service in settings.services}
+    for vm in settings.vms:
+        if vm.zone not in zones:
+            raise errors.SettingsError(
+                f"VM {vm.vm_id} is in zone {vm.zone!r}, which isn't described; "
+                "add it to zones"
+            )
+        for name in vm.services:
+            if name not in services:
+                raise errors.SettingsError(
+                    f"VM {vm.vm_id} names service {name!r}, which isn't "
+                    "described; add it to services"
+                )
--- a/src/fireflywell/standins/platform.py
+++ b/src/fireflywell/standins/platform.py
@@ -1,5 +1,8 @@
 """Stand-in for the platform's services, served over HTTP."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
 import json
 from typing import Any
 import urllib.parse
@@ -14,33 +17,59 @@
 _BODY_LIMIT_BYTES = 32 * 1024 * 1024
 
 
+_SummaryHook = Callable[[], dict[str, Any]]
+_FaultHook = Callable[[dict[str, Any]], Awaitable[bool]]
+
+
 class PlatformApplication:
     """ASGI application for tables, objects, VMs, workers and faults."""
 
     __slots__ = (
         "_clock",
-        "_fault",
+        "_fault_hook",
+        "_latency",
         "_machines",
         "_objects",
+        "_rules",
         "_stale",
+        "_summary_hook",
         "_table",
     )
 
     def __init__(
-        self, clock: clock_lib.Clock, machines: machines_lib.Machines
+        self,
+        clock: clock_lib.Clock,
+        machines: machines_lib.Machines,
+        latency: datetime.timedelta = datetime.timedelta(),
     ) -> None:
         self._clock = clock
+        self._latency = latency
         self._machines = machines
         self._table = table_store.MemoryTable()
         self._stale: table_store.MemoryTable | None = None
         self._objects: dict[str, bytes] = {}
-        self._fault: faults.Fault = faults.Healthy()
+        self._rules = faults.FaultRules()
+        self._summary_hook: _SummaryHook | None = None
+        self._fault_hook: _FaultHook | None = None
 
     @property
     def table(self) -> table_store.MemoryTable:
         """The table behind the HTTP calls."""
         return self._table
 
+    def set_deployment_hooks(
+        self, describe: _SummaryHook, set_fault: _FaultHook
+    ) -> None:
+        """Adds what the rest of a deployment tells and lets fail.
+
+        Args:
+            describe: Returns fields that are added to `/stats`.
+            set_fault: Applies a fault document of `/faults` that isn't about
+                the platform's calls; returns False if it doesn't know it.
+        """
+        self._summary_hook = describe
+        self._fault_hook = set_fault
+
     async def __call__(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
@@ -53,20 +82,17 @@
         if path == "/stats":
             await asgi.send_json(send, 200, self._describe_load())
             return
-        is_lost = False
-        match self._fault:
+        await self._clock.sleep(self._latency * 2)
+        fault = self._rules.take_fault(path, _is_write(method, path))
+        match fault:
             case faults.Down():
                 await asgi.send_json(send, 503, {"error": "down by a fault"})
                 return
+            case faults.LoseCalls():
+                await asgi.send_json(send, 504, {"error": "lost by a fault"})
+                return
             case faults.Slow(delay=delay):
                 await self._clock.sleep(delay)
-            case faults.LoseAnswers(count=count) if _is_write(method, path):
-                is_lost = True
-                self._fault = (
-                    faults.LoseAnswers(count - 1)
-                    if count > 1
-                    else faults.Healthy()
-                )
             case _:
                 pass
         try:
@@ -75,27 +101,39 @@
             )
         except (KeyError, ValueError, TypeError) as error:
             status, content = 400, _encode({"error": repr(error)})
-        if is_lost:
+        if isinstance(fault, faults.LoseAnswers):
             await asgi.send_json(send, 504, {"error": "lost by a fault"})
             return
         await asgi.send_response(send, status, (), content)
 
     async def _set_fault(self, body: bytes, send: asgi.Send) -> None:
         try:
-            self._fault = faults.decode_fault(json.loads(body))
-        except (KeyError, ValueError) as error:
-            await asgi.send_json(send, 400, {"error": str(error)})
+            document = json.loads(body)
+            is_applied = self._fault_hook is not None and (
+                await self._fault_hook(document)
+            )
+            if not is_applied:
+                self._rules.set_rule(faults.decode_rule(document))
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            await asgi.send_json(send, 400, {"error": repr(error)})
             return
-        is_stale = isinstance(self._fault, faults.StaleReads)
-        self._stale = self._table.copy() if is_stale else None
+        if not self._rules.has_stale_reads:
+            self._stale = None
+        elif self._stale is None:
+            self._stale = self._table.copy()
         await asgi.send_json(send, 200, {})
 
-    def _describe_load(self) -> dict[str, int]:
-        return {
+    def _describe_load(self) -> dict[str, Any]:
+        summary = {
             "reads": self._table.reads,
             "writes": self._table.writes,
             "revision": self._table.revision,
+            "reboots": self._machines.reboots,
+            "task_starts": self._machines.task_starts,
         }
+        if self._summary_hook is not None:
+            summary.update(self._summary_hook())
+        return summary
 
     async def _answer(
         self, method: str, path: str, query: str, body: bytes
