--- a/src/fireflywell/standins/deployment.py
+++ b/src/fireflywell/standins/deployment.py
@@ -1,6 +1,5 @@
 """The stand-ins of a whole deployment: platform, VMs and all instances."""
 
-import collections
 from collections.abc import Iterator
 import dataclasses
 import datetime
@@ -13,11 +12,14 @@
 from fireflywell import errors
 from fireflywell.fleet import instances
 from fireflywell.platform import records
+from fireflywell.standins import balancer
 from fireflywell.standins import endpoint
 from fireflywell.standins import endpoint_server
+from fireflywell.standins import link_proxy
 from fireflywell.standins import machines as machines_lib
 from fireflywell.standins import platform
 from fireflywell.standins import settings as standin_settings
+from fireflywell.standins import summary
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
 
@@ -28,7 +30,9 @@
     """Runs one listener for the platform and one for each instance."""
 
     __slots__ = (
+        "_balancers",
         "_clock",
+        "_links",
         "_listener",
         "_machines",
         "_platform",
@@ -60,6 +64,12 @@
         self._servers = {
             vm.vm_id: tuple(self._make_servers(vm)) for vm in settings.vms
         }
+        self._balancers = tuple(
+            balancer.Balancer(item, clock, rng) for item in settings.balancers
+        )
+        self._links = tuple(
+            link_proxy.LinkProxy(item, clock, rng) for item in settings.links
+        )
         self._returns = supervisor_lib.Supervisor("returns", clock, rng)
 
     async def run(self) -> None:
@@ -68,26 +78,13 @@
         Raises:
             ChildFailedError: An address can't be bound.
         """
-        servers = supervisor_lib.Supervisor(
-            "instances",
-            self._clock,
-            self._random,
-            tuple(
-                supervisor_lib.Child(
-                    server.application.name, server.run, policies.StopProcess()
-                )
-                for group in self._servers.values()
-                for server in group
-            ),
-        )
         root = supervisor_lib.Supervisor(
             "standin",
             self._clock,
             self._random,
             (
-                supervisor_lib.Child(
-                    "instances", servers.run, policies.StopProcess()
-                ),
+                self._make_group("instances", self._iterate_instances()),
+                self._make_group("network", self._iterate_network()),
                 supervisor_lib.Child(
                     "returns",
                     self._returns.run_until_cancelled,
@@ -100,6 +97,29 @@
         )
         await root.run()
 
+    def _make_group(
+        self, name: str, children: Iterator[supervisor_lib.Child]
+    ) -> supervisor_lib.Child:
+        group = supervisor_lib.Supervisor(
+            name, self._clock, self._random, tuple(children)
+        )
+        return supervisor_lib.Child(name, group.run, policies.StopProcess())
+
+    def _iterate_instances(self) -> Iterator[supervisor_lib.Child]:
+        for group in self._servers.values():
+            for server in group:
+                yield supervisor_lib.Child(
+                    server.application.name, server.run, policies.StopProcess()
+                )
+
+    def _iterate_network(self) -> Iterator[supervisor_lib.Child]:
+        for link in self._links:
+            name = f"link {link.name}"
+            yield supervisor_lib.Child(name, link.run, policies.StopProcess())
+        for number, item in enumerate(self._balancers):
+            name = f"balancer {number}"
+            yield supervisor_lib.Child(name, item.run, policies.StopProcess())
+
     def _make_servers(
         self, vm: standin_settings.VmSettings
     ) -> Iterator[endpoint_server.EndpointServer]:
@@ -147,10 +167,18 @@
                 await self._machines.restore(domain)
             case {"kind": "latency", "zone": str(zone), "seconds": seconds}:
                 self._set_latency(zone, datetime.timedelta(seconds=seconds))
+            case {"kind": "cut" | "healed" as kind, "link": str(name)}:
+                self._find_link(name).set_cut(kind == "cut")
             case _:
                 return False
         return True
 
+    def _find_link(self, name: str) -> link_proxy.LinkProxy:
+        for link in self._links:
+            if link.name == name:
+                return link
+        raise ValueError(f"no link {name!r}; see links in the settings")
+
     def _set_latency(self, zone: str, latency: datetime.timedelta) -> None:
         for vm in self._settings.vms:
             if vm.zone == zone:
@@ -163,55 +191,9 @@
             for group in self._servers.values()
             for server in group
         ]
-        return dataclasses.asdict(summarize_instances(applications))
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class InstanceSummary:
-    """Counts over all instances of a deployment.
-
-    Attributes:
-        runs: Requests run.
-        postings: Requests run with another method than GET and HEAD.
-        postings_run_twice: Postings to the same service with the same body,
-            beyond the first.
-        requests_cut: Requests in progress when their VM went away.
-        highest_in_progress: Largest number at any one instance.
-        highest_open_connections: Largest number at any one instance.
-    """
-
-    runs: int
-    postings: int
-    postings_run_twice: int
-    requests_cut: int
-    highest_in_progress: int
-    highest_open_connections: int
-
-
-def summarize_instances(
-    applications: list[endpoint.EndpointApplication],
-) -> InstanceSummary:
-    """Returns the counts over all instances."""
-    postings: collections.Counter[str] = collections.Counter()
-    for application in applications:
-        service = application.name.partition("@")[0]
-        postings.update(
-            f"{service} {run.body}"
-            for run in application.runs
-            if run.method not in ("GET", "HEAD")
-        )
-    return InstanceSummary(
-        runs=sum(item.run_count for item in applications),
-        postings=postings.total(),
-        postings_run_twice=postings.total() - len(postings),
-        requests_cut=sum(item.requests_cut for item in applications),
-        highest_in_progress=max(
-            (item.highest_in_progress for item in applications), default=0
-        ),
-        highest_open_connections=max(
-            (item.highest_open_connections for item in applications), default=0
-        ),
-    )
+        fields = dataclasses.asdict(summary.summarize_instances(applications))
+        fields["balancer_retries"] = sum(b.retries for b in self._balancers)
+        return fields
 
 
 def make_machines(
--- a/src/fireflywell/standins/endpoint.py
+++ b/src/fireflywell/standins/endpoint.py
@@ -12,8 +12,9 @@
 
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
+from fireflywell.standins import http_wire
+from fireflywell.standins import replies
 
-BODY_LIMIT_BYTES = 8 * 1024 * 1024
 _LARGE_ANSWER_BYTES = 5 * 1024 * 1024
 # Bounds the memory of a long load test; totals are counted separately.
 _RUNS_KEPT = 200_000
@@ -29,46 +30,6 @@
     body: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndpointRequest:
-    """A whole request as the instance received it."""
-
-    method: str
-    path: str
-    headers: tuple[asgi.Header, ...]
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Respond:
-    """Sends a complete response."""
-
-    status: int
-    headers: tuple[asgi.Header, ...]
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Truncate:
-    """Promises `promised_bytes` of body, sends fewer and closes."""
-
-    promised_bytes: int
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reset:
-    """Resets the connection before any byte of a response."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class NeverAnswer:
-    """Keeps the connection open and sends nothing."""
-
-
-Reply = Respond | Truncate | Reset | NeverAnswer
-
-
 class EndpointApplication:
     """What one instance does with its requests, and what it counts.
 
@@ -196,14 +157,16 @@
             await self._changed.wait()
 
     @contextlib.asynccontextmanager
-    async def answer(self, request: EndpointRequest) -> AsyncIterator[Reply]:
+    async def answer(
+        self, request: http_wire.HttpRequest
+    ) -> AsyncIterator[replies.Reply]:
         """Yields the reply; the request is in progress until the block ends."""
         match request.path.partition("?")[0]:
             case "/control":
                 self._change_behaviour(json.loads(request.body))
                 yield _respond_json({})
             case _ if self._is_away:
-                yield Reset()
+                yield replies.Reset()
             case "/status":
                 yield _respond_json(self.describe())
             case "/runs":
@@ -217,21 +180,21 @@
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         """Serves one request by ASGI."""
-        request = EndpointRequest(
+        request = http_wire.HttpRequest(
             scope["method"],
             scope["path"],
             asgi.decode_headers(scope),
-            await asgi.read_body(receive, BODY_LIMIT_BYTES),
+            await asgi.read_body(receive, http_wire.BODY_LIMIT_BYTES),
         )
         async with self.answer(request) as reply:
             match reply:
-                case Respond(status=status, headers=headers, body=body):
+                case replies.Respond(status=status, headers=headers, body=body):
                     await asgi.send_response(send, status, headers, body)
-                case Truncate(promised_bytes=promised, body=body):
+                case replies.Truncate(promised_bytes=promised, body=body):
                     await _send_truncated(send, promised, body)
-                case Reset():
+                case replies.Reset():
                     raise ConnectionResetError("reset as asked")
-                case NeverAnswer():
+                case replies.NeverAnswer():
                     await anyio.sleep_forever()
 
     def describe(self) -> dict[str, Any]:
@@ -256,7 +219,9 @@
                 self.come_back()
 
     @contextlib.asynccontextmanager
-    async def _run(self, request: EndpointRequest) -> AsyncIterator[Reply]:
+    async def _run(
+        self, request: http_wire.HttpRequest
+    ) -> AsyncIterator[replies.Reply]:
         self._in_progress += 1
         self._highest = max(self._highest, self._in_progress)
         try:
@@ -264,7 +229,7 @@
         finally:
             self._in_progress -= 1
 
-    async def _work(self, request: EndpointRequest) -> Reply:
+    async def _work(self, request: http_wire.HttpRequest) -> replies.Reply:
         await self._clock.sleep(self._latency)
         headers = request.headers
         request_id = asgi.find_header(headers, "fireflywell-request-id") or ""
@@ -275,13 +240,13 @@
         await self._clock.sleep(datetime.timedelta(seconds=seconds))
         await self._clock.sleep(self._latency)
         if self._is_away:
-            return Reset()
+            return replies.Reset()
         misbehaviour = asgi.find_header(headers, "x-misbehave")
         return self._choose_reply(misbehaviour, request_id, request.body)
 
     def _choose_reply(
         self, misbehaviour: str | None, request_id: str, body: bytes
-    ) -> Reply:
+    ) -> replies.Reply:
         if self._fails_all:
             misbehaviour = "fail"
         headers: tuple[asgi.Header, ...] = (
@@ -294,29 +259,29 @@
         ).encode()
         match misbehaviour:
             case "truncate":
-                return Truncate(1000, b"partial")
+                return replies.Truncate(1000, b"partial")
             case "reset":
-                return Reset()
+                return replies.Reset()
             case "silent":
-                return NeverAnswer()
+                return replies.NeverAnswer()
             case "fail":
-                return Respond(500, headers, b"failed")
+                return replies.Respond(500, headers, b"failed")
             case "crossed":
                 other = (asgi.Header("fireflywell-request-id", "other"),)
-                return Respond(200, other, content)
+                return replies.Respond(200, other, content)
             case "oversized":
-                return Respond(200, headers, b"x" * _LARGE_ANSWER_BYTES)
+                return replies.Respond(200, headers, b"x" * _LARGE_ANSWER_BYTES)
             case _:
-                return Respond(200, headers, content)
+                return replies.Respond(200, headers, content)
 
     def _signal(self) -> None:
         self._changed.set()
         self._changed = anyio.Event()
 
 
-def _respond_json(document: Any) -> Respond:
+def _respond_json(document: Any) -> replies.Respond:
     headers = (asgi.Header("content-type", "application/json"),)
-    return Respond(200, headers, json.dumps(document).encode())
+    return replies.Respond(200, headers, json.dumps(document).encode())
 
 
 async def _send_truncated(
--- a/src/fireflywell/standins/endpoint_server.py
+++ b/src/fireflywell/standins/endpoint_server.py
@@ -9,21 +9,14 @@
 import anyio.abc
 import h11
 
-from fireflywell import asgi
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.standins import endpoint
+from fireflywell.standins import http_wire
+from fireflywell.standins import replies
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
 
-_READ_BYTES = 64 * 1024
-_CONNECTION_ERRORS = (
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-    anyio.EndOfStream,
-    h11.RemoteProtocolError,
-)
-
 
 class EndpointServer:
     """One listening address of an instance.
@@ -123,7 +116,7 @@
             async with stream:
                 try:
                     await self._exchange_until_closed(stream)
-                except _CONNECTION_ERRORS:
+                except http_wire.CONNECTION_ERRORS:
                     return
                 except anyio.get_cancelled_exc_class():
                     _reset_on_close(stream)
@@ -136,7 +129,7 @@
     ) -> None:
         connection = h11.Connection(h11.SERVER)
         while True:
-            request = await _read_request(connection, stream)
+            request = await http_wire.read_request(connection, stream)
             if request is None:
                 return
             async with self._application.answer(request) as reply:
@@ -146,71 +139,32 @@
             connection.start_next_cycle()
 
 
-async def _read_request(
-    connection: h11.Connection, stream: anyio.abc.SocketStream
-) -> endpoint.EndpointRequest | None:
-    """Returns the next whole request, or None once the caller has closed."""
-    head: h11.Request | None = None
-    body = bytearray()
-    while True:
-        match connection.next_event():
-            case h11.NEED_DATA:
-                try:
-                    received = await stream.receive(_READ_BYTES)
-                except anyio.EndOfStream:
-                    received = b""
-                connection.receive_data(received)
-            case h11.Request() as event:
-                head = event
-            case h11.Data(data=data):
-                body += data
-                if len(body) > endpoint.BODY_LIMIT_BYTES:
-                    return None
-            case h11.EndOfMessage():
-                assert head is not None
-                return endpoint.EndpointRequest(
-                    head.method.decode(),
-                    head.target.decode("latin-1"),
-                    tuple(
-                        asgi.Header(name.decode(), value.decode("latin-1"))
-                        for name, value in head.headers
-                    ),
-                    bytes(body),
-                )
-            case _:
-                return None
-
-
 async def _send_reply(
     connection: h11.Connection,
     stream: anyio.abc.SocketStream,
-    reply: endpoint.Reply,
+    reply: replies.Reply,
 ) -> bool:
     """Sends a reply; returns whether the connection may carry another."""
     match reply:
-        case endpoint.Respond(status=status, headers=headers, body=body):
-            fields = [(item.name, item.value) for item in headers]
-            fields.append(("content-length", str(len(body))))
-            head = h11.Response(status_code=status, headers=fields)
-            data = connection.send(head) or b""
-            data += connection.send(h11.Data(data=body)) or b""
-            data += connection.send(h11.EndOfMessage()) or b""
-            await stream.send(data)
+        case replies.Respond(status=status, headers=headers, body=body):
+            await http_wire.send_response(
+                connection, stream, status, headers, body
+            )
             return True
-        case endpoint.Truncate(promised_bytes=promised, body=body):
+        case replies.Truncate(promised_bytes=promised, body=body):
             length = [("content-length", str(promised))]
             head = h11.Response(status_code=200, headers=length)
             data = connection.send(head) or b""
             data += connection.send(h11.Data(data=body)) or b""
             await stream.send(data)
             return False
-        case endpoint.Reset():
+        case replies.Reset():
             _reset_on_close(stream)
             return False
-        case endpoint.NeverAnswer():
+        case replies.NeverAnswer():
             # Ends with `EndOfStream` when the caller closes the connection.
             while True:
-                await stream.receive(_READ_BYTES)
+                await stream.receive()
 
 
 def _reset_on_close(stream: anyio.abc.SocketStream) -> None:
--- a/src/fireflywell/standins/settings.py
+++ b/src/fireflywell/standins/settings.py
@@ -65,6 +65,47 @@
     latency: datetime.timedelta = datetime.timedelta()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BalancerSettings:
+    """A load balancer in front of the entries.
+
+    Attributes:
+        address: Address for callers.
+        port: Port for callers.
+        entries: Base addresses of the entries.
+        retry_after: Time without a response after which a request is sent to
+            another entry too.
+        tries: Most entries that one request is sent to.
+        check_interval: Time between two checks of `/readyz`.
+    """
+
+    address: str
+    port: int
+    entries: tuple[str, ...]
+    retry_after: datetime.timedelta = datetime.timedelta(seconds=2)
+    tries: int = 2
+    check_interval: datetime.timedelta = datetime.timedelta(seconds=1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkSettings:
+    """A link to a process that can be cut.
+
+    Attributes:
+        name: Name in `/faults`.
+        address: Address to connect to in place of the target's.
+        port: Port to connect to.
+        target_address: Address of the process.
+        target_port: Port of the process.
+    """
+
+    name: str
+    address: str
+    port: int
+    target_address: str
+    target_port: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StandinSettings:
     """Settings of `fireflywell-standin`.
@@ -78,6 +119,8 @@
         reboot_time: Time for which a rebooted VM is away.
         list_lag: Lag of the VM list and of reported usage.
         platform_latency: Delay in one direction of calls to the platform.
+        balancers: Load balancers.
+        links: Links that can be cut.
         log_file: File for log lines; None for the standard output.
     """
 
@@ -89,4 +132,6 @@
     reboot_time: datetime.timedelta = datetime.timedelta(seconds=2)
     list_lag: datetime.timedelta = datetime.timedelta(seconds=1)
     platform_latency: datetime.timedelta = datetime.timedelta()
+    balancers: tuple[BalancerSettings, ...] = ()
+    links: tuple[LinkSettings, ...] = ()
     log_file: str | None = None
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -17,7 +17,9 @@
 from fireflywell.standins import endpoint
 from fireflywell.standins import endpoint_server
 from fireflywell.standins import faults
+from fireflywell.standins import http_wire
 from fireflywell.standins import settings
+from fireflywell.standins import summary
 from fireflywell.standins import worker
 
 _ADDRESS = "127.1.9.9"
@@ -191,7 +193,7 @@
         """Fails if a posting that ran twice goes unnoticed."""
 
         async def post(instance: endpoint.EndpointApplication) -> None:
-            request = endpoint.EndpointRequest("POST", "/x", (), b"posting 1")
+            request = http_wire.HttpRequest("POST", "/x", (), b"posting 1")
             async with instance.answer(request):
                 pass
 
@@ -201,9 +203,9 @@
         other = endpoint.EndpointApplication("t@vm2", clock)
         for instance in (first, second, other):
             anyio.run(post, instance)
-        summary = deployment.summarize_instances([first, second, other])
-        self.assertEqual(summary.postings, 3)
-        self.assertEqual(summary.postings_run_twice, 1)
+        counts = summary.summarize_instances([first, second, other])
+        self.assertEqual(counts.postings, 3)
+        self.assertEqual(counts.postings_run_twice, 1)
 
 
 if __name__ == "__main__":
