--- a/src/fireflywell/settings.py
+++ b/src/fireflywell/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import enum
 import pathlib
 import tomllib
 from typing import Any
@@ -87,6 +88,8 @@
     converter = cattrs.Converter(forbid_extra_keys=True)
     for kind in (int, float, str, bool):
         converter.register_structure_hook(kind, _check_scalar)
+    # More specific than the hook for str, which would refuse every member.
+    converter.register_structure_hook(enum.StrEnum, _structure_choice)
     converter.register_structure_hook(datetime.timedelta, _structure_duration)
     converter.register_unstructure_hook(
         datetime.timedelta, datetime.timedelta.total_seconds
@@ -139,6 +142,15 @@
     return kind(value)
 
 
+def _structure_choice(value: Any, kind: type[enum.StrEnum]) -> enum.StrEnum:
+    allowed = [str(member) for member in kind]
+    if value not in allowed:
+        raise ValueError(
+            f"expected one of {', '.join(allowed)}, found {value!r}"
+        )
+    return kind(value)
+
+
 def _structure_duration(value: Any, _: type[Any]) -> datetime.timedelta:
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
     if not is_number or value < 0:
--- a/src/fireflywell/standins/deployment.py
+++ b/src/fireflywell/standins/deployment.py
@@ -57,7 +57,9 @@
         self._platform = platform.PlatformApplication(
             clock, self._machines, settings.platform_latency
         )
-        self._platform.set_deployment_hooks(self._describe, self._set_fault)
+        self._platform.set_deployment_hooks(
+            self._describe, self._describe_runs, self._set_fault
+        )
         self._listener = asgi.Listener(
             self._platform, settings.address, settings.port
         )
@@ -72,6 +74,11 @@
         )
         self._returns = supervisor_lib.Supervisor("returns", clock, rng)
 
+    @property
+    def _applications(self) -> list[endpoint.EndpointApplication]:
+        groups = self._servers.values()
+        return [server.application for group in groups for server in group]
+
     async def run(self) -> None:
         """Serves until cancelled.
 
@@ -185,13 +192,18 @@
                 for server in self._servers[vm.vm_id]:
                     server.application.set_latency(latency)
 
-    def _describe(self) -> dict[str, Any]:
-        applications = [
-            server.application
-            for group in self._servers.values()
-            for server in group
+    def _describe_runs(self) -> dict[str, Any]:
+        runs = [
+            {"instance": item.name} | dataclasses.asdict(run)
+            for item in self._applications
+            for run in item.runs
         ]
-        fields = dataclasses.asdict(summary.summarize_instances(applications))
+        return {"runs": runs}
+
+    def _describe(self) -> dict[str, Any]:
+        fields = dataclasses.asdict(
+            summary.summarize_instances(self._applications)
+        )
         fields["balancer_retries"] = sum(b.retries for b in self._balancers)
         return fields
 
--- a/src/fireflywell/standins/platform.py
+++ b/src/fireflywell/standins/platform.py
@@ -31,6 +31,7 @@
         "_machines",
         "_objects",
         "_rules",
+        "_runs_hook",
         "_stale",
         "_summary_hook",
         "_table",
@@ -50,6 +51,7 @@
         self._objects: dict[str, bytes] = {}
         self._rules = faults.FaultRules()
         self._summary_hook: _SummaryHook | None = None
+        self._runs_hook: _SummaryHook | None = None
         self._fault_hook: _FaultHook | None = None
 
     @property
@@ -58,16 +60,21 @@
         return self._table
 
     def set_deployment_hooks(
-        self, describe: _SummaryHook, set_fault: _FaultHook
+        self,
+        describe: _SummaryHook,
+        describe_runs: _SummaryHook,
+        set_fault: _FaultHook,
     ) -> None:
         """Adds what the rest of a deployment tells and lets fail.
 
         Args:
             describe: Returns fields that are added to `/stats`.
+            describe_runs: Returns the content of `/runs`.
             set_fault: Applies a fault document of `/faults` that isn't about
                 the platform's calls; returns False if it doesn't know it.
         """
         self._summary_hook = describe
+        self._runs_hook = describe_runs
         self._fault_hook = set_fault
 
     async def __call__(
@@ -82,6 +89,9 @@
         if path == "/stats":
             await asgi.send_json(send, 200, self._describe_load())
             return
+        if path == "/runs" and self._runs_hook is not None:
+            await asgi.send_json(send, 200, self._runs_hook())
+            return
         await self._clock.sleep(self._latency * 2)
         fault = self._rules.take_fault(path, _is_write(method, path))
         match fault:
--- a/tests/test_loadtool.py
+++ b/tests/test_loadtool.py
@@ -9,6 +9,7 @@
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
 from fireflywell import errors
+from fireflywell import settings
 from fireflywell.loadtool import plan as plan_lib
 from fireflywell.loadtool import report
 from fireflywell.loadtool import sender
@@ -44,6 +45,20 @@
         with self.assertRaisesRegex(errors.SettingsError, "isn't bounded"):
             plan_lib.check_plan(make_plan(count=None))
 
+    def test_kind_of_key_is_read_by_its_name(self) -> None:
+        """Fails if a plan's key kinds are refused, or misspelt ones taken."""
+        flow = {"name": "f", "service": "s", "rate": 1, "key": "bound"}
+        plan = settings.parse_settings(
+            {"targets": [_TARGET], "flows": [flow]}, plan_lib.Plan, "plan"
+        )
+        self.assertIs(plan.flows[0].key, plan_lib.KeyKind.BOUND)
+        with self.assertRaisesRegex(errors.SettingsError, "none, bound"):
+            settings.parse_settings(
+                {"targets": [_TARGET], "flows": [flow | {"key": "bond"}]},
+                plan_lib.Plan,
+                "plan",
+            )
+
     def test_seed_fixes_arrivals_and_surge_multiplies_them(self) -> None:
         """Fails if two runs of a plan send different load."""
         second = datetime.timedelta(seconds=1)
