--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 	touch $(VENV)/.installed
 
 demo: $(VENV)/.installed
-	$(RUN) tools/demo.py
+	$(RUN) -m tools.demo
 
 test: $(VENV)/.installed
 	$(RUN) tools/run_tests.py
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,128 @@
+"""Runs a small deployment on loopback and shows what it does.
+
+Starts every program as a process of its own, performs each step, and prints a
+table. Ends with exit code 1 if a step fails; nothing keeps running.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import json
+import pathlib
+import sys
+import tempfile
+
+from tools import local_processes
+from tools import local_system
+
+_REQUESTS = 50
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One step; `perform` returns what came of it, with figures."""
+
+    name: str
+    perform: Callable[[], str]
+
+
+class Demo:
+    """The steps of the demonstration, in order."""
+
+    __slots__ = ("_system",)
+
+    def __init__(self, system: local_system.LocalSystem) -> None:
+        self._system = system
+
+    @property
+    def steps(self) -> tuple[Step, ...]:
+        """The steps, in order."""
+        return (
+            Step("start the platform and instances", self._start_standins),
+            Step("start the entries", self._start_entries),
+            Step("requests before the first bundle", self._send_early),
+            Step("SIGTERM of each process", self._stop_all),
+        )
+
+    def _start_standins(self) -> str:
+        self._system.start_standins()
+        layout = self._system.layout
+        vms = layout.vms * len(layout.services)
+        return f"{vms} VMs, {vms * len(layout.services)} instances"
+
+    def _start_entries(self) -> str:
+        count = self._system.layout.entries
+        for number in range(1, count + 1):
+            self._system.start_entry(number)
+        return f"{count} entries answer"
+
+    def _send_early(self) -> str:
+        flow = {"name": "early", "service": "quotes", "rate": 100}
+        counts = run_load(self._system, "early", _REQUESTS, flow)
+        runs = self._system.read_stats()["runs"]
+        require(counts["refused"] == _REQUESTS, f"not all refused: {counts}")
+        require(runs == 0, f"{runs} refused requests were run")
+        return f"{counts['refused']} of {_REQUESTS} refused, {runs} run"
+
+    def _stop_all(self) -> str:
+        layout = self._system.layout
+        names = [f"entry {n}" for n in range(1, layout.entries + 1)]
+        for name in names:
+            self._system.stop(name)
+        for name in (*names, "stand-ins"):
+            process = self._system.processes.find(name)
+            if name == "stand-ins":
+                self._system.stop(name)
+            code = process.wait()
+            require(code == 0, f"{name} ended with exit code {code}")
+        return f"{len(names) + 1} processes ended with exit code 0"
+
+
+def run_load(
+    system: local_system.LocalSystem,
+    name: str,
+    count: int,
+    flow: dict[str, object],
+) -> dict[str, float]:
+    """Sends one flow through all entries and returns its counts.
+
+    Raises:
+        StepError: The load generator failed.
+    """
+    targets = list(system.entry_urls)
+    system.start_load(
+        name, {"targets": targets, "count": count, "flows": [flow]}
+    )
+    process = system.processes.find(f"load {name}")
+    require(process.wait() == 0, f"the load {name} failed")
+    last_line = process.log_path.read_text().splitlines()[-1]
+    return dict(json.loads(last_line)["flows"][0])
+
+
+def require(holds: bool, message: str) -> None:
+    """Raises `StepError` with a message unless a condition holds."""
+    if not holds:
+        raise local_processes.StepError(message)
+
+
+def main() -> int:
+    """Runs all steps; returns 0 if none failed."""
+    with (
+        tempfile.TemporaryDirectory(prefix="fireflywell-demo-") as name,
+        local_processes.ProcessGroup(pathlib.Path(name)) as group,
+    ):
+        directory = pathlib.Path(name)
+        layout = local_system.Layout(entries=2, controls=0)
+        demo = Demo(local_system.LocalSystem(directory, group, layout))
+        for step in demo.steps:
+            try:
+                result = step.perform()
+            except local_processes.StepError as error:
+                print(f"FAILED  {step.name:<36}{error}")
+                print(group.describe_logs())
+                return 1
+            print(f"ok      {step.name:<36}{result}", flush=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tools/local_processes.py
+++ b/tools/local_processes.py
@@ -3,17 +3,20 @@
 import collections
 from collections.abc import Callable
 import dataclasses
+import datetime
 import json
 import os
 import pathlib
 import signal
 import subprocess
 import sys
-import time
 from typing import Any
 
+import anyio
 import httpcore
 
+from fireflywell import clock as clock_lib
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 PROGRAMS = {
     "entry": "fireflywell.entry.main",
@@ -24,7 +27,7 @@
 }
 # Generous: a loaded machine may need long to start a process.
 WAIT_SECONDS = 60.0
-_POLL_SECONDS = 0.05
+_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 _TAIL_LINES = 25
 
 
@@ -170,11 +173,12 @@
     Raises:
         StepError: It didn't hold within the bound.
     """
-    deadline = time.monotonic() + WAIT_SECONDS
+    clock = clock_lib.SystemClock()
+    deadline = clock.monotonic() + datetime.timedelta(seconds=WAIT_SECONDS)
     while not condition():
-        if time.monotonic() > deadline:
+        if clock.monotonic() > deadline:
             raise StepError(f"it never came true that {description}")
-        time.sleep(_POLL_SECONDS)
+        anyio.run(clock.sleep, _POLL_INTERVAL)
 
 
 def send_request(
