Tell lost requests from those that met no listener

A stopped entry refuses connections, which is no failure, while a request that was sent and got no response is one. Both counted as lost, so a load across a stop couldn't show that nothing was cut off. Lost tries are now counted even if a later try is answered.

--- a/src/fireflywell/loadtool/report.py
+++ b/src/fireflywell/loadtool/report.py
@@ -13,12 +13,17 @@
 
 
 class FinalOutcome(enum.StrEnum):
-    """How a request ended for its caller."""
+    """How a request ended for its caller.
+
+    `lost` was sent and got no whole response of an entry; `unreachable` met
+    no listener; `not_sent` had no key or exceeded the generator's bound.
+    """
 
     ANSWERED = "answered"
     REFUSED = "refused"
     UNKNOWN = "unknown"
     LOST = "lost"
+    UNREACHABLE = "unreachable"
     NOT_SENT = "not_sent"
 
 
@@ -32,6 +37,7 @@
         outcome: Outcome after the last try.
         status: HTTP status; 0 without a response.
         tries: How often it was sent.
+        lost_tries: How many of the tries were lost.
         latency: Time from the intended send time to the last response.
     """
 
@@ -40,6 +46,7 @@
     outcome: FinalOutcome
     status: int
     tries: int
+    lost_tries: int
     latency: datetime.timedelta
 
 
@@ -53,7 +60,9 @@
     refused: int
     unknown: int
     lost: int
+    unreachable: int
     not_sent: int
+    lost_tries: int
     server_errors: int
     retried: int
     p50_ms: float
@@ -64,7 +73,14 @@
 class FlowRecorder:
     """Collects the samples of one flow."""
 
-    __slots__ = ("_counts", "_histogram", "_name", "_retried", "_server_errors")
+    __slots__ = (
+        "_counts",
+        "_histogram",
+        "_lost_tries",
+        "_name",
+        "_retried",
+        "_server_errors",
+    )
 
     def __init__(self, name: str) -> None:
         self._name = name
@@ -72,12 +88,14 @@
         self._histogram = histogram.HdrHistogram(
             _LOWEST_US, _HIGHEST_US, _SIGNIFICANT_DIGITS
         )
+        self._lost_tries = 0
         self._retried = 0
         self._server_errors = 0
 
     def add(self, sample: Sample) -> None:
         """Adds one sample; latencies are kept of answered requests only."""
         self._counts[sample.outcome] += 1
+        self._lost_tries += sample.lost_tries
         self._retried += max(0, sample.tries - 1)
         if sample.outcome is not FinalOutcome.ANSWERED:
             return
@@ -94,7 +112,9 @@
             refused=self._counts[FinalOutcome.REFUSED],
             unknown=self._counts[FinalOutcome.UNKNOWN],
             lost=self._counts[FinalOutcome.LOST],
+            unreachable=self._counts[FinalOutcome.UNREACHABLE],
             not_sent=self._counts[FinalOutcome.NOT_SENT],
+            lost_tries=self._lost_tries,
             server_errors=self._server_errors,
             retried=self._retried,
             p50_ms=self._find_percentile(50.0),
--- a/src/fireflywell/loadtool/sender.py
+++ b/src/fireflywell/loadtool/sender.py
@@ -167,26 +167,30 @@
     ) -> None:
         flow = self._plan.flows[arrival.flow_index]
         may_repeat = key is not None or flow.method in ("GET", "HEAD")
-        attempt, tries = Attempt(report.FinalOutcome.LOST), 0
+        attempt = Attempt(report.FinalOutcome.NOT_SENT)
+        tries = lost_tries = 0
         while tries < self._plan.tries:
             if tries:
                 await self._clock.sleep(self._plan.retry_pause)
             target = self._find_target(offset + tries)
             attempt = await self._send_once(arrival, key, target)
             tries += 1
-            is_open = attempt.outcome in (
-                report.FinalOutcome.UNKNOWN,
-                report.FinalOutcome.LOST,
-            )
-            if not (is_open and may_repeat):
-                break
-        self._note_end(arrival, attempt, tries)
+            lost_tries += attempt.outcome is report.FinalOutcome.LOST
+            match attempt.outcome:
+                case report.FinalOutcome.UNREACHABLE:
+                    continue
+                case report.FinalOutcome.UNKNOWN | report.FinalOutcome.LOST:
+                    if may_repeat:
+                        continue
+            break
+        self._note_end(arrival, attempt, tries, lost_tries)
 
     async def _send_once(
         self, arrival: plan_lib.Arrival, key: str | None, target: str
     ) -> Attempt:
         flow = self._plan.flows[arrival.flow_index]
         body = make_body(flow, self._make_label(arrival))
+        sent = send_tracker.SendTracker()
         await self._clock.sleep(self._plan.latency)
         try:
             with anyio.fail_after(self._plan.timeout.total_seconds()):
@@ -195,9 +199,12 @@
                     f"{target}/{flow.service}/{flow.route}",
                     headers=make_headers(flow, key, body),
                     content=body,
+                    extensions={"trace": sent.trace},
                 )
         except send_tracker.EXCHANGE_ERRORS:
-            return Attempt(report.FinalOutcome.LOST)
+            if sent.has_started:
+                return Attempt(report.FinalOutcome.LOST)
+            return Attempt(report.FinalOutcome.UNREACHABLE)
         await self._clock.sleep(self._plan.latency)
         text = dict(response.headers).get(_OUTCOME_HEADER, b"").decode()
         try:
@@ -210,6 +217,7 @@
         arrival: plan_lib.Arrival,
         attempt: Attempt,
         tries: int,
+        lost_tries: int = 0,
     ) -> None:
         self._note(
             report.Sample(
@@ -218,6 +226,7 @@
                 attempt.outcome,
                 attempt.status,
                 tries,
+                lost_tries,
                 self._measure_elapsed() - arrival.due,
             )
         )
--- a/tests/test_loadtool.py
+++ b/tests/test_loadtool.py
@@ -145,6 +145,20 @@
         self.assertEqual(len(set(seen)), 3)
         self.assertNotIn(None, seen)
 
+    def test_request_without_listener_counts_as_unreachable(self) -> None:
+        """Fails if a request that was never sent is taken for a lost one."""
+
+        async def refuse(
+            _: asgi.Scope, __: asgi.Receive, send: asgi.Send
+        ) -> None:
+            header = asgi.Header("fireflywell-outcome", "refused")
+            await asgi.send_response(send, 503, (header,), b"")
+
+        plan = make_plan(targets=("http://127.0.0.1:19812",), count=1)
+        sample = self._send(plan, refuse)[0]
+        self.assertIs(sample.outcome, report.FinalOutcome.UNREACHABLE)
+        self.assertEqual((sample.tries, sample.lost_tries), (3, 0))
+
 
 class ReportTest(unittest.TestCase):
     """Counts by outcome."""
@@ -157,7 +171,7 @@
             (report.FinalOutcome.ANSWERED, 100),
         ):
             latency = datetime.timedelta(milliseconds=milliseconds)
-            recorder.add(report.Sample("f", "f-1", outcome, 200, 1, latency))
+            recorder.add(report.Sample("f", "f-1", outcome, 200, 1, 0, latency))
         summary = recorder.summarize()
         self.assertEqual((summary.answered, summary.refused), (1, 1))
         self.assertGreater(summary.p50_ms, 99)
