--- a/src/fireflywell/entry/application.py
+++ b/src/fireflywell/entry/application.py
@@ -21,6 +21,7 @@
 from fireflywell.requests import outcomes
 from fireflywell.telemetry import metrics as metrics_lib
 
+HEADER_LIMIT_BYTES = 32 * 1024
 BODY_LIMIT_BYTES = 1024 * 1024
 BODY_TIMEOUT = datetime.timedelta(seconds=10)
 KEYS_PATH = "/fireflywell/keys"
@@ -115,6 +116,14 @@
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         received_at = self._clock.monotonic()
+        # The server bounds only headers that arrive in parts.
+        if count_header_bytes(scope) > HEADER_LIMIT_BYTES:
+            refusal = outcomes.Refused(
+                431,
+                f"the headers exceed {HEADER_LIMIT_BYTES} bytes; send less",
+            )
+            await send_outcome(send, refusal)
+            return
         headers = asgi.decode_headers(scope)
         try:
             key = self._find_key(scope["method"], headers)
@@ -225,6 +234,14 @@
         )
 
 
+def count_header_bytes(scope: asgi.Scope) -> int:
+    """Returns the length of a request's target and headers."""
+    total = len(scope["raw_path"]) + len(scope["query_string"])
+    for name, value in scope["headers"]:
+        total += len(name) + len(value)
+    return total
+
+
 def make_gone_watcher(
     receive: asgi.Receive,
 ) -> service_lane.WaitUntilGone:
