--- a/src/fireflywell/entry/entry_process.py
+++ b/src/fireflywell/entry/entry_process.py
@@ -21,6 +21,7 @@
 from fireflywell.fleet import view as view_lib
 from fireflywell.membership import channel
 from fireflywell.membership import handshake
+from fireflywell.membership import links as links_lib
 from fireflywell.membership import mesh as mesh_lib
 from fireflywell.membership import messages
 from fireflywell.platform import machines
@@ -116,6 +117,9 @@
         logs.log_event("entry.stopped")
 
     async def _hand_over_homes(self) -> None:
+        if not any(_can_be_successor(peer) for peer in self._mesh.list_peers()):
+            logs.log_event("homes.no_successor")
+            return
         with anyio.move_on_after(_HANDOVER_TIMEOUT.total_seconds()) as scope:
             await self._homes.hand_over_all()
         if scope.cancelled_caught:
@@ -229,6 +233,14 @@
         )
 
 
+def _can_be_successor(peer: links_lib.PeerView) -> bool:
+    return (
+        peer.role is messages.Role.ENTRY
+        and peer.state is links_lib.PeerState.ALIVE
+        and not peer.is_leaving
+    )
+
+
 def make_metrics(
     settings: entry_settings.StatsdSettings | None,
     prefix: str,
--- /dev/null
+++ b/tests/test_idempotency_recorded.py
@@ -0,0 +1,118 @@
+"""Recorded keys while single calls to the store fail."""
+
+import random
+import unittest
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.entry import recorded_keys
+from fireflywell.platform import records
+from fireflywell.requests import idempotency
+from fireflywell.requests import outcomes
+from fireflywell.standins import table_store
+
+ANSWER = outcomes.Answered(200, (), b"answer")
+KEY = idempotency.RecordedKey("order-1")
+
+
+class ScriptedTable(table_store.MemoryTable):
+    """Fails calls in the order that a test sets."""
+
+    __slots__ = ("late", "script")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.script: list[str] = []
+        self.late: list[records.Transaction] = []
+
+    async def transact(
+        self, transaction: records.Transaction
+    ) -> records.TransactionResult:
+        """Applies a transaction as the script says."""
+        match self.script.pop(0) if self.script else "ok":
+            case "down":
+                raise errors.PlatformUnavailableError("down")
+            case "late":
+                self.late.append(transaction)
+                raise errors.AnswerLostError("it runs later")
+        return await super().transact(transaction)
+
+
+class RecordedKeyTest(unittest.IsolatedAsyncioTestCase):
+    """Steps between which the store fails."""
+
+    def setUp(self) -> None:
+        """Makes a gate; a real clock paces the tries of lost writes."""
+        self.table = ScriptedTable()
+        self.gate = self._make_gate("1")
+        self.runs = 0
+
+    def _make_gate(self, incarnation: str) -> recorded_keys.RecordedKeyGate:
+        return recorded_keys.RecordedKeyGate(
+            self.table,
+            incarnation * 32,
+            clock_lib.SystemClock(),
+            random.Random(int(incarnation)),
+        )
+
+    async def _run(self, control, declare) -> outcomes.RunResult:
+        del control
+        found = await declare()
+        if found is not None:
+            return found
+        self.runs += 1
+        return ANSWER
+
+    async def _serve(
+        self,
+        gate: recorded_keys.RecordedKeyGate | None = None,
+        digest: bytes = b"d",
+    ) -> outcomes.RunResult:
+        return await (gate or self.gate).serve(KEY, "sales", digest, self._run)
+
+    async def test_own_lost_intent_runs_once(self) -> None:
+        """Fails if an own intent found later runs never, or twice."""
+        self.table.script = ["late"] + ["down"] * 30
+        self.assertIsInstance(await self._serve(), outcomes.Unknown)
+        self.assertEqual(self.runs, 0)
+        self.table.script = []
+        await self.table.transact(self.table.late.pop())
+        other = await self._serve(self._make_gate("2"))
+        self.assertIsInstance(other, outcomes.Unknown)
+        self.assertEqual(self.runs, 0)
+        # The outcome can't be written, so the row still shows the intent.
+        self.table.script = ["ok", "down"]
+        self.assertEqual(await self._serve(), ANSWER)
+        self.assertIsInstance(await self._serve(), outcomes.Unknown)
+        self.assertEqual(self.runs, 1)
+        self.assertTrue(await self.gate.write_backlog())
+        self.assertEqual(await self._serve(self._make_gate("3")), ANSWER)
+        self.assertEqual(self.runs, 1)
+
+    async def test_entry_dies_after_each_step(self) -> None:
+        """Fails if a successor runs what a dead entry may have run."""
+        self.table.script = ["ok", "down"]
+        self.assertEqual(await self._serve(), ANSWER)
+        successor = self._make_gate("2")
+        self.assertIsInstance(await self._serve(successor), outcomes.Unknown)
+        refusal = await self._serve(successor, b"other")
+        self.assertEqual(refusal, outcomes.make_other_body_refusal())
+        self.assertEqual(self.runs, 1)
+
+    async def test_two_writes_for_each_request(self) -> None:
+        """Fails if the request path writes more than intent and outcome."""
+        await self._serve()
+        self.assertEqual(self.table.writes, 2)
+
+    async def test_refused_connection_is_recorded(self) -> None:
+        """Fails if a request refused after its intent runs later."""
+
+        async def refuse(control, declare) -> outcomes.RunResult:
+            del control
+            self.assertIsNone(await declare())
+            return outcomes.Refused(503, "not reached")
+
+        first = await self.gate.serve(KEY, "sales", b"d", refuse)
+        self.assertEqual(first, outcomes.Refused(503, "not reached"))
+        self.assertEqual(await self._serve(self._make_gate("2")), first)
+        self.assertEqual(self.runs, 0)
