--- a/bench/passthrough.py
+++ b/bench/passthrough.py
@@ -106,7 +106,7 @@
         writer = logs.QueuedLogWriter(output)
         writer.start()
         clock = clock_lib.SystemClock()
-        parts = make_entry(clock, 64)
+        parts = make_entry(clock, 64, table_store.MemoryTable())
         children = parts.list_children()
         root = supervisor_lib.Supervisor(
             "bench", clock, random.Random(1), children
@@ -116,7 +116,9 @@
             await asgi.Listener(parts.application, HOST, ENTRY_PORT).run()
 
 
-def make_entry(clock: clock_lib.Clock, slots: int) -> assembly.EntryParts:
+def make_entry(
+    clock: clock_lib.Clock, slots: int, table: table_store.MemoryTable
+) -> assembly.EntryParts:
     """Returns an entry with one instance, the stand-in endpoint."""
     holder = holder_lib.BundleHolder()
     holder.adopt(
@@ -148,7 +150,7 @@
         assembly.EntryContext(
             holder=holder,
             view=view,
-            store=table_store.MemoryTable(),
+            store=table,
             links=no_peers,
             homes=homes.OnlyEntry(),
             guard=pause_guard.NeverPaused(),
--- a/src/fireflywell/entry/result_copier.py
+++ b/src/fireflywell/entry/result_copier.py
@@ -65,6 +65,7 @@
             try:
                 await self.copy_once()
                 await self._recorded.write_backlog()
+                await self.delete_outdated()
             except (errors.PlatformError, errors.OutcomeUnknownError) as error:
                 self._metrics.count("once.copy_failed")
                 logs.log_event("once.copy_failed", error=str(error))
@@ -91,6 +92,47 @@
                 raise
             return True
 
+    async def delete_outdated(self) -> None:
+        """Deletes rows of blocks whose records were all evicted.
+
+        Raises:
+            PlatformError: The store can't be reached.
+            OutcomeUnknownError: It can't be told whether they were deleted.
+        """
+        async with self._lock:
+            outdated = tuple(
+                block
+                for block in self._versions
+                if self._ledger.is_block_evicted(block)
+            )[:_BLOCKS_PER_WRITE]
+            if not outdated:
+                return
+            keys = {
+                block: stored_results.make_block_key(
+                    self._ledger.incarnation, block
+                )
+                for block in outdated
+            }
+            result = await transactions.apply_transaction(
+                self._table,
+                records.Transaction(
+                    transactions.make_write_id(self._random),
+                    tuple(
+                        records.Condition(key, self._versions[block])
+                        for block, key in keys.items()
+                    ),
+                    tuple(records.Write(key, None) for key in keys.values()),
+                ),
+                self._clock,
+                self._random,
+            )
+            match result:
+                case records.Committed():
+                    for block in outdated:
+                        del self._versions[block]
+                case records.Conflict():
+                    await self._read_versions(outdated)
+
     async def close(self) -> bool:
         """Closes the ledger and writes all results and the closing record.
 
@@ -171,4 +213,7 @@
             )
         )
         for block, row in zip(blocks, rows, strict=True):
-            self._versions[block] = row.version
+            if row.version:
+                self._versions[block] = row.version
+            else:
+                self._versions.pop(block, None)
--- a/src/fireflywell/requests/key_ledger.py
+++ b/src/fireflywell/requests/key_ledger.py
@@ -299,6 +299,14 @@
             if record is not None:
                 yield KeptResult(sequence, record.digest or b"", record.outcome)
 
+    def is_block_evicted(self, block: int) -> bool:
+        """Whether no key of the block has a record or can get one."""
+        first = block * BLOCK_KEYS
+        return first + BLOCK_KEYS <= self._watermark and not any(
+            sequence in self._finished or sequence in self._running
+            for sequence in range(first, first + BLOCK_KEYS)
+        )
+
     def _keep(
         self, sequence: int, digest: bytes | None, outcome: outcomes.Outcome
     ) -> None:
--- a/tests/test_idempotency_keys.py
+++ b/tests/test_idempotency_keys.py
@@ -188,6 +188,16 @@
         kept = [item.sequence for item in ledger.list_block(0)]
         self.assertEqual(kept, [0, 63])
 
+    def test_only_evicted_blocks_may_be_deleted(self) -> None:
+        """Fails if a stored result is deleted while its key is known."""
+        ledger = make_ledger(maximum_records=1)
+        ledger.begin(3, b"d")
+        for sequence in (70, 130, 131):
+            run(ledger, sequence)
+        self.assertFalse(ledger.is_block_evicted(0))
+        self.assertTrue(ledger.is_block_evicted(1))
+        self.assertFalse(ledger.is_block_evicted(2))
+
 
 class StoredResultsTest(unittest.TestCase):
     """Text of rows."""
--- a/tests/test_idempotency_stateful.py
+++ b/tests/test_idempotency_stateful.py
@@ -381,6 +381,7 @@
         try:
             await node.copier.copy_once()
             await node.recorded.write_backlog()
+            await node.copier.delete_outdated()
         except (errors.PlatformError, errors.OutcomeUnknownError):
             pass
 
