--- a/src/fireflywell/entry/recorded_keys.py
+++ b/src/fireflywell/entry/recorded_keys.py
@@ -37,6 +37,7 @@
         "_backlog",
         "_clock",
         "_incarnation",
+        "_intents",
         "_random",
         "_runs",
         "_table",
@@ -54,6 +55,7 @@
         self._clock = clock
         self._random = rng
         self._runs: dict[str, run_control.RunControl] = {}
+        self._intents: dict[str, _Intent] = {}
         # Intents whose write had no clear result. If such a row turns up, no
         # other process may run the request, and this one hasn't yet.
         self._abandoned: collections.OrderedDict[str, None] = (
@@ -87,20 +89,28 @@
         row_key = idempotency.make_recorded_row_key(team, key)
         running = self._runs.get(row_key)
         if running is not None:
-            if running.digest != digest:
+            if running.digest == digest:
+                return await running.join()
+            if self._intents[row_key].version:
                 return outcomes.make_other_body_refusal()
-            return await running.join()
+            # Only the row tells which request has the key: the one that is
+            # being admitted here may be the later one.
+            return make_not_run_outcome(
+                409, "another request with this key is being admitted"
+            )
         control = run_control.RunControl(digest)
         self._runs[row_key] = control
         result: outcomes.RunResult = outcomes.Unknown(
             502, "the entry failed while it served the request"
         )
         intent = _Intent(self, row_key, digest)
+        self._intents[row_key] = intent
         try:
             result = await run(control, intent.declare)
             result = await self._complete(intent, result)
         finally:
             del self._runs[row_key]
+            del self._intents[row_key]
             control.set_result(result)
         return result
 
--- a/tests/test_entry_requests.py
+++ b/tests/test_entry_requests.py
@@ -32,6 +32,8 @@
         system = entry_system.System(2)
         system.add_entry()
         async with system.run():
+            for _ in range(60):  # Saves up retries, which must not be used.
+                await system.call(method="GET", body=b"")
             for kind in ("truncate", "crossed", "oversized", "reset", "silent"):
                 key = await system.get_key()
                 before = system.runs
@@ -207,7 +209,12 @@
 
     async def test_slots_and_connections_are_never_exceeded(self) -> None:
         """Fails if an instance gets more than its slots or connections."""
-        system = entry_system.System(2, slots=2, connections=2)
+        for connections in (2, 64):
+            with self.subTest(connections=connections):
+                await self._fill_slots(connections)
+
+    async def _fill_slots(self, connections: int) -> None:
+        system = entry_system.System(2, slots=2, connections=connections)
         system.add_entry()
         async with system.run():
             outcomes: list[str] = []
--- a/tests/test_idempotency_recorded.py
+++ b/tests/test_idempotency_recorded.py
@@ -99,6 +99,22 @@
         self.assertEqual(refusal, outcomes.make_other_body_refusal())
         self.assertEqual(self.runs, 1)
 
+    async def test_other_body_is_refused_by_the_row_alone(self) -> None:
+        """Fails if a request that ran elsewhere is refused as another one."""
+        await self._serve()
+        entry = self._make_gate("2")
+        told: list[outcomes.RunResult] = []
+
+        async def admit(control, declare) -> outcomes.RunResult:
+            # A delivery of the first request arrives before the intent.
+            told.append(await self._serve(entry))
+            return await self._run(control, declare)
+
+        late = await entry.serve(KEY, "sales", b"other", admit)
+        self.assertEqual(late, outcomes.make_other_body_refusal())
+        self.assertIsInstance(told[0], outcomes.Unknown)
+        self.assertEqual(self.runs, 1)
+
     async def test_two_writes_for_each_request(self) -> None:
         """Fails if the request path writes more than intent and outcome."""
         await self._serve()
