--- a/tests/test_idempotency_stateful.py
+++ b/tests/test_idempotency_stateful.py
@@ -27,40 +27,12 @@
 from fireflywell.standins import table_store
 from fireflywell.telemetry import metrics
 from tests import entry_helpers
+from tests import idempotency_oracle
 
 ENTRIES = 3
 BODIES = (b"first", b"other")
 
 
-class Oracle:
-    """What callers may be told, given what instances really ran."""
-
-    def __init__(self) -> None:
-        self.runs: dict[object, list[bytes]] = {}
-        self.not_run: set[tuple[object, bytes]] = set()
-
-    def note_run(self, key: object, body: bytes) -> int:
-        """Notes that an instance got a request; returns the run's number."""
-        runs = self.runs.setdefault(key, [])
-        runs.append(body)
-        assert len(runs) == 1, f"{key} ran {len(runs)} times"
-        assert (key, body) not in self.not_run, f"{key} ran after a refusal"
-        return len(runs)
-
-    def note_outcome(
-        self, key: object, body: bytes, outcome: outcomes.RunResult
-    ) -> None:
-        """Notes what a caller was told."""
-        ran = body in self.runs.get(key, [])
-        match outcome:
-            case outcomes.Answered():
-                assert outcome.body == body, f"{key}: crossed response"
-                assert ran, f"{key} was answered and didn't run"
-            case outcomes.Refused():
-                assert not ran, f"{key} was refused and ran"
-                self.not_run.add((key, body))
-
-
 class Node:
     """One incarnation of an entry, with its faults."""
 
@@ -216,7 +188,7 @@
         self.clock = clock_lib.ManualClock()
         self.table = table_store.MemoryTable()
         self.network = entry_helpers.FakeNetwork()
-        self.oracle = Oracle()
+        self.oracle = idempotency_oracle.Oracle()
         self.faults: list[str] = []
         self.late: list[object] = []
         self.runs: list[tuple[asyncio.Future, bytes]] = []
