Name scenario tests by their files

A scenario chosen by name on the command line passed in 0.03 s without being run: nose2 loads a test by the method's own name, which was run, the name of a method of every TestCase. Seen when a fault put into the entry on purpose went unnoticed.

--- a/tests/test_scenarios.py
+++ b/tests/test_scenarios.py
@@ -20,6 +20,9 @@
     def run(_: ScenarioTest) -> None:
         scenario_runner.run_scenario(path)
 
+    # nose2 loads a test chosen on the command line by the method's own name;
+    # with another name it would run `TestCase.run` and always pass.
+    run.__name__ = f"test_{path.stem}"
     run.__doc__ = path.read_text().partition("\n")[0].removeprefix("# ")
     return run
 
@@ -28,6 +31,16 @@
     setattr(ScenarioTest, f"test_{_path.stem}", make_test(_path))
 
 
+class LoaderTest(unittest.TestCase):
+    """Each scenario file is one test."""
+
+    def test_method_has_the_name_that_it_is_loaded_by(self) -> None:
+        """Fails if a scenario chosen by name passes without being run."""
+        for path in scenario_runner.SCENARIOS.glob("*.scenario"):
+            method = getattr(ScenarioTest, f"test_{path.stem}")
+            self.assertEqual(method.__name__, f"test_{path.stem}")
+
+
 class LanguageTest(unittest.TestCase):
     """Scenario files are checked before anything is started."""
 
