--- a/src/fireflywell/entry/application.py
+++ b/src/fireflywell/entry/application.py
@@ -81,6 +81,9 @@
                 await asgi.send_json(send, 200, {})
             case "/readyz":
                 await self._answer_ready(send)
+            case "/fireflywell/status":
+                version = self._holder.version
+                await asgi.send_json(send, 200, {"bundle_version": version})
             case "/fireflywell/keys":
                 await self._issue_keys(scope, send)
             case _:
--- a/src/fireflywell/entry/main.py
+++ b/src/fireflywell/entry/main.py
@@ -13,6 +13,8 @@
 from fireflywell import process
 from fireflywell import settings as settings_lib
 from fireflywell.bundle import holder as holder_lib
+from fireflywell.bundle import trust
+from fireflywell.bundle import watcher as watcher_lib
 from fireflywell.entry import assembly
 from fireflywell.entry import homes as homes_lib
 from fireflywell.entry import pause_guard
@@ -20,6 +22,7 @@
 from fireflywell.fleet import view as view_lib
 from fireflywell.membership import links as links_lib
 from fireflywell.platform import machines
+from fireflywell.platform import objects
 from fireflywell.platform import tables
 from fireflywell.platform import transport as transport_lib
 from fireflywell.supervision import policies
@@ -75,6 +78,16 @@
         f"{settings.address}:{settings.peer_port}",
         f"{rng.getrandbits(128):032x}",
     )
+    bundle_watcher = watcher_lib.BundleWatcher(
+        holder,
+        store,
+        objects.ObjectClient(transport),
+        links,
+        trust.load_trust(pathlib.Path(settings.trust_file)),
+        len(settings.peers),
+        clock,
+        rng,
+    )
     guard = pause_guard.PauseGuard(watcher.refresh, links, clock)
     homes = homes_lib.OnlyEntry()
     parts = assembly.assemble_entry(
@@ -104,6 +117,11 @@
             supervisor_lib.Child(
                 "fleet_watcher", watcher.run, policies.RestartWithBackoff()
             ),
+            supervisor_lib.Child(
+                "bundle_watcher",
+                bundle_watcher.run,
+                policies.RestartWithBackoff(),
+            ),
             supervisor_lib.Child(
                 "pause_guard", guard.run, policies.RestartWithBackoff()
             ),
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 
+from tools import local_operator
 from tools import local_processes
 from tools import local_system
 
@@ -28,10 +29,12 @@
 class Demo:
     """The steps of the demonstration, in order."""
 
-    __slots__ = ("_system",)
+    __slots__ = ("_operators", "_signatures", "_system")
 
     def __init__(self, system: local_system.LocalSystem) -> None:
         self._system = system
+        self._operators = local_operator.LocalOperators(system)
+        self._signatures: tuple[pathlib.Path, ...] = ()
 
     @property
     def steps(self) -> tuple[Step, ...]:
@@ -40,6 +43,10 @@
             Step("start the platform and instances", self._start_standins),
             Step("start the entries", self._start_entries),
             Step("requests before the first bundle", self._send_early),
+            Step("bundle checked, reviewed, signed", self._sign_bundle),
+            Step("bundle rolled out", self._roll_out),
+            Step("requests", self._send_requests),
+            Step("postings, each sent twice", self._send_postings),
             Step("SIGTERM of each process", self._stop_all),
         )
 
@@ -63,6 +70,45 @@
         require(runs == 0, f"{runs} refused requests were run")
         return f"{counts['refused']} of {_REQUESTS} refused, {runs} run"
 
+    def _sign_bundle(self) -> str:
+        path = self._operators.write_bundle(1, 1)
+        self._operators.run("bundle", "check", str(path))
+        review = self._operators.run("bundle", "review", str(path))
+        self._signatures = self._operators.sign_bundle(path)
+        changes = len(review.splitlines())
+        return f"{changes} changes shown, {len(self._signatures)} signatures"
+
+    def _roll_out(self) -> str:
+        local_operator.assign_vms(self._system)
+        path = self._system.directory / "bundle-1-1.toml"
+        process = self._operators.start_rollout(path, self._signatures)
+        require(process.wait() == 0, "the rollout failed")
+        self._operators.run("bundle", "wait", "1")
+        return f"version 1 in force at {self._system.layout.entries} entries"
+
+    def _send_requests(self) -> str:
+        flow = {"name": "reads", "service": "quotes", "rate": 100}
+        counts = run_load(self._system, "reads", _REQUESTS, flow)
+        require(counts["answered"] == _REQUESTS, f"not answered: {counts}")
+        return f"{_REQUESTS} of {_REQUESTS} answered"
+
+    def _send_postings(self) -> str:
+        flow = {
+            "name": "postings",
+            "service": "ledger",
+            "method": "POST",
+            "rate": 50,
+            "key": "bound",
+            "repeat": 2,
+        }
+        # Keys are bound to the entry that issues them, so one entry is asked.
+        target = [self._system.entry_urls[0]]
+        counts = run_load(self._system, "postings", _REQUESTS, flow, target)
+        stats = self._system.read_stats()
+        require(stats["postings"] == _REQUESTS, f"not run once: {stats}")
+        require(stats["postings_run_twice"] == 0, f"run twice: {stats}")
+        return f"{counts['answered']} answers, {stats['postings']} runs"
+
     def _stop_all(self) -> str:
         layout = self._system.layout
         names = [f"entry {n}" for n in range(1, layout.entries + 1)]
@@ -82,13 +128,14 @@
     name: str,
     count: int,
     flow: dict[str, object],
+    entries: list[str] | None = None,
 ) -> dict[str, float]:
-    """Sends one flow through all entries and returns its counts.
+    """Sends one flow through the given entries, or all, and returns its counts.
 
     Raises:
         StepError: The load generator failed.
     """
-    targets = list(system.entry_urls)
+    targets = entries or list(system.entry_urls)
     system.start_load(
         name, {"targets": targets, "count": count, "flows": [flow]}
     )
