--- a/tests/scenario_runner.py
+++ b/tests/scenario_runner.py
@@ -6,6 +6,7 @@
 import signal
 import tempfile
 
+from tools import local_operator
 from tools import local_processes
 from tools import local_system
 
@@ -49,7 +50,13 @@
 class ScenarioRunner:
     """Performs the steps of one scenario."""
 
-    __slots__ = ("_directory", "_group", "_system")
+    __slots__ = (
+        "_directory",
+        "_group",
+        "_operators",
+        "_rollouts",
+        "_system",
+    )
 
     def __init__(
         self, directory: pathlib.Path, group: local_processes.ProcessGroup
@@ -57,6 +64,8 @@
         self._directory = directory
         self._group = group
         self._system: local_system.LocalSystem | None = None
+        self._operators: local_operator.LocalOperators | None = None
+        self._rollouts: list[local_processes.ManagedProcess] = []
 
     def perform(self, action: language.Action) -> None:
         """Performs one step.
@@ -70,6 +79,11 @@
                 self._system = local_system.LocalSystem(
                     self._directory, self._group, layout
                 )
+                self._operators = local_operator.LocalOperators(self._system)
+            case language.AssignVms():
+                local_operator.assign_vms(self._deployed)
+            case language.RollOut(operators=operators, version=version):
+                self._roll_out(operators, version)
             case language.StartProcess(process=process):
                 self._start(process)
             case language.SendSignal(action=name, process=process):
@@ -86,12 +100,10 @@
                 | language.ExpectExit()
                 | language.ExpectLog()
                 | language.ExpectRows()
+                | language.ExpectRollouts()
+                | language.ExpectVersion()
             ) as expectation:
                 self._expect(expectation)
-            case _:
-                raise local_processes.StepError(
-                    f"the step {action} can't be run yet"
-                )
 
     @property
     def _deployed(self) -> local_system.LocalSystem:
@@ -101,6 +113,38 @@
             )
         return self._system
 
+    @property
+    def _deployed_operators(self) -> local_operator.LocalOperators:
+        if self._operators is None:
+            raise local_processes.StepError(
+                "nothing is deployed; start the scenario with a deploy step"
+            )
+        return self._operators
+
+    def _roll_out(self, operators: tuple[int, ...], version: int) -> None:
+        """Signs first, so that several rollouts start together."""
+        commands = self._deployed_operators
+        paths = [commands.write_bundle(item, version) for item in operators]
+        signatures = [commands.sign_bundle(path) for path in paths]
+        self._rollouts = [
+            commands.start_rollout(path, files)
+            for path, files in zip(paths, signatures, strict=True)
+        ]
+
+    def _compare_rollouts(
+        self, comparisons: tuple[language.Comparison, ...]
+    ) -> None:
+        codes = [process.wait() for process in self._rollouts]
+        counts = {
+            "accepted": codes.count(0),
+            "refused": len(codes) - codes.count(0),
+        }
+        for comparison in comparisons:
+            if not comparison.holds(find_count(counts, comparison.field)):
+                raise local_processes.StepError(
+                    f"rollouts: not {comparison}; {counts}"
+                )
+
     def _expect(self, expectation: language.Action) -> None:
         match expectation:
             case language.ExpectLoad(name=name, comparisons=comparisons):
@@ -125,6 +169,10 @@
                 )
             case language.ExpectRows(prefix=prefix, text=text, count=count):
                 self._wait_for_rows(prefix, text, count)
+            case language.ExpectRollouts(comparisons=comparisons):
+                self._compare_rollouts(comparisons)
+            case language.ExpectVersion(version=version):
+                self._deployed_operators.run("bundle", "wait", str(version))
 
     def _start(self, process: str) -> None:
         role, _, number = process.partition(" ")
