Wire the control process

Cause: the maintenance planner and the scheduler had no process around them. Ruled out: one transport for all of the platform (its shared backoff would stop the renewal of task leases while only the store is down). Conclusion: every control process contends for both roles; any of them renews the leases of running tasks while no process can hold the scheduler's role.

--- /dev/null
+++ b/src/fireflywell/control/control_process.py
@@ -0,0 +1,278 @@
+"""Supervisor tree of the control process."""
+
+import pathlib
+import random
+
+import anyio
+
+from fireflywell import clock as clock_lib
+from fireflywell import daemon_parts
+from fireflywell.bundle import holder as holder_lib
+from fireflywell.bundle import model
+from fireflywell.bundle import trust
+from fireflywell.bundle import watcher as watcher_lib
+from fireflywell.control import drain_board
+from fireflywell.control import instance_prober
+from fireflywell.control import job_store
+from fireflywell.control import maintenance
+from fireflywell.control import roles
+from fireflywell.control import scheduler
+from fireflywell.control import settings as control_settings
+from fireflywell.control import task_board
+from fireflywell.control import vm_store
+from fireflywell.control import vm_task
+from fireflywell.coordination import leases
+from fireflywell.fleet import demand
+from fireflywell.fleet import instances as instances_lib
+from fireflywell.fleet import view as view_lib
+from fireflywell.fleet import vm_records
+from fireflywell.membership import channel
+from fireflywell.membership import mesh as mesh_lib
+from fireflywell.membership import messages
+from fireflywell.platform import machines
+from fireflywell.platform import objects
+from fireflywell.platform import records
+from fireflywell.platform import tables
+from fireflywell.platform import transport as transport_lib
+from fireflywell.supervision import policies
+from fireflywell.supervision import supervisor as supervisor_lib
+from fireflywell.telemetry import logs
+
+# All jobs are in one shard today; a further shard is a further role.
+_SHARD = "0"
+
+
+class ControlProcess:
+    """Everything that one control process runs."""
+
+    __slots__ = (
+        "_board",
+        "_bundle_watcher",
+        "_clock",
+        "_fleet_watcher",
+        "_holder",
+        "_is_leaving",
+        "_keepers",
+        "_mesh",
+        "_metrics",
+        "_platform",
+        "_random",
+        "_runners",
+        "_settings",
+        "_store",
+        "_table",
+        "_view",
+        "_workers",
+    )
+
+    def __init__(
+        self,
+        settings: control_settings.ControlSettings,
+        clock: clock_lib.Clock,
+    ) -> None:
+        """Builds the parts.
+
+        Raises:
+            SettingsError: A file named in the settings can't be used.
+        """
+        self._settings = settings
+        self._clock = clock
+        self._random = random.SystemRandom()
+        self._metrics = daemon_parts.make_metrics(
+            settings.statsd, "control", clock
+        )
+        self._is_leaving = False
+        # Two transports with a backoff each: VMs and workers must be reached
+        # while the store is down, so that running work keeps its leases.
+        self._store = self._make_transport()
+        self._platform = self._make_transport()
+        self._table = tables.TableClient(self._store)
+        self._workers = machines.MachineClient(self._platform)
+        self._holder = holder_lib.BundleHolder()
+        self._view = view_lib.FleetView()
+        self._board = task_board.TaskBoard(self._workers, clock)
+        self._mesh = self._make_mesh()
+        self._fleet_watcher = view_lib.FleetWatcher(
+            self._view, self._table, self._workers, clock, self._random
+        )
+        self._bundle_watcher = watcher_lib.BundleWatcher(
+            self._holder,
+            self._table,
+            objects.ObjectClient(self._store),
+            self._mesh,
+            trust.load_trust(pathlib.Path(settings.trust_file)),
+            len(settings.peers),
+            clock,
+            self._random,
+        )
+        self._keepers = tuple(
+            self._make_keeper(role)
+            for role in ("maintenance", f"scheduler/{_SHARD}")
+        )
+        self._runners = (
+            roles.RoleRunner(
+                self._keepers[0], self._make_maintenance(self._keepers[0]).run
+            ),
+            roles.RoleRunner(
+                self._keepers[1], self._make_scheduler(self._keepers[1]).run
+            ),
+        )
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Runs the supervisor tree until `stop` is set.
+
+        Raises:
+            ChildFailedError: A part without which the process is of no use
+                failed.
+        """
+        root = supervisor_lib.Supervisor(
+            "control", self._clock, self._random, self._list_children()
+        )
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(root.run)
+                await stop.wait()
+                self._is_leaving = True
+                # Cancelling the lease keepers releases the roles, so that
+                # another process takes them over at once.
+                group.cancel_scope.cancel()
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._store.close()
+                await self._platform.close()
+        logs.log_event("control.stopped")
+
+    def _list_children(self) -> tuple[supervisor_lib.Child, ...]:
+        restart = policies.RestartWithBackoff()
+        stop = policies.StopProcess()
+        return (
+            supervisor_lib.Child("membership", self._mesh.run, stop),
+            supervisor_lib.Child("fleet", self._fleet_watcher.run, restart),
+            supervisor_lib.Child("bundle", self._bundle_watcher.run, restart),
+            *(
+                supervisor_lib.Child(
+                    f"lease/{keeper.role}", keeper.run, restart
+                )
+                for keeper in self._keepers
+            ),
+            supervisor_lib.Child("maintenance", self._runners[0].run, restart),
+            supervisor_lib.Child("scheduler", self._runners[1].run, restart),
+            supervisor_lib.Child("task_renewer", self._renew_tasks, restart),
+            *daemon_parts.list_metrics_children(self._metrics),
+        )
+
+    def _make_transport(self) -> transport_lib.PlatformTransport:
+        return transport_lib.PlatformTransport(
+            self._settings.platform_url,
+            self._clock,
+            self._random,
+            self._metrics,
+        )
+
+    def _make_mesh(self) -> mesh_lib.Mesh:
+        settings = self._settings
+        identity = channel.make_identity(
+            f"{settings.address}:{settings.peer_port}",
+            settings.zone,
+            messages.Role.CONTROL,
+            daemon_parts.read_cluster_key(settings.cluster_key_file),
+        )
+        peers = tuple(f"{peer.address}:{peer.port}" for peer in settings.peers)
+        return mesh_lib.Mesh(
+            identity, peers, self._read_status, self._clock, self._random
+        )
+
+    def _make_keeper(self, role: str) -> leases.LeaseKeeper:
+        return leases.LeaseKeeper(
+            role, self._mesh.address, self._table, self._clock, self._random
+        )
+
+    def _make_maintenance(
+        self, keeper: leases.LeaseKeeper
+    ) -> maintenance.MaintenanceRole:
+        table = leases.FencedTable(self._table, keeper)
+        tools = vm_task.VmTools(
+            store=vm_store.VmStore(table, self._clock, self._random),
+            table=table,
+            view=self._view,
+            vm_list=self._workers,
+            workers=self._workers,
+            prober=instance_prober.InstanceProber(
+                self._list_all_instances, self._clock
+            ),
+            board=drain_board.DrainBoard(self._mesh),
+            list_instances=self._list_vm_instances,
+            clock=self._clock,
+        )
+        return maintenance.MaintenanceRole(
+            self._holder, tools, self._metrics, self._list_demands
+        )
+
+    def _make_scheduler(
+        self, keeper: leases.LeaseKeeper
+    ) -> scheduler.SchedulerRole:
+        table = leases.FencedTable(self._table, keeper)
+        tools = scheduler.SchedulerTools(
+            store=job_store.JobStore(table, _SHARD, self._clock, self._random),
+            board=self._board,
+            workers=self._workers,
+            list_assignments=lambda: self._view.assignments,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
+        return scheduler.SchedulerRole(self._holder, tools)
+
+    async def _renew_tasks(self) -> None:
+        renewer = task_board.TaskRenewer(self._workers, self._clock)
+        await renewer.run(self._list_live_tasks, self._must_renew)
+
+    async def _list_live_tasks(self) -> tuple[records.Task, ...]:
+        if self._keepers[1].current is None:
+            # The scheduler doesn't run here, so nothing else reads reports.
+            await self._board.refresh()
+        return self._board.live_tasks
+
+    def _must_renew(self) -> bool:
+        """The holder renews; in an outage, when none can hold it, all do."""
+        return (
+            self._keepers[1].current is not None or self._store.is_backing_off
+        )
+
+    def _list_all_instances(self) -> tuple[instances_lib.Instance, ...]:
+        return self._view.list_instances(self._holder)
+
+    def _list_vm_instances(
+        self, record: vm_records.VmRecord
+    ) -> tuple[instances_lib.Instance, ...]:
+        bundle = self._holder.current
+        if bundle is None:
+            return ()
+        return tuple(
+            instances_lib.list_instances(bundle, self._view.vms, (record,))
+        )
+
+    def _list_demands(
+        self, bundle: model.Bundle
+    ) -> tuple[demand.PoolDemand, ...]:
+        uses: dict[str, demand.ServiceUse] = {}
+        for peer in self._mesh.list_peers():
+            for load in peer.loads:
+                known = uses.get(
+                    load.service, demand.ServiceUse(load.service, 0, 0)
+                )
+                uses[load.service] = demand.ServiceUse(
+                    load.service,
+                    known.free_slots + load.free_slots,
+                    known.queued + load.queued,
+                )
+        return demand.measure_demand(
+            bundle.services, self._list_all_instances(), tuple(uses.values())
+        )
+
+    def _read_status(self) -> mesh_lib.LocalStatus:
+        return mesh_lib.LocalStatus(
+            bundle_version=self._holder.version,
+            bundle_digest=self._bundle_watcher.digest,
+            is_ready=self._holder.current is not None and not self._is_leaving,
+            is_leaving=self._is_leaving,
+        )
--- a/src/fireflywell/control/home_rows.py
+++ b/src/fireflywell/control/home_rows.py
@@ -1,12 +1,10 @@
-"""Reads which entries are the homes of a VM's instances."""
-
-import json
+"""Reads which entries may send to a VM's instances."""
 
+from fireflywell import errors
+from fireflywell.coordination import home_rows
 from fireflywell.fleet import instances as instances_lib
 from fireflywell.platform import tables
 
-HOME_PREFIX = "home/"
-
 
 async def read_home_incarnations(
     table: tables.Table, instances: tuple[instances_lib.Instance, ...]
@@ -14,12 +12,23 @@
     """Returns the incarnations that may send to these instances.
 
     Raises:
-        PlatformError: The store can't be reached.
+        PlatformError: The store can't be reached, or a row can't be read.
     """
     if not instances:
         return frozenset()
-    keys = tuple(HOME_PREFIX + item.instance_id for item in instances)
-    rows = await table.read(keys)
-    return frozenset(
-        json.loads(row.value)["incarnation"] for row in rows if row.version
+    keys = tuple(
+        home_rows.make_home_key(item.instance_id) for item in instances
     )
+    incarnations: set[str] = set()
+    for row in await table.read(keys):
+        if not row.version:
+            continue
+        try:
+            record = home_rows.decode_home_row(row)
+        except ValueError as error:
+            raise errors.PlatformError(
+                f"row {row.key} isn't a home record; the stop waits until an "
+                "entry has written it again"
+            ) from error
+        incarnations |= home_rows.list_possible_homes(record)
+    return frozenset(incarnations)
--- a/src/fireflywell/control/task_board.py
+++ b/src/fireflywell/control/task_board.py
@@ -1,5 +1,6 @@
 """Tasks and workers as the platform reports them."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import datetime
 
@@ -120,7 +121,7 @@
 
     async def run(
         self,
-        list_tasks: Callable[[], tuple[records.Task, ...]],
+        list_tasks: Callable[[], Awaitable[tuple[records.Task, ...]]],
         must_renew: Callable[[], bool],
     ) -> None:
         """Renews at a third of the lease until cancelled.
@@ -132,7 +133,7 @@
         while True:
             if must_renew():
                 try:
-                    await self.renew_all(list_tasks())
+                    await self.renew_all(await list_tasks())
                 except errors.PlatformError as error:
                     logs.log_event("tasks.renewal_failed", error=str(error))
             await self._clock.sleep(TASK_LEASE / 3)
--- a/src/fireflywell/entry/entry_process.py
+++ b/src/fireflywell/entry/entry_process.py
@@ -8,7 +8,7 @@
 
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
-from fireflywell import settings as settings_lib
+from fireflywell import daemon_parts
 from fireflywell.bundle import holder as holder_lib
 from fireflywell.bundle import trust
 from fireflywell.bundle import watcher as watcher_lib
@@ -20,7 +20,6 @@
 from fireflywell.entry import settings as entry_settings
 from fireflywell.fleet import view as view_lib
 from fireflywell.membership import channel
-from fireflywell.membership import handshake
 from fireflywell.membership import links as links_lib
 from fireflywell.membership import mesh as mesh_lib
 from fireflywell.membership import messages
@@ -31,7 +30,6 @@
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
 from fireflywell.telemetry import logs
-from fireflywell.telemetry import metrics as metrics_lib
 
 # Without a successor a home stays with its entry until the process ends.
 _HANDOVER_TIMEOUT = datetime.timedelta(seconds=10)
@@ -67,13 +65,15 @@
         self._settings = settings
         self._clock = clock
         self._random = random.SystemRandom()
-        self._metrics = make_metrics(settings.statsd, "entry", clock)
+        self._metrics = daemon_parts.make_metrics(
+            settings.statsd, "entry", clock
+        )
         self._is_leaving = False
         self._transport = transport_lib.PlatformTransport(
             settings.platform_url, clock, self._random, self._metrics
         )
         self._holder = holder_lib.BundleHolder()
-        cluster_key = read_cluster_key(settings.cluster_key_file)
+        cluster_key = daemon_parts.read_cluster_key(settings.cluster_key_file)
         self._mesh = self._make_mesh(cluster_key)
         self._build(cluster_key)
 
@@ -195,7 +195,7 @@
     ) -> tuple[supervisor_lib.Child, ...]:
         restart = policies.RestartWithBackoff()
         stop = policies.StopProcess()
-        children = (
+        return (
             supervisor_lib.Child("listener", listener.run, stop),
             supervisor_lib.Child("membership", self._mesh.run, stop),
             supervisor_lib.Child("homes", self._keep_homes, restart),
@@ -203,12 +203,8 @@
             supervisor_lib.Child("bundle", self._bundle_watcher.run, restart),
             supervisor_lib.Child("pause_guard", self._guard.run, restart),
             *self._parts.list_children(),
+            *daemon_parts.list_metrics_children(self._metrics),
         )
-        match self._metrics:
-            case metrics_lib.StatsdMetrics() as sender:
-                child = supervisor_lib.Child("metrics", sender.run, restart)
-                return (*children, child)
-        return children
 
     async def _keep_homes(self) -> None:
         # Rows of former processes at this address are taken over because
@@ -239,31 +235,3 @@
         and peer.state is links_lib.PeerState.ALIVE
         and not peer.is_leaving
     )
-
-
-def make_metrics(
-    settings: entry_settings.StatsdSettings | None,
-    prefix: str,
-    clock: clock_lib.Clock,
-) -> metrics_lib.Metrics:
-    """Returns the metrics sender named in the settings."""
-    if settings is None:
-        return metrics_lib.NullMetrics()
-    return metrics_lib.StatsdMetrics(
-        settings.address, settings.port, f"fireflywell.{prefix}", clock
-    )
-
-
-def read_cluster_key(path: str) -> bytes:
-    """Reads the key shared by all processes.
-
-    Raises:
-        SettingsError: The file can't be read or doesn't hold such a key.
-    """
-    try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except OSError as error:
-        raise settings_lib.SettingsFileError(
-            pathlib.Path(path), error
-        ) from error
-    return handshake.parse_cluster_key(text, path)
--- a/src/fireflywell/fleet/preemption.py
+++ b/src/fireflywell/fleet/preemption.py
@@ -9,7 +9,7 @@
 from fireflywell.platform import records
 
 # A throttled task keeps its memory and this part of its processors.
-THROTTLED_PART = 0.25
+THROTTLED_PART = 0.5
 
 
 class PreemptAction(enum.StrEnum):
--- a/src/fireflywell/platform/machines.py
+++ b/src/fireflywell/platform/machines.py
@@ -110,7 +110,7 @@
     async def list_changed_tasks(self, after_revision: int) -> records.TaskPage:
         """Lists changed tasks; see `Workers.list_changed_tasks`."""
         answer = await self._transport.call(
-            "GET", f"/v1/tasks?after_revision={after_revision}"
+            "GET", f"/v1/tasks/changed/{after_revision}"
         )
         return records.TaskPage(
             tuple(_decode_task(task) for task in answer["tasks"]),
--- a/src/fireflywell/standins/machines.py
+++ b/src/fireflywell/standins/machines.py
@@ -10,6 +10,7 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell.platform import records
+from fireflywell.standins import task_changes
 from fireflywell.standins import worker as worker_lib
 
 _AwayHook = Callable[[str], Awaitable[None]]
@@ -28,6 +29,7 @@
     __slots__ = (
         "_away_hook",
         "_away_until",
+        "_changes",
         "_checkpoints",
         "_clock",
         "_list_lag",
@@ -55,6 +57,7 @@
             self.add_vm(vm, capacity)
         self._reboot_time = reboot_time
         self._reboots = 0
+        self._changes = task_changes.TaskChanges()
         self._list_lag = list_lag
         self._listed: tuple[records.Vm, ...] = vms
         self._listed_at = clock.monotonic()
@@ -115,6 +118,11 @@
                     return 404, b'{"error": "no such VM"}'
                 await self._change_vm(vm_id, action, body)
                 return 200, b""
+            case "GET", ["tasks", "changed", revision]:
+                return 200, self._list_changed_tasks(int(revision))
+            case "POST", ["tasks", "renew"]:
+                self._renew_tasks(json.loads(body))
+                return 200, b""
             case "GET", ["workers"]:
                 return 200, self._list_workers()
             case _, ["workers", worker_id, *rest]:
@@ -138,6 +146,9 @@
         match action:
             case "reboot":
                 vm = self._vms[vm_id]
+                expected = json.loads(body or b"{}").get("expected_boot")
+                if expected not in (None, vm.boot):
+                    return
                 self._vms[vm_id] = dataclasses.replace(vm, boot=vm.boot + 1)
                 self._reboots += 1
                 detail = "the VM was rebooted"
@@ -189,6 +200,22 @@
         ]
         return json.dumps({"workers": workers}).encode()
 
+    def _list_changed_tasks(self, revision: int) -> bytes:
+        tasks = [
+            task
+            for worker_id, worker in self._workers.items()
+            if not self.is_away(worker_id)
+            for task in worker.list_tasks()
+        ]
+        page = self._changes.list_after(revision, tasks)
+        return json.dumps(dataclasses.asdict(page)).encode()
+
+    def _renew_tasks(self, document: dict[str, Any]) -> None:
+        for item in document["tasks"]:
+            worker = self._workers.get(item["worker_id"])
+            if worker is not None and not self.is_away(item["worker_id"]):
+                worker.change(f"{item['job_id']}/{item['attempt']}", "renew")
+
     def _answer_worker(
         self, method: str, worker_id: str, rest: list[str], body: bytes
     ) -> tuple[int, bytes]:
