Count passed subtests as passed in the test runner

nose2 reports each subtest with an outcome of its own, which the runner took for a failure: 84 passed and 31 failed although every test passed.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -40,6 +40,9 @@
 
     def testOutcome(self, event: events.TestOutcomeEvent) -> None:  # noqa: N802
         """Receives the outcome of one test."""
+        if event.outcome == nose2_result.SUBTEST and event.exc_info is None:
+            # The test that holds the passed subtest is reported by itself.
+            return
         if event.outcome in (nose2_result.PASS, nose2_result.SKIP):
             self.passed.add(event.test.id())
         else:
