Keep runs of the scenarios on one machine apart

Scenarios and demo use fixed ports. A run took the platform of another run, in another working tree, for its own; the scenario failed when that run ended (1 of 84 tests). Runs now wait for one another by a lock on a file in the temporary directory, and a run whose platform's port is already served stops at once and says so. Picking free ports was put off: the assigned range is small and the bundles name the ports.

--- a/tools/local_processes.py
+++ b/tools/local_processes.py
@@ -4,13 +4,16 @@
 from collections.abc import Callable
 import dataclasses
 import datetime
+import fcntl
 import json
 import os
 import pathlib
 import signal
 import subprocess
 import sys
+import tempfile
 from typing import Any
+from typing import TextIO
 
 import anyio
 import httpcore
@@ -18,6 +21,7 @@
 from fireflywell import clock as clock_lib
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
+_LOCK_FILE = pathlib.Path(tempfile.gettempdir()) / "fireflywell-ports.lock"
 PROGRAMS = {
     "entry": "fireflywell.entry.main",
     "control": "fireflywell.control.main",
@@ -122,21 +126,30 @@
 
 
 class ProcessGroup:
-    """All processes of one run; leaving the context ends them."""
+    """All processes of one run; leaving the context ends them.
 
-    __slots__ = ("_all", "_by_name", "_directory")
+    Ports are fixed, so runs on one machine wait for one another. Otherwise a
+    run could take the server of another run for its own.
+    """
+
+    __slots__ = ("_all", "_by_name", "_directory", "_lock")
 
     def __init__(self, directory: pathlib.Path) -> None:
         self._directory = directory
         self._all: list[ManagedProcess] = []
         self._by_name: dict[str, ManagedProcess] = {}
+        self._lock: TextIO | None = None
 
     def __enter__(self) -> "ProcessGroup":
+        self._lock = _LOCK_FILE.open("a")
+        fcntl.flock(self._lock, fcntl.LOCK_EX)
         return self
 
     def __exit__(self, *_: object) -> None:
         for process in self._all:
             process.end()
+        if self._lock is not None:
+            self._lock.close()
 
     def start(
         self, name: str, program: str, arguments: list[str]
--- a/tools/local_system.py
+++ b/tools/local_system.py
@@ -82,9 +82,14 @@
 
     def start_standins(self) -> None:
         """Starts the platform and all instances, and waits for them."""
+        url = f"{PLATFORM_URL}/stats"
+        if local_processes.send_request("GET", url) is not None:
+            raise local_processes.StepError(
+                f"another process already answers at {url}; end it first"
+            )
         settings = str(self._directory / "standin.toml")
         self._group.start("stand-ins", "standin", [settings])
-        self._wait_until_up("stand-ins", f"{PLATFORM_URL}/stats")
+        self._wait_until_up("stand-ins", url)
 
     def start_entry(self, number: int) -> None:
         """Starts an entry and waits until it accepts connections."""
