Adapt two tests to the merged entry and stand-ins

Ruled out: keeping the private attribute only for the test. Change: both use the public parts that took their place; the promises checked are the same.

--- a/src/fireflywell/standins/platform.py
+++ b/src/fireflywell/standins/platform.py
@@ -54,6 +54,11 @@
         self._runs_hook: _SummaryHook | None = None
         self._fault_hook: _FaultHook | None = None
 
+    @property
+    def rules(self) -> faults.FaultRules:
+        """The faults in force."""
+        return self._rules
+
     @property
     def table(self) -> table_store.MemoryTable:
         """The table behind the HTTP calls."""
--- a/tests/test_bundle_tasks.py
+++ b/tests/test_bundle_tasks.py
@@ -15,7 +15,7 @@
 from fireflywell.bundle import holder as holder_lib
 from fireflywell.bundle import signatures
 from fireflywell.bundle import watcher
-from fireflywell.entry import main as entry_main
+from fireflywell.entry import entry_process
 from fireflywell.entry import settings as entry_settings
 from fireflywell.membership import links
 from fireflywell.membership import messages
@@ -128,7 +128,8 @@
             async with anyio.create_task_group() as group:
                 group.start_soon(listener.run)
                 await listener.wait_until_started()
-                group.start_soon(entry_main.run_entry, settings, clock, stop)
+                entry = entry_process.EntryProcess(settings, clock)
+                group.start_soon(entry.run, stop)
                 reason = await self.wait_for_status(503)
                 self.assertIn("bundle", reason)
                 await self.roll_out(settings, application)
--- a/tests/test_cli_bundles.py
+++ b/tests/test_cli_bundles.py
@@ -205,7 +205,9 @@
 
     def test_lost_answer_is_resolved(self) -> None:
         """Fails if a lost answer to storing the body ends a rollout."""
-        self.server.platform._fault = faults.LoseAnswers(2)
+        self.server.platform.rules.set_rule(
+            faults.FaultRule("", faults.LoseAnswers(2))
+        )
         result = self.sign_and_roll_out(0, "atlas.toml")
         self.assertIn("is accepted", result.output)
         self.assertEqual(self.server.platform.table.writes, 1)
