Keep a drain that a peer told of until its row is read

Cause: a row that was read before a drain was written removed the drain's mark, so an entry that had confirmed the drain could send to the VM again; a notice that came after the end of its move left the VM marked for ever; deleted rows stayed in the view. Ruled out: dropping marks after one read that shows the VM serving (a replayed read of the last revision would undo a drain that stands). Change: only the row of the same drain takes the mark's place; a mark ends after 30 reads without a repeated notice; deleted rows are forgotten.

--- a/src/fireflywell/fleet/view.py
+++ b/src/fireflywell/fleet/view.py
@@ -1,5 +1,6 @@
 """What this process knows of the fleet, and the task that keeps it fresh."""
 
+import dataclasses
 import datetime
 import random
 
@@ -18,6 +19,20 @@
 _POLL_INTERVAL = datetime.timedelta(seconds=1)
 
 
+# Reads of the store, one each second, after which a drain that was heard from
+# a peer but is in no row counts as ended. The notice is repeated each second
+# while the drain stands, and its row is written before the first notice.
+DRAIN_MARK_REFRESHES = 30
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _DrainMark:
+    """A drain heard from a peer whose row hasn't been read yet."""
+
+    move_id: str
+    refreshes_left: int
+
+
 class FleetView:
     """Latest known VMs, their records and the instances on them."""
 
@@ -26,7 +41,7 @@
     def __init__(self) -> None:
         self._vms: tuple[records.Vm, ...] = ()
         self._assignments: dict[str, vm_records.VmRecord] = {}
-        self._drained: dict[str, str] = {}
+        self._drained: dict[str, _DrainMark] = {}
         self._changed = anyio.Event()
         self._version = 0
 
@@ -56,17 +71,37 @@
         if self._assignments.get(record.vm_id) == record:
             return
         self._assignments[record.vm_id] = record
-        if self._drained.get(record.vm_id) != record.move_id:
-            self._drained.pop(record.vm_id, None)
+        mark = self._drained.get(record.vm_id)
+        # Only the row of the same drain takes the mark's place: any other row
+        # may have been read before the drain was written.
+        if mark is not None and mark.move_id == record.move_id:
+            del self._drained[record.vm_id]
         self._signal()
 
+    def remove_assignment(self, vm_id: str) -> None:
+        """Forgets a VM whose row was deleted."""
+        if self._assignments.pop(vm_id, None) is not None:
+            self._signal()
+
     def note_drain(self, vm_id: str, move_id: str) -> None:
         """Notes a drain decision heard from a peer before the store's row."""
         known = self._assignments.get(vm_id)
         if known is not None and known.move_id == move_id:
             return
-        if self._drained.get(vm_id) != move_id:
-            self._drained[vm_id] = move_id
+        mark = self._drained.get(vm_id)
+        self._drained[vm_id] = _DrainMark(move_id, DRAIN_MARK_REFRESHES)
+        if mark is None or mark.move_id != move_id:
+            self._signal()
+
+    def age_drain_marks(self) -> None:
+        """Counts one read of the store that didn't show the marked drains."""
+        for vm_id, mark in list(self._drained.items()):
+            if mark.refreshes_left > 1:
+                self._drained[vm_id] = _DrainMark(
+                    mark.move_id, mark.refreshes_left - 1
+                )
+                continue
+            del self._drained[vm_id]
             self._signal()
 
     def is_vm_leaving(self, vm_id: str) -> bool:
@@ -152,5 +187,9 @@
             for row in page.rows:
                 record = vm_records.decode_vm_record(row.value)
                 self._view.set_assignment(record)
+            for key in page.deleted:
+                name = key.removeprefix(vm_records.VM_PREFIX)
+                self._view.remove_assignment(name)
             self._revision = page.revision
+            self._view.age_drain_marks()
         self._view.set_vms(await self._vm_list.list_vms())
--- a/tests/fleet_samples.py
+++ b/tests/fleet_samples.py
@@ -6,6 +6,7 @@
 from fireflywell.platform import records
 
 ZONES = ("a", "b", "c")
+NO_BUDGET = model.Budget(0)
 
 
 def make_vms(count: int) -> tuple[records.Vm, ...]:
