Answer the state of an entry on its status page

Operators saw only the bundle's version there. The page now has readiness with the reason, leaving, incarnation, zone, and for each service what is queued, free slots, homes and ejected instances, and the peers with state and bundle version.

The document is a slotted value built by entry/status_page.py from the same parts that serve requests; a copy kept up to date by events was ruled out, as it could differ from them. `bundle wait` reads `bundle_version` as before.

--- a/src/fireflywell/entry/application.py
+++ b/src/fireflywell/entry/application.py
@@ -15,6 +15,7 @@
 from fireflywell.entry import intake as intake_lib
 from fireflywell.entry import recorded_keys
 from fireflywell.entry import service_lane
+from fireflywell.entry import status_page
 from fireflywell.requests import classification
 from fireflywell.requests import idempotency
 from fireflywell.requests import key_ledger
@@ -41,6 +42,7 @@
         "_ledger",
         "_metrics",
         "_random",
+        "_status",
     )
 
     def __init__(
@@ -52,6 +54,7 @@
         clock: clock_lib.Clock,
         rng: random.Random,
         metrics: metrics_lib.Metrics,
+        status: status_page.StatusReader,
         intake: intake_lib.Intake | None = None,
     ) -> None:
         self._holder = holder
@@ -61,6 +64,7 @@
         self._clock = clock
         self._random = rng
         self._metrics = metrics
+        self._status = status
         self._intake = intake or intake_lib.Intake()
         self._is_stopping = False
 
@@ -83,20 +87,26 @@
             case "/readyz":
                 await self._answer_ready(send)
             case "/fireflywell/status":
-                version = self._holder.version
-                await asgi.send_json(send, 200, {"bundle_version": version})
+                await self._answer_status(send)
             case "/fireflywell/keys":
                 await self._issue_keys(scope, send)
             case _:
                 await self._serve(scope, receive, send)
 
     async def _answer_ready(self, send: asgi.Send) -> None:
-        reason = self._holder.missing_reason
-        if self._is_stopping:
-            reason = "the entry is stopping"
+        reason = self._explain_not_ready()
         status = 503 if reason else 200
         await asgi.send_json(send, status, {"reason": reason})
 
+    async def _answer_status(self, send: asgi.Send) -> None:
+        status = self._status.read(self._explain_not_ready(), self._is_stopping)
+        await asgi.send_json(send, 200, status_page.encode_status(status))
+
+    def _explain_not_ready(self) -> str:
+        if self._is_stopping:
+            return "the entry is stopping"
+        return self._holder.missing_reason
+
     async def _issue_keys(self, scope: asgi.Scope, send: asgi.Send) -> None:
         if scope["method"] != "POST":
             refusal = outcomes.Refused(405, f"use POST {KEYS_PATH}?count=N")
--- a/src/fireflywell/entry/assembly.py
+++ b/src/fireflywell/entry/assembly.py
@@ -19,6 +19,7 @@
 from fireflywell.entry import remote_homes
 from fireflywell.entry import request_runner
 from fireflywell.entry import result_copier
+from fireflywell.entry import status_page
 from fireflywell.fleet import view as view_lib
 from fireflywell.membership import links as links_lib
 from fireflywell.platform import tables
@@ -128,6 +129,9 @@
             clock,
             rng,
             metrics,
+            status_page.StatusReader(
+                context.holder, dispatcher, instances, links, context.zone
+            ),
         ),
         dispatcher=dispatcher,
         instances=instances,
--- a/src/fireflywell/entry/instance_table.py
+++ b/src/fireflywell/entry/instance_table.py
@@ -82,6 +82,21 @@
         self._update()
         return self._by_service.get(service, ())
 
+    def list_homes(self, service: str) -> tuple[str, ...]:
+        """Returns a service's instances whose home this entry is."""
+        names = (
+            item.instance.instance_id for item in self.list_service(service)
+        )
+        return tuple(name for name in names if self._homes.is_home(name))
+
+    def list_ejected(self, service: str) -> tuple[str, ...]:
+        """Returns a service's instances that are ejected."""
+        ejections = self._find_ejections(service)
+        names = (
+            item.instance.instance_id for item in self.list_service(service)
+        )
+        return tuple(name for name in names if ejections.is_ejected(name))
+
     def count_slots(self, service: str) -> SlotCounts:
         """Returns the slots that this entry may fill and can fill now."""
         ejections = self._find_ejections(service)
