Submit, show, list, cancel and wait for jobs on the command line

Jobs could only be put into the store by hand. A submission is checked against the accepted bundle and the platform's workers, and is called accepted only when its row is known to be there. Where the transaction can't tell, the row is read once more: the same job in it, changed by a scheduler or not, proves the submission; a missing row proves nothing and is reported as unknown with the name to look up. Submitting the same name again makes no second job, because the row must not exist.

A cancellation reads the row again after a conflict, so that it never undoes a scheduler's write. Writing the mark without a condition was ruled out for that reason.

--- a/src/fireflywell/cli/main.py
+++ b/src/fireflywell/cli/main.py
@@ -5,6 +5,7 @@
 import click
 
 from fireflywell.cli import bundle_commands
+from fireflywell.cli import job_commands
 from fireflywell.cli import keygen
 from fireflywell.cli import running
 from fireflywell.cli import settings as cli_settings
@@ -35,6 +36,7 @@
       fireflywell keygen alice
       fireflywell bundle check atlas.toml
       fireflywell --config ops.toml bundle show
+      fireflywell --config ops.toml job list
     """  # noqa: D301
     context.obj = cli_settings.load_context(config, as_json)
 
@@ -42,6 +44,7 @@
 # Other command groups are added here, one line each.
 main.add_command(keygen.keygen)
 main.add_command(bundle_commands.bundle)
+main.add_command(job_commands.job)
 
 
 if __name__ == "__main__":
--- a/src/fireflywell/cli/running.py
+++ b/src/fireflywell/cli/running.py
@@ -18,6 +18,7 @@
 from fireflywell import process
 from fireflywell import settings as settings_lib
 from fireflywell.cli import settings as cli_settings
+from fireflywell.platform import machines as machines_lib
 from fireflywell.platform import objects as objects_lib
 from fireflywell.platform import tables
 from fireflywell.platform import transport as transport_lib
@@ -26,7 +27,11 @@
 T = TypeVar("T")
 
 # Mistakes that the user can correct without the system changing.
-_USER_ERRORS = (errors.SettingsError, errors.BundleSchemaError)
+_USER_ERRORS = (
+    errors.SettingsError,
+    errors.BundleSchemaError,
+    errors.JobRefusedError,
+)
 
 
 class CommandGroup(click.Group):
@@ -49,7 +54,7 @@
 class Connection:
     """The platform as commands use it."""
 
-    __slots__ = ("clock", "objects", "rng", "table")
+    __slots__ = ("clock", "machines", "objects", "rng", "table")
 
     def __init__(
         self,
@@ -61,6 +66,7 @@
         self.rng = rng
         self.table = tables.TableClient(transport)
         self.objects = objects_lib.ObjectClient(transport)
+        self.machines = machines_lib.MachineClient(transport)
 
 
 @contextlib.asynccontextmanager
--- a/src/fireflywell/errors.py
+++ b/src/fireflywell/errors.py
@@ -52,6 +52,14 @@
     """A compare-and-set found another version than expected."""
 
 
+class NotFoundError(FireflywellError):
+    """An object that a command names doesn't exist."""
+
+
+class JobRefusedError(FireflywellError):
+    """A job can never run, so it isn't accepted."""
+
+
 class LeaseLostError(FireflywellError):
     """The lease has lapsed or belongs to another holder."""
 
