Show VMs, the pace of maintenance and the state of the system

`vm list` and `vm show` join the rows of VMs with the platform's list; `vm pace` asks fleet/waves.check_pace and names what binds. VMs without a row are left out there, as those of the system itself are not maintained.

`status` asks all entries of the settings file at once, reads leases, VMs and jobs, and says in its first line whether anything needs attention, with exit code 1 if so. What needs attention is decided in cli/status_values.py on plain values. While the platform is down the entries are still shown.

--- a/src/fireflywell/cli/fleet_rows.py
+++ b/src/fireflywell/cli/fleet_rows.py
@@ -21,6 +21,10 @@
 JOB_SHARD = "0"
 
 
+class NoBundleError(errors.BundleError):
+    """No bundle is accepted yet."""
+
+
 def decode_job_row(row: records.Row) -> jobs.JobRecord:
     """Returns the job held by a row.
 
@@ -64,11 +68,12 @@
     """Returns the accepted bundle.
 
     Raises:
-        BundleError: None is accepted yet, or its body is missing.
+        NoBundleError: None is accepted yet.
+        BundleError: Its body is missing or another one.
     """
     head = await acceptance.read_head(connection.table)
     if head.record is None:
-        raise errors.BundleError(
+        raise NoBundleError(
             "no bundle is accepted yet; roll one out with 'fireflywell bundle "
             "rollout'"
         )
--- a/src/fireflywell/cli/main.py
+++ b/src/fireflywell/cli/main.py
@@ -9,6 +9,8 @@
 from fireflywell.cli import keygen
 from fireflywell.cli import running
 from fireflywell.cli import settings as cli_settings
+from fireflywell.cli import status_command
+from fireflywell.cli import vm_commands
 
 
 @click.group(
@@ -36,6 +38,8 @@
       fireflywell keygen alice
       fireflywell bundle check atlas.toml
       fireflywell --config ops.toml bundle show
+      fireflywell --config ops.toml status
+      fireflywell --config ops.toml vm list
       fireflywell --config ops.toml job list
     """  # noqa: D301
     context.obj = cli_settings.load_context(config, as_json)
@@ -45,6 +49,8 @@
 main.add_command(keygen.keygen)
 main.add_command(bundle_commands.bundle)
 main.add_command(job_commands.job)
+main.add_command(status_command.status)
+main.add_command(vm_commands.vm)
 
 
 if __name__ == "__main__":
--- a/tests/cli_world.py
+++ b/tests/cli_world.py
@@ -112,8 +112,25 @@
         self.platform._objects[name] = signed.body
         self.put_row(acceptance.HEAD_KEY, signatures.encode_record(record))
 
-    def put_row(self, key: str, value: str) -> None:
-        """Writes a row as another process would."""
+    def fill_pools(self) -> None:
+        """Gives each pool two VMs in each of three zones."""
+        clock = clock_lib.SystemClock()
+        listed = []
+        for pool in bundle_samples.EXAMPLE.pools:
+            for number in range(6):
+                vm_id, zone = f"{pool.name}{number}", "abc"[number % 3]
+                self.put_vm(vm_records.VmRecord(vm_id, pool.name))
+                listed.append(
+                    records.Vm(
+                        vm_id, "127.1.1.1", zone, "r", records.VmState.LIVE, 1
+                    )
+                )
+        self.platform._machines = machines.Machines(
+            clock, tuple(listed), CAPACITY
+        )
+
+    def put_row(self, key: str, value: str | None) -> None:
+        """Writes or deletes a row as another process would."""
         write = records.Write(key, value)
         self.platform.table._apply(records.Transaction("other", (), (write,)))
 
