--- a/src/fireflywell/cli/vm_commands.py
+++ b/src/fireflywell/cli/vm_commands.py
@@ -159,7 +159,7 @@
         )
     members = {item.vm_id for item in assignments}
     listed = await connection.machines.list_vms()
-    # VMs without a row, such as those of the system, aren't maintained.
+    # Only VMs with a row are maintained.
     return waves.check_pace(
         bundle,
         tuple(item for item in listed if item.vm_id in members),
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -179,6 +179,16 @@
         self.entry.document = {"unexpected": True}
         self.check_problem("doesn't answer")
 
+    def test_entry_that_is_no_address(self) -> None:
+        """Fails if a mistake in the settings is called a dead entry."""
+        self.config = self.write(
+            "bad.toml",
+            f'platform_url = "http://127.0.0.1:{cli_world.PLATFORM_PORT}"\n'
+            'entries = ["x"]\n',
+        )
+        result = self.run_command(2, "status")
+        self.assertIn("like http://", result.output)
+
     def test_store_problems(self) -> None:
         """Fails if a problem that the store shows isn't in the first lines."""
         self.put_lease("")
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -46,6 +46,7 @@
         self.assertGreater(len(sent), 10)
         listed = re.findall(r"`([a-z_.<>]+)`", read_section("Metrics"))
         listed.remove("fireflywell.entry.")
+        listed.remove("fireflywell.control.")
         patterns = {
             name: re.escape(re.sub(r"\{[^}]*\}", "#", name)).replace(
                 r"\#", r"[a-z_<>]+"
