--- a/bench/control_state.py
+++ b/bench/control_state.py
@@ -87,7 +87,7 @@
 def make_bundle(size: Size, signing: model.Signing) -> model.Bundle:
     """Returns a bundle of a size."""
     pools = tuple(
-        model.Pool(f"pool-{number:03d}", 24, ("reports", "reconciliation"))
+        model.Pool(f"pool-{number:03d}", 24, carries=("reports",))
         for number in range(size.pools)
     )
     return model.Bundle(
