--- a/Makefile
+++ b/Makefile
@@ -34,3 +34,27 @@
 fuzz: $(VENV)/.installed
 	@echo "seed $(SEED); run again with: make fuzz SEED=$(SEED)"
 	FUZZ_EXAMPLES=2000 FUZZ_SEED=$(SEED) $(RUN) tools/run_fuzz.py
+
+# Runs the benches one after another, each within a time limit; one that fails
+# or exceeds it is reported at the end, and the others still run.
+BENCH_RESULTS ?= /tmp/fireflywell-bench
+BENCH_SEED ?= 1
+BENCH_LIMIT ?= 600
+bench: $(VENV)/.installed
+	mkdir -p $(BENCH_RESULTS)
+	@failed=; run() { \
+	  name=$$1; shift; echo "== $$name $$*"; \
+	  PYTHONPATH=src timeout $(BENCH_LIMIT) $(VENV)/bin/python \
+	    bench/$$name.py "$$@" || failed="$$failed $$name"; \
+	}; \
+	run placement --seed $(BENCH_SEED); \
+	run planning --seed $(BENCH_SEED) --json $(BENCH_RESULTS)/planning.json; \
+	run control_state; \
+	run mesh --sizes 2,6,12,18,24; \
+	run queue_cost --json $(BENCH_RESULTS)/queue_cost.json; \
+	run outage; \
+	run passthrough --requests 2000; \
+	run fleet --seed $(BENCH_SEED) --json $(BENCH_RESULTS)/fleet.json; \
+	run flood --seed $(BENCH_SEED) --factor 5 \
+	  --json $(BENCH_RESULTS)/flood.json; \
+	if test -n "$$failed"; then echo "failed or too long:$$failed"; exit 1; fi
