--- a/bench/planning.py
+++ b/bench/planning.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Coroutine
 from collections.abc import Iterator
 import dataclasses
 import datetime
@@ -17,6 +18,7 @@
 import statistics
 import time
 import tracemalloc
+from typing import Any
 
 import anyio
 import click
@@ -271,7 +273,7 @@
     return _trace(lambda: fill(kept))
 
 
-def _measure_async(run: Callable[[], object]) -> float:
+def _measure_async(run: Callable[[], Coroutine[Any, Any, None]]) -> float:
     return _trace(lambda: anyio.run(run))
 
 
