Report an entry as ready only when it can send requests somewhere

Cause: an entry said that it was ready as soon as it had a bundle, about three seconds before it was the home of any instance. Requests waited (p50 2.9 s) and 20 of 100 postings were refused by the full queue in the scenario request_end_to_end. Ruled out: the queue's new trials of unproven work (reads waited as long); a longer queue (callers would still wait). Change: entry/readiness.py asks for a bundle and for a home, its own or a living peer's; once ready an entry stays so until it stops. Conclusion: the balancer sends callers to an entry that can serve them.

--- a/src/fireflywell/entry/application.py
+++ b/src/fireflywell/entry/application.py
@@ -10,9 +10,9 @@
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
 from fireflywell import errors
-from fireflywell.bundle import holder as holder_lib
 from fireflywell.entry import dispatcher as dispatcher_lib
 from fireflywell.entry import intake as intake_lib
+from fireflywell.entry import readiness as readiness_lib
 from fireflywell.entry import recorded_keys
 from fireflywell.entry import service_lane
 from fireflywell.entry import status_page
@@ -36,18 +36,18 @@
         "_clock",
         "_cluster_key",
         "_dispatcher",
-        "_holder",
         "_intake",
         "_is_stopping",
         "_ledger",
         "_metrics",
         "_random",
+        "_readiness",
         "_status",
     )
 
     def __init__(
         self,
-        holder: holder_lib.BundleHolder,
+        readiness: readiness_lib.Readiness,
         dispatcher: dispatcher_lib.Dispatcher,
         ledger: key_ledger.KeyLedger,
         cluster_key: bytes,
@@ -57,7 +57,7 @@
         status: status_page.StatusReader,
         intake: intake_lib.Intake | None = None,
     ) -> None:
-        self._holder = holder
+        self._readiness = readiness
         self._dispatcher = dispatcher
         self._ledger = ledger
         self._cluster_key = cluster_key
@@ -105,7 +105,7 @@
     def _explain_not_ready(self) -> str:
         if self._is_stopping:
             return "the entry is stopping"
-        return self._holder.missing_reason
+        return self._readiness.explain_missing()
 
     async def _issue_keys(self, scope: asgi.Scope, send: asgi.Send) -> None:
         if scope["method"] != "POST":
--- a/src/fireflywell/entry/assembly.py
+++ b/src/fireflywell/entry/assembly.py
@@ -15,6 +15,7 @@
 from fireflywell.entry import instance_table
 from fireflywell.entry import key_owner
 from fireflywell.entry import pause_guard
+from fireflywell.entry import readiness
 from fireflywell.entry import recorded_keys
 from fireflywell.entry import remote_homes
 from fireflywell.entry import request_runner
@@ -122,7 +123,7 @@
     links.set_forward_handler(dispatcher.answer_peer)
     return EntryParts(
         application=application_lib.EntryApplication(
-            context.holder,
+            readiness.Readiness(context.holder, context.view, instances, links),
             dispatcher,
             ledger,
             context.cluster_key,
--- a/src/fireflywell/fleet/view.py
+++ b/src/fireflywell/fleet/view.py
@@ -36,7 +36,14 @@
 class FleetView:
     """Latest known VMs, their records and the instances on them."""
 
-    __slots__ = ("_assignments", "_changed", "_drained", "_version", "_vms")
+    __slots__ = (
+        "_assignments",
+        "_changed",
+        "_drained",
+        "_has_been_read",
+        "_version",
+        "_vms",
+    )
 
     def __init__(self) -> None:
         self._vms: tuple[records.Vm, ...] = ()
@@ -44,6 +51,12 @@
         self._drained: dict[str, _DrainMark] = {}
         self._changed = anyio.Event()
         self._version = 0
+        self._has_been_read = False
+
+    @property
+    def has_been_read(self) -> bool:
+        """Whether the rows and the list have been read at least once."""
+        return self._has_been_read
 
     @property
     def version(self) -> int:
@@ -93,6 +106,10 @@
         if mark is None or mark.move_id != move_id:
             self._signal()
 
+    def note_read(self) -> None:
+        """Notes that the rows and the list have been read."""
+        self._has_been_read = True
+
     def age_drain_marks(self) -> None:
         """Counts one read of the store that didn't show the marked drains."""
         for vm_id, mark in list(self._drained.items()):
@@ -193,3 +210,4 @@
             self._revision = page.revision
             self._view.age_drain_marks()
         self._view.set_vms(await self._vm_list.list_vms())
+        self._view.note_read()
