Read the status pages of entries in one place

Cause: bundle wait and status each had their own copy of the call. Conclusion: one timeout and one message for a wrong address.

--- a/src/fireflywell/cli/rollout_wait.py
+++ b/src/fireflywell/cli/rollout_wait.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import datetime
-import json
 
 import anyio
 import click
@@ -10,11 +9,10 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
-from fireflywell import send_tracker
+from fireflywell.cli import entry_pages
 from fireflywell.supervision import supervisor as supervisor_lib
 
 _ASK_INTERVAL = datetime.timedelta(milliseconds=200)
-_ASK_TIMEOUT_SECONDS = 2.0
 # Shorter waits end before a reader would wonder.
 _QUIET_TIME = datetime.timedelta(seconds=2)
 
@@ -82,23 +80,12 @@
 
 
 async def _ask(pool: httpcore.AsyncConnectionPool, address: str) -> EntryReport:
-    url = f"{address.rstrip('/')}/fireflywell/status"
-    limits = dict.fromkeys(
-        ("connect", "read", "write", "pool"), _ASK_TIMEOUT_SECONDS
-    )
+    document = await entry_pages.fetch_entry_status(pool, address)
     try:
-        response = await pool.request(
-            "GET", url, extensions={"timeout": limits}
-        )
-        document = json.loads(response.content)
-        return EntryReport(address, int(document["bundle_version"]))
-    except httpcore.UnsupportedProtocol as error:
-        raise errors.SettingsError(
-            f"entry {address}: not an HTTP address; write it like "
-            "http://127.0.0.1:8080"
-        ) from error
-    except (*send_tracker.EXCHANGE_ERRORS, ValueError, KeyError, TypeError):
-        return EntryReport(address, -1)
+        version = -1 if document is None else int(document["bundle_version"])
+    except (KeyError, TypeError, ValueError):
+        version = -1
+    return EntryReport(address, version)
 
 
 def _make_error(
--- a/src/fireflywell/cli/status_command.py
+++ b/src/fireflywell/cli/status_command.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 import dataclasses
-import json
 from typing import Any
 
 import anyio
@@ -10,7 +9,7 @@
 import httpcore
 
 from fireflywell import errors
-from fireflywell import send_tracker
+from fireflywell.cli import entry_pages
 from fireflywell.cli import fleet_rows
 from fireflywell.cli import progress
 from fireflywell.cli import running
@@ -21,8 +20,6 @@
 from fireflywell.platform import tables
 from fireflywell.supervision import supervisor as supervisor_lib
 
-_ASK_TIMEOUT_SECONDS = 2.0
-
 
 @click.command()
 @click.pass_obj
@@ -107,22 +104,13 @@
 async def _ask_entry(
     pool: httpcore.AsyncConnectionPool, address: str
 ) -> status_values.EntryReport:
-    url = f"{address.rstrip('/')}/fireflywell/status"
-    limits = dict.fromkeys(
-        ("connect", "read", "write", "pool"), _ASK_TIMEOUT_SECONDS
-    )
-    try:
-        response = await pool.request(
-            "GET", url, extensions={"timeout": limits}
-        )
-        return _decode_entry(address, json.loads(response.content))
-    except httpcore.UnsupportedProtocol as error:
-        raise errors.SettingsError(
-            f"entry {address}: not an HTTP address; write it like "
-            "http://127.0.0.1:8080"
-        ) from error
-    except (*send_tracker.EXCHANGE_ERRORS, ValueError, KeyError, TypeError):
-        return status_values.EntryReport(address, is_answering=False)
+    document = await entry_pages.fetch_entry_status(pool, address)
+    if document is not None:
+        try:
+            return _decode_entry(address, document)
+        except (KeyError, TypeError, ValueError):
+            pass
+    return status_values.EntryReport(address, is_answering=False)
 
 
 def _decode_entry(
