--- a/src/fireflywell/fleet/assignment.py
+++ b/src/fireflywell/fleet/assignment.py
@@ -101,7 +101,10 @@
             yield RemoveVm(record.vm_id)
     for vm in vms:
         is_live = vm.state is records.VmState.LIVE
-        if vm.vm_id not in known and is_live and pools:
+        # A system VM in a pool would be rebooted by a wave without the planned
+        # stop of the processes that it carries.
+        is_free = vm.vm_id not in known and not vm.is_system
+        if is_free and is_live and pools:
             pool = min(pools, key=lambda item: _rank_joining(item, vm))
             pool.add(vm)
             yield AssignVm(vm.vm_id, pool.name)
--- a/src/fireflywell/fleet/waves.py
+++ b/src/fireflywell/fleet/waves.py
@@ -301,9 +301,11 @@
 def _group_by_rack(
     vms: tuple[records.Vm, ...],
 ) -> Iterator[tuple[str, ...]]:
-    """Yields the VMs of each rack."""
+    """Yields the VMs of each rack; system VMs take no part in waves."""
     racks: dict[tuple[str, str], list[str]] = {}
     for vm in vms:
+        if vm.is_system:
+            continue
         racks.setdefault((vm.zone, vm.rack), []).append(vm.vm_id)
     for name in sorted(racks):
         yield tuple(racks[name])
--- a/src/fireflywell/platform/machines.py
+++ b/src/fireflywell/platform/machines.py
@@ -74,6 +74,7 @@
                 rack=vm["rack"],
                 state=records.VmState(vm["state"]),
                 boot=vm["boot"],
+                is_system=vm["is_system"],
             )
             for vm in answer["vms"]
         )
--- a/src/fireflywell/platform/records.py
+++ b/src/fireflywell/platform/records.py
@@ -102,6 +102,8 @@
         rack: Rack, the smallest failure domain above the VM.
         state: Whether the platform is about to take the VM away.
         boot: Counts the starts of the VM.
+        is_system: Whether the VM carries processes of the system; it then
+            belongs to no pool and isn't maintained by them.
     """
 
     vm_id: str
@@ -110,6 +112,7 @@
     rack: str
     state: VmState
     boot: int
+    is_system: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fireflywell/standins/deployment.py
+++ b/src/fireflywell/standins/deployment.py
@@ -231,6 +231,7 @@
                 vm.rack,
                 records.VmState.LIVE,
                 1,
+                vm.is_system,
             ),
             records.Resources() if vm.is_system else capacity,
         )
--- a/src/fireflywell/standins/machines.py
+++ b/src/fireflywell/standins/machines.py
@@ -69,6 +69,11 @@
         """Number of reboots asked for."""
         return self._reboots
 
+    @property
+    def highest_reboots(self) -> int:
+        """Largest number of reboots of any one VM that is listed."""
+        return max((vm.boot - 1 for vm in self._vms.values()), default=0)
+
     @property
     def task_starts(self) -> int:
         """Number of attempts started on all workers."""
--- a/src/fireflywell/standins/platform.py
+++ b/src/fireflywell/standins/platform.py
@@ -139,6 +139,7 @@
             "writes": self._table.writes,
             "revision": self._table.revision,
             "reboots": self._machines.reboots,
+            "highest_reboots": self._machines.highest_reboots,
             "task_starts": self._machines.task_starts,
         }
         if self._summary_hook is not None:
--- a/tests/test_fleet_moves.py
+++ b/tests/test_fleet_moves.py
@@ -224,6 +224,21 @@
         ]
         self.assertEqual(removed, ["gone"])
 
+    def test_system_vms_join_no_pool(self) -> None:
+        """Fails if a VM of the system's processes is given to a pool."""
+        vms = tuple(
+            dataclasses.replace(vm, is_system=True)
+            for vm in fleet_samples.make_vms(1)
+        )
+        bundle = fleet_samples.make_bundle(
+            (model.Pool("p0", 2),), model.Budget(0)
+        )
+        targets = (demand.PoolTarget("p0", 2),)
+        plan = assignment.plan_assignments(
+            bundle, targets, vms, (), frozenset()
+        )
+        self.assertEqual(list(plan), [])
+
 
 class DemandTest(unittest.TestCase):
     """Lasting shifts and peaks."""
--- a/tools/local_operator.py
+++ b/tools/local_operator.py
@@ -7,7 +7,14 @@
 from tools import local_processes
 from tools import local_system
 
+from fireflywell.fleet import jobs
+from fireflywell.platform import records
+
+JOB_KIND = "reports"
+JOB_TEAM = "operations"
 _REVIEWERS = ("alice", "bob")
+# 21 days.
+_MAINTENANCE_SECONDS = 1_814_400.0
 
 
 class LocalOperators:
@@ -45,14 +52,29 @@
         }
         self._config = str(self._write("operator.toml", settings))
 
-    def write_bundle(self, author: int, version: int) -> pathlib.Path:
-        """Writes a bundle; two authors' bundles differ in a team's weight."""
+    def write_bundle(
+        self,
+        author: int,
+        version: int,
+        maintenance_seconds: float = _MAINTENANCE_SECONDS,
+    ) -> pathlib.Path:
+        """Writes a bundle; two authors' bundles differ in a team's weight.
+
+        Args:
+            author: Number of the operator.
+            version: Version of the bundle.
+            maintenance_seconds: Every VM is maintained once in this time.
+        """
         layout = self._system.layout
         document = {
             "version": version,
             "signing": {"threshold": 2, "reviewers": self._reviewers},
             "pools": [
-                {"name": name, "target_vms": layout.vms}
+                {
+                    "name": name,
+                    "target_vms": layout.vms,
+                    "carries": [JOB_KIND],
+                }
                 for name in layout.services
             ],
             "services": [
@@ -66,7 +88,15 @@
                 for index, name in enumerate(layout.services)
             ],
             "classes": [{"name": "default", "weight": 1.0}],
-            "teams": [{"name": "operations", "weight": float(author)}],
+            "teams": [
+                {
+                    "name": JOB_TEAM,
+                    "weight": float(author),
+                    "cores": 64.0,
+                    "memory_mb": 65_536.0,
+                }
+            ],
+            "maintenance": {"interval": maintenance_seconds},
         }
         return self._write(f"bundle-{author}-{version}.toml", document)
 
@@ -141,8 +171,37 @@
         for index, pool in enumerate(layout.services)
         for number in range(1, layout.vms + 1)
     ]
+    _write_rows("assign-vms", writes)
+
+
+def submit_jobs(name: str, count: int, run_seconds: float) -> None:
+    """Writes the rows of jobs that wait to be placed.
+
+    Args:
+        name: First part of the jobs' names.
+        count: Number of jobs.
+        run_seconds: Run time of each job.
+    """
+    writes = []
+    for number in range(1, count + 1):
+        spec = jobs.JobSpec(
+            job_id=f"{name}-{number}",
+            kind=JOB_KIND,
+            team=JOB_TEAM,
+            command="report",
+            declared=records.Resources(cores=1.0, memory_mb=512.0),
+            run_seconds=run_seconds,
+            is_idempotent=False,
+        )
+        key = jobs.make_job_key("0", spec.job_id)
+        value = jobs.encode_job(jobs.JobRecord(spec))
+        writes.append({"key": key, "value": value})
+    _write_rows(f"submit-{name}", writes)
+
+
+def _write_rows(write_id: str, writes: list[dict[str, str]]) -> None:
     local_processes.send_json(
         "POST",
         f"{local_system.PLATFORM_URL}/v1/tables/transact",
-        {"write_id": "assign-vms", "conditions": [], "writes": writes},
+        {"write_id": write_id, "conditions": [], "writes": writes},
     )
