--- a/tests/scenario_language.py
+++ b/tests/scenario_language.py
@@ -101,6 +101,15 @@
     """Gives each pool its VMs, in place of the planner."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SubmitJobs:
+    """Submits jobs that may not be run twice."""
+
+    name: str
+    count: int
+    run_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ExpectRollouts:
     """Waits for the last rollouts and counts `accepted` and `refused`."""
@@ -179,6 +188,7 @@
     | RollOut
     | SendLoad
     | AssignVms
+    | SubmitJobs
     | ExpectRollouts
     | ExpectVersion
     | ExpectLoad
@@ -314,6 +324,9 @@
     def assign(self) -> AssignVms:
         return AssignVms()
 
+    def submit(self, count: int, seconds: float, name: str) -> SubmitJobs:
+        return SubmitJobs(name, count, seconds)
+
     def expect_rollouts(self, *comparisons: Comparison) -> ExpectRollouts:
         return ExpectRollouts(comparisons)
 
--- a/tests/scenario_runner.py
+++ b/tests/scenario_runner.py
@@ -82,6 +82,8 @@
                 self._operators = local_operator.LocalOperators(self._system)
             case language.AssignVms():
                 local_operator.assign_vms(self._deployed)
+            case language.SubmitJobs(name=name, count=count, run_seconds=run):
+                local_operator.submit_jobs(name, count, run)
             case language.RollOut(operators=operators, version=version):
                 self._roll_out(operators, version)
             case language.StartProcess(process=process):
