Use usual terms for the parties of moves and handovers

Cause: some names were figurative (giver, taker, heir, hopeless). Change: source and destination for moves, sender for handovers, death_reporter for the process that recorded an owner's death; no behaviour changes. Conclusion: the names say what the objects are.

--- a/src/fireflywell/coordination/home_rows.py
+++ b/src/fireflywell/coordination/home_rows.py
@@ -24,7 +24,7 @@
     is_dead: bool = False
     successor: home_records.EntryId | None = None
     is_successor_dead: bool = False
-    heir: home_records.EntryId | None = None
+    death_reporter: home_records.EntryId | None = None
 
 
 def make_home_key(instance_id: str) -> str:
@@ -41,7 +41,7 @@
         is_dead=record.is_owner_dead,
         successor=record.successor,
         is_successor_dead=record.is_successor_dead,
-        heir=record.heir,
+        death_reporter=record.death_reporter,
     )
     return json.dumps(_CONVERTER.unstructure(row))
 
@@ -68,7 +68,7 @@
         successor=found.successor,
         is_owner_dead=found.is_dead,
         is_successor_dead=found.is_successor_dead,
-        heir=found.heir,
+        death_reporter=found.death_reporter,
         version=row.version,
     )
 
--- a/src/fireflywell/fleet/assignment.py
+++ b/src/fireflywell/fleet/assignment.py
@@ -160,29 +160,29 @@
     assignments: tuple[vm_records.VmRecord, ...],
 ) -> Iterator[MoveVm]:
     names = {pool.name: pool for pool in pools}
-    # Pools that the bundle no longer names give all their VMs away.
+    # Pools that the bundle no longer names release all their VMs.
     movable = [
         record
         for record in assignments
         if record.phase is vm_records.VmPhase.SERVING and record.vm_id in listed
     ]
     while True:
-        taker = min(pools, key=lambda item: item.surplus, default=None)
-        if taker is None or taker.surplus >= 0:
+        destination = min(pools, key=lambda item: item.surplus, default=None)
+        if destination is None or destination.surplus >= 0:
             break
-        record = _choose_giver(taker, names, movable, listed)
+        record = _choose_source_vm(destination, names, movable, listed)
         if record is None:
             break
         movable.remove(record)
         vm = listed[record.vm_id]
         if record.pool in names:
             names[record.pool].remove(vm)
-        taker.add(vm)
-        yield MoveVm(record.vm_id, record.pool, taker.name)
+        destination.add(vm)
+        yield MoveVm(record.vm_id, record.pool, destination.name)
 
 
-def _choose_giver(
-    taker: _PoolCount,
+def _choose_source_vm(
+    destination: _PoolCount,
     pools: dict[str, _PoolCount],
     movable: list[vm_records.VmRecord],
     listed: dict[str, records.Vm],
@@ -197,9 +197,9 @@
         vm = listed[record.vm_id]
         surplus = pool.surplus if pool is not None else len(movable)
         rank = (
-            taker.zones.get(vm.zone, 0),
+            destination.zones.get(vm.zone, 0),
             -surplus,
-            taker.racks.get(vm.rack, 0),
+            destination.racks.get(vm.rack, 0),
             record.vm_id,
         )
         if best_rank is None or rank < best_rank:
--- a/src/fireflywell/fleet/worker_pool.py
+++ b/src/fireflywell/fleet/worker_pool.py
@@ -121,7 +121,7 @@
             part: Part of each worker that may be used.
         """
         search = _FailedSearch(size, zone, part)
-        if any(search.is_hopeless_after(item) for item in self._failed_sizes):
+        if any(search.needs_no_less_than(item) for item in self._failed_sizes):
             return None
         found: list[WorkerState] = []
         for worker in self._iterate():
@@ -149,7 +149,7 @@
         self._failed_sizes = [
             item
             for item in self._failed_sizes
-            if not item.is_hopeless_after(search)
+            if not item.needs_no_less_than(search)
         ]
         self._failed_sizes.append(search)
 
@@ -169,7 +169,7 @@
     zone: str
     part: float
 
-    def is_hopeless_after(self, failed: "_FailedSearch") -> bool:
+    def needs_no_less_than(self, failed: "_FailedSearch") -> bool:
         """Whether this search needs at least as much as a failed one."""
         return (
             failed.zone in ("", self.zone)
--- a/src/fireflywell/requests/home_planner.py
+++ b/src/fireflywell/requests/home_planner.py
@@ -28,7 +28,7 @@
     if marked != record:
         return homes.WriteRecord(marked, record.version)
     if state.held > record.epoch:
-        # Accepted by handover; the row still names the giver.
+        # Accepted by handover; the row still names the sender.
         return _make_write(instance_id, record, world.own, state.held, world)
     if state.held:
         return None if state.has_handover else _plan_successor(record, world)
@@ -55,7 +55,9 @@
     """
     owner = record.owner
     if owner.address == own.address and owner != own:
-        record = dataclasses.replace(record, is_owner_dead=True, heir=own)
+        record = dataclasses.replace(
+            record, is_owner_dead=True, death_reporter=own
+        )
     successor = record.successor
     if successor is None or successor == own:
         return record
@@ -97,15 +99,17 @@
     if not _is_owner_out(record, world):
         return None
     is_successor = record.successor == world.own
-    is_giver = record.owner == world.own
-    may_claim = is_giver or record.instance_id in world.claims
+    is_own_record = record.owner == world.own
+    may_claim = is_own_record or record.instance_id in world.claims
     is_free_to_claim = may_claim and _is_successor_out(record, world)
     if not is_successor and not is_free_to_claim:
         return None
     epoch = record.epoch + _TAKEOVER_STEP
     owner = world.own
-    if is_successor and record.heir in {one.entry for one in world.candidates}:
-        owner = record.heir or owner
+    if is_successor and record.death_reporter in {
+        one.entry for one in world.candidates
+    }:
+        owner = record.death_reporter or owner
     return _make_write(record.instance_id, record, owner, epoch, world)
 
 
--- a/src/fireflywell/requests/home_records.py
+++ b/src/fireflywell/requests/home_records.py
@@ -33,7 +33,7 @@
         successor: The only process that the owner may hand over to.
         is_owner_dead: Whether a later process at the owner's address said so.
         is_successor_dead: The same for the successor.
-        heir: The process that said that the owner is dead.
+        death_reporter: The process that said that the owner is dead.
         version: Version of the row; 0 before it is written.
     """
 
@@ -43,7 +43,7 @@
     successor: EntryId | None = None
     is_owner_dead: bool = False
     is_successor_dead: bool = False
-    heir: EntryId | None = None
+    death_reporter: EntryId | None = None
     version: int = 0
 
 
--- a/src/fireflywell/requests/home_world.py
+++ b/src/fireflywell/requests/home_world.py
@@ -63,8 +63,8 @@
     alive = {one.entry for one in world.candidates}
     for move in home_balance.assign_free(placements, world.candidates):
         record = book.describe(move.instance_id).record
-        heir = None if record is None else record.heir
-        claimant = heir if heir in alive else move.receiver
+        death_reporter = None if record is None else record.death_reporter
+        claimant = death_reporter if death_reporter in alive else move.receiver
         if claimant == world.own:
             yield move.instance_id
 
--- a/src/fireflywell/requests/homes.py
+++ b/src/fireflywell/requests/homes.py
@@ -203,7 +203,7 @@
             epoch: Epoch of this entry's ownership.
             receiver: Incarnation that may accept.
             is_leaving: Whether this entry is about to end; it then accepts
-                nothing new, and its end is the giver's proof.
+                nothing new, and its end is the proof for the sender.
 
         Returns:
             Whether the acceptance is sent, which is so for repetitions too.
@@ -218,7 +218,7 @@
             return False
         home.accepted = epoch
         home.held = epoch
-        # The giver waited for the end of its own exchanges, but requests of
+        # The sender waited for the end of its own exchanges, but requests of
         # a dead home before it may still run.
         home.busy_elsewhere = None
         home.note_known(self._self, epoch)
--- a/tests/homes_case.py
+++ b/tests/homes_case.py
@@ -52,10 +52,10 @@
             )
         )
 
-    def offer(self, giver: helpers.Process) -> None:
+    def offer(self, sender: helpers.Process) -> None:
         """Lets an entry leave until its offer is on the way."""
-        giver.keeper.set_leaving(True)
-        giver.step()
+        sender.keeper.set_leaving(True)
+        sender.step()
 
     def remove(self, process: helpers.Process) -> None:
         """Ends a process with its VM; the others don't know yet."""
--- a/tests/test_homes_balance.py
+++ b/tests/test_homes_balance.py
@@ -72,10 +72,10 @@
     def test_row_names_the_owner_at_its_top_level(self) -> None:
         """Fails if other processes can't read who the home is."""
         owner = home_records.EntryId("10.0.0.1:7000", "one")
-        heir = home_records.EntryId("10.0.0.1:7000", "two")
+        death_reporter = home_records.EntryId("10.0.0.1:7000", "two")
         successor = home_records.EntryId("10.0.0.2:7000", "three")
         record = home_records.HomeRecord(
-            _KEY, owner, 5, successor, True, False, heir, 7
+            _KEY, owner, 5, successor, True, False, death_reporter, 7
         )
         value = home_rows.encode_home_record(record)
         document = json.loads(value)
--- a/tests/test_homes_handover.py
+++ b/tests/test_homes_handover.py
@@ -28,7 +28,7 @@
         self.assertEqual(record.owner.address, self.successor.address)
 
     def test_giver_waits_for_its_exchanges(self) -> None:
-        """Fails if the receiver's requests come on top of the giver's."""
+        """Fails if the receiver's requests come on top of the sender's."""
         self.owner.in_progress[_KEY] = 1
         self.offer(self.owner)
         self.assert_homes()
@@ -56,7 +56,7 @@
         self.assert_homes(self.owner)
 
     def test_giver_stays_out_once_the_offer_was_sent(self) -> None:
-        """Fails if a giver takes back what the receiver may have."""
+        """Fails if a sender takes back what the receiver may have."""
         self.offer(self.owner)
         self.owner.lose(self.successor.address)
         self.owner.keeper.set_leaving(False)
@@ -66,7 +66,7 @@
         self.assert_homes(self.successor)
 
     def test_lost_acceptance_is_repeated(self) -> None:
-        """Fails if a lost acceptance leaves the giver in doubt for ever."""
+        """Fails if a lost acceptance leaves the sender in doubt for ever."""
         for process in self.network.list_living():
             process.table.is_cut = True
         self.offer(self.owner)
@@ -122,19 +122,19 @@
         offer, *_ = self.network.on_way
         self.network.deliver_all()
         self.owner.keeper.set_leaving(False)
-        for giver in (self.successor, self.owner, self.successor):
-            giver.step()
+        for sender in (self.successor, self.owner, self.successor):
+            sender.step()
             receiver = self.owner
-            if giver is self.owner:
+            if sender is self.owner:
                 receiver = self.successor
             self.write_record(
                 successor=home_records.EntryId(
                     receiver.address, receiver.incarnation
                 )
             )
-            self.offer(giver)
+            self.offer(sender)
             self.network.deliver_all()
-            giver.keeper.set_leaving(False)
+            sender.keeper.set_leaving(False)
             self.assert_homes(receiver)
         self.successor.receive(offer)
         self.assert_homes(self.owner)
