List the modules for embedders

Cause: nothing said which modules others may build on. Change: the package's doc comment names them. Conclusion: all else may change without notice.

--- a/src/fireflywell/__init__.py
+++ b/src/fireflywell/__init__.py
@@ -1,4 +1,14 @@
 """Fleet capacity and maintenance manager.
 
-The parts for embedders are listed in docs/library.md.
+Modules for embedders; everything else may change without notice. The first
+four have examples in docs/library.md.
+
+- `clock`, `errors`, `supervision`: time, the exception tree, supervised tasks.
+- `platform.tables`, `platform.records`: what is needed of a table service.
+- `coordination.transactions`: conditional writes whose answers may be lost.
+- `coordination.leases`: leases with fencing tokens, without wall clocks.
+- `requests.service_queue`, `requests.retry_budget`, `requests.ejection`,
+  `requests.key_ledger`: decisions of a request path.
+- `fleet.budgets`, `fleet.waves`, `fleet.moves`, `fleet.placement`: decisions
+  about VMs and jobs.
 """
