--- a/src/fireflywell/__init__.py
+++ b/src/fireflywell/__init__.py
@@ -1,7 +1,7 @@
 """Fleet capacity and maintenance manager.
 
-Modules for embedders; everything else may change without notice. The first
-four have examples in docs/library.md.
+Modules for embedders; everything else may change without notice. The
+modules of `coordination` have examples in docs/library.md.
 
 - `clock`, `errors`, `supervision`: time, the exception tree, supervised tasks.
 - `platform.tables`, `platform.records`: what is needed of a table service.
