--- a/bench/rollout.py
+++ b/bench/rollout.py
@@ -10,24 +10,27 @@
 
 import argparse
 import dataclasses
+import datetime
 import json
 import pathlib
 import signal
 import statistics
 import tempfile
-import time
 
+import anyio
 from tools import local_operator
 from tools import local_processes
 from tools import local_system
 
+from fireflywell import clock as clock_lib
+
 _ENTRIES = 6
 _CONTROLS = 6
 _CALM_ROLLOUTS = 6
 _FAILING_ROLLOUTS = 3
 _REPLACING_ROLLOUTS = 3
-_LONGEST_SECONDS = 30.0
-_POLL_SECONDS = 0.005
+_POLL_INTERVAL = datetime.timedelta(milliseconds=5)
+_RECOVERY_TIME = datetime.timedelta(seconds=2)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,10 +60,13 @@
 class Bench:
     """A running deployment and the version that is in force."""
 
-    __slots__ = ("_operators", "_system", "_version")
+    __slots__ = ("_clock", "_operators", "_system", "_version")
 
-    def __init__(self, system: local_system.LocalSystem) -> None:
+    def __init__(
+        self, system: local_system.LocalSystem, clock: clock_lib.Clock
+    ) -> None:
         self._system = system
+        self._clock = clock
         self._operators = local_operator.LocalOperators(system)
         self._version = 0
 
@@ -87,7 +93,7 @@
             accepted = self._roll_out(is_store_failing=True)
             delays.extend(self._wait_for_all(accepted, {}))
             self._system.set_fault(kind="healthy")
-            time.sleep(2.0)
+            self._sleep(_RECOVERY_TIME)
         return Result("store down after first adoption", tuple(delays))
 
     def run_replacing(self) -> Result:
@@ -102,7 +108,7 @@
             accepted = self._roll_out()
             started: dict[str, float] = {}
             for number in replaced:
-                started[f"entry {number}"] = time.time()
+                started[f"entry {number}"] = self._read_time()
                 self._system.start_entry(number)
             delays.extend(self._wait_for_all(accepted, started))
         return Result("half the entries replaced", tuple(delays))
@@ -114,15 +120,22 @@
         signatures = self._operators.sign_bundle(path)
         process = self._operators.start_rollout(path, signatures)
         while self._read_version() < self._version:
-            time.sleep(_POLL_SECONDS)
-        accepted = time.time()
+            self._sleep(_POLL_INTERVAL)
+        accepted = self._read_time()
         if is_store_failing:
             while not any(map(self._find_adoption, _list_names())):
-                time.sleep(_POLL_SECONDS)
+                self._sleep(_POLL_INTERVAL)
             self._system.set_fault(kind="down")
         process.wait()
         return accepted
 
+    def _sleep(self, duration: datetime.timedelta) -> None:
+        anyio.run(self._clock.sleep, duration)
+
+    def _read_time(self) -> float:
+        """Returns the time in seconds since the epoch, as log lines have it."""
+        return self._clock.now().timestamp()
+
     def _read_version(self) -> int:
         row = self._system.read_rows("bundle/head").get("bundle/head")
         return 0 if row is None else int(row["head"]["version"])
@@ -132,17 +145,18 @@
     ) -> list[float]:
         """Returns each process's delay since acceptance or its own start."""
         names = _list_names()
-        deadline = time.monotonic() + _LONGEST_SECONDS
         adopted: dict[str, float] = {}
-        while len(adopted) < len(names):
-            if time.monotonic() > deadline:
-                missing = sorted(set(names) - set(adopted))
-                raise SystemExit(f"not in force at {', '.join(missing)}")
+
+        def is_everywhere() -> bool:
             for name in names:
                 found = self._find_adoption(name)
                 if found is not None:
                     adopted[name] = found
-            time.sleep(0.1)
+            return len(adopted) == len(names)
+
+        local_processes.wait_until(
+            is_everywhere, f"version {self._version} is in force everywhere"
+        )
         return [
             max(0.0, adopted[name] - max(accepted, started.get(name, 0.0)))
             for name in names
@@ -174,7 +188,8 @@
     with tempfile.TemporaryDirectory() as folder:
         directory = pathlib.Path(folder)
         with local_processes.ProcessGroup(directory) as group:
-            bench = Bench(local_system.LocalSystem(directory, group, layout))
+            system = local_system.LocalSystem(directory, group, layout)
+            bench = Bench(system, clock_lib.SystemClock())
             bench.start()
             results = (
                 bench.run_calm(),
