Move the clients of the table and object services out of platform/

The folder platform/ is to hold only the translation to the users' platform. The clients of the product's own table and object services move to infrastructure/; imports follow, nothing else changes.

--- a/bench/control_polls.py
+++ b/bench/control_polls.py
@@ -26,8 +26,8 @@
 from fireflywell import clock as clock_lib
 from fireflywell.control import instance_prober
 from fireflywell.fleet import instances
-from fireflywell.platform import machines
-from fireflywell.platform import records
+from fireflywell.infrastructure import machines
+from fireflywell.infrastructure import records
 
 _SIZES = (30, 300, 600, 1_200, 2_400)
 _REPEATS = 5
--- a/bench/fleet_day.py
+++ b/bench/fleet_day.py
@@ -14,7 +14,7 @@
 from fireflywell.fleet import moves
 from fireflywell.fleet import vm_records
 from fireflywell.fleet import waves
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 STEP_SECONDS = 5
 _START = datetime.datetime(2026, 6, 1, tzinfo=datetime.UTC)
--- a/bench/fleet_jobs.py
+++ b/bench/fleet_jobs.py
@@ -12,7 +12,7 @@
 from fireflywell.fleet import placement
 from fireflywell.fleet import preemption
 from fireflywell.fleet import worker_pool
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 # The scheduler's interval. Calls to the store and the workers take no time.
 ROUND_SECONDS = 0.25
--- a/bench/fleet_load.py
+++ b/bench/fleet_load.py
@@ -8,7 +8,7 @@
 from fireflywell.bundle import documents
 from fireflywell.bundle import model
 from fireflywell.fleet import demand
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 DAY_SECONDS = 86_400
 ZONES = 3
--- a/bench/passthrough.py
+++ b/bench/passthrough.py
@@ -31,8 +31,8 @@
 from fireflywell.entry import pause_guard
 from fireflywell.fleet import view as view_lib
 from fireflywell.fleet import vm_records
+from fireflywell.infrastructure import records
 from fireflywell.membership import links
-from fireflywell.platform import records
 from fireflywell.standins import endpoint
 from fireflywell.standins import endpoint_server
 from fireflywell.standins import table_store
--- a/bench/placement.py
+++ b/bench/placement.py
@@ -14,7 +14,7 @@
 from fireflywell.fleet import jobs
 from fireflywell.fleet import placement
 from fireflywell.fleet import worker_pool
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 _NOW = datetime.datetime(2026, 6, 1, tzinfo=datetime.UTC)
 _REPEATS = 5
--- a/bench/planning.py
+++ b/bench/planning.py
@@ -37,7 +37,7 @@
 from fireflywell.fleet import view
 from fireflywell.fleet import vm_records
 from fireflywell.fleet import waves
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import table_store
 
 _REPEATS = 5
--- a/src/fireflywell/bundle/acceptance.py
+++ b/src/fireflywell/bundle/acceptance.py
@@ -9,9 +9,9 @@
 from fireflywell.bundle import canonical
 from fireflywell.bundle import signatures
 from fireflywell.coordination import transactions
-from fireflywell.platform import objects as objects_lib
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import objects as objects_lib
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 
 HEAD_KEY = "bundle/head"
 _BODY_ATTEMPTS = 4
--- a/src/fireflywell/bundle/watcher.py
+++ b/src/fireflywell/bundle/watcher.py
@@ -14,11 +14,11 @@
 from fireflywell.bundle import peer_heads
 from fireflywell.bundle import signatures
 from fireflywell.coordination import transactions
+from fireflywell.infrastructure import objects as objects_lib
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 from fireflywell.membership import links as links_lib
 from fireflywell.membership import messages
-from fireflywell.platform import objects as objects_lib
-from fireflywell.platform import records
-from fireflywell.platform import tables
 from fireflywell.telemetry import logs
 
 _POLL_INTERVAL = datetime.timedelta(seconds=1)
--- a/src/fireflywell/cli/bundle_commands.py
+++ b/src/fireflywell/cli/bundle_commands.py
@@ -20,7 +20,7 @@
 from fireflywell.cli import running
 from fireflywell.cli import settings as cli_settings
 from fireflywell.fleet import vm_records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import tables
 
 _FILE = click.Path(path_type=pathlib.Path)
 _zones_option = click.option(
--- a/src/fireflywell/cli/fleet_rows.py
+++ b/src/fireflywell/cli/fleet_rows.py
@@ -12,8 +12,8 @@
 from fireflywell.coordination import lease_rows
 from fireflywell.fleet import jobs
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 
 T = TypeVar("T")
 
--- a/src/fireflywell/cli/job_changes.py
+++ b/src/fireflywell/cli/job_changes.py
@@ -12,8 +12,8 @@
 from fireflywell.fleet import jobs
 from fireflywell.fleet import placement
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 
 # A scheduler writes a job's row a few times in its life, so that more
 # conflicts in a row mean that something is wrong.
--- a/src/fireflywell/cli/job_commands.py
+++ b/src/fireflywell/cli/job_commands.py
@@ -16,7 +16,7 @@
 from fireflywell.cli import running
 from fireflywell.cli import settings as cli_settings
 from fireflywell.fleet import jobs
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 
 @click.group()
--- a/src/fireflywell/cli/job_wait.py
+++ b/src/fireflywell/cli/job_wait.py
@@ -8,7 +8,7 @@
 from fireflywell.cli import job_changes
 from fireflywell.cli import progress
 from fireflywell.fleet import jobs
-from fireflywell.platform import tables
+from fireflywell.infrastructure import tables
 
 _POLL_INTERVAL = datetime.timedelta(milliseconds=500)
 
--- a/src/fireflywell/cli/running.py
+++ b/src/fireflywell/cli/running.py
@@ -18,10 +18,10 @@
 from fireflywell import process
 from fireflywell import settings as settings_lib
 from fireflywell.cli import settings as cli_settings
-from fireflywell.platform import machines as machines_lib
-from fireflywell.platform import objects as objects_lib
-from fireflywell.platform import tables
-from fireflywell.platform import transport as transport_lib
+from fireflywell.infrastructure import machines as machines_lib
+from fireflywell.infrastructure import objects as objects_lib
+from fireflywell.infrastructure import tables
+from fireflywell.infrastructure import transport as transport_lib
 from fireflywell.telemetry import metrics
 
 T = TypeVar("T")
--- a/src/fireflywell/cli/status_command.py
+++ b/src/fireflywell/cli/status_command.py
@@ -16,8 +16,8 @@
 from fireflywell.cli import settings as cli_settings
 from fireflywell.cli import status_values
 from fireflywell.coordination import lease_rows
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 from fireflywell.supervision import supervisor as supervisor_lib
 
 
--- a/src/fireflywell/cli/vm_commands.py
+++ b/src/fireflywell/cli/vm_commands.py
@@ -14,7 +14,7 @@
 from fireflywell.cli import settings as cli_settings
 from fireflywell.fleet import vm_records
 from fireflywell.fleet import waves
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 # What the planner assumes until it has measured a VM.
 _TIME_PER_VM_SECONDS = 600.0
--- a/src/fireflywell/control/control_process.py
+++ b/src/fireflywell/control/control_process.py
@@ -26,14 +26,14 @@
 from fireflywell.fleet import instances as instances_lib
 from fireflywell.fleet import view as view_lib
 from fireflywell.fleet import vm_records
+from fireflywell.infrastructure import machines
+from fireflywell.infrastructure import objects
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
+from fireflywell.infrastructure import transport as transport_lib
 from fireflywell.membership import channel
 from fireflywell.membership import mesh as mesh_lib
 from fireflywell.membership import messages
-from fireflywell.platform import machines
-from fireflywell.platform import objects
-from fireflywell.platform import records
-from fireflywell.platform import tables
-from fireflywell.platform import transport as transport_lib
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
 from fireflywell.telemetry import logs
--- a/src/fireflywell/control/home_rows.py
+++ b/src/fireflywell/control/home_rows.py
@@ -3,7 +3,7 @@
 from fireflywell import errors
 from fireflywell.coordination import home_rows
 from fireflywell.fleet import instances as instances_lib
-from fireflywell.platform import tables
+from fireflywell.infrastructure import tables
 
 
 async def read_home_incarnations(
--- a/src/fireflywell/control/job_outcomes.py
+++ b/src/fireflywell/control/job_outcomes.py
@@ -9,7 +9,7 @@
 from fireflywell.fleet import quarantine as quarantine_lib
 from fireflywell.fleet import usage as usage_lib
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.telemetry import logs
 
 
--- a/src/fireflywell/control/job_store.py
+++ b/src/fireflywell/control/job_store.py
@@ -7,8 +7,8 @@
 from fireflywell import errors
 from fireflywell.coordination import transactions
 from fireflywell.fleet import jobs
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 
 # Rows in one transaction. One conflicting row refuses the whole batch, which
 # is then written row by row.
--- a/src/fireflywell/control/maintenance.py
+++ b/src/fireflywell/control/maintenance.py
@@ -20,7 +20,7 @@
 from fireflywell.fleet import moves
 from fireflywell.fleet import vm_records
 from fireflywell.fleet import waves
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
 
--- a/src/fireflywell/control/scheduler.py
+++ b/src/fireflywell/control/scheduler.py
@@ -22,7 +22,7 @@
 from fireflywell.fleet import quarantine as quarantine_lib
 from fireflywell.fleet import usage as usage_lib
 from fireflywell.fleet import vm_records
-from fireflywell.platform import machines
+from fireflywell.infrastructure import machines
 from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
 
--- a/src/fireflywell/control/task_board.py
+++ b/src/fireflywell/control/task_board.py
@@ -6,8 +6,8 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
-from fireflywell.platform import machines
-from fireflywell.platform import records
+from fireflywell.infrastructure import machines
+from fireflywell.infrastructure import records
 from fireflywell.telemetry import logs
 
 # A worker that isn't listed counts as gone only after the lease of any task
--- a/src/fireflywell/control/task_caller.py
+++ b/src/fireflywell/control/task_caller.py
@@ -10,8 +10,8 @@
 from fireflywell.coordination import leases
 from fireflywell.fleet import jobs
 from fireflywell.fleet import preemption
-from fireflywell.platform import machines
-from fireflywell.platform import records
+from fireflywell.infrastructure import machines
+from fireflywell.infrastructure import records
 from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
 
--- a/src/fireflywell/control/vm_store.py
+++ b/src/fireflywell/control/vm_store.py
@@ -6,8 +6,8 @@
 from fireflywell import errors
 from fireflywell.coordination import transactions
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 
 
 class VmStore:
--- a/src/fireflywell/control/vm_task.py
+++ b/src/fireflywell/control/vm_task.py
@@ -15,9 +15,9 @@
 from fireflywell.fleet import moves
 from fireflywell.fleet import view as view_lib
 from fireflywell.fleet import vm_records
-from fireflywell.platform import machines
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import machines
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 from fireflywell.telemetry import logs
 
 _PAUSE = datetime.timedelta(milliseconds=500)
--- a/src/fireflywell/control/worker_states.py
+++ b/src/fireflywell/control/worker_states.py
@@ -13,7 +13,7 @@
 from fireflywell.fleet import usage as usage_lib
 from fireflywell.fleet import vm_records
 from fireflywell.fleet import worker_pool
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fireflywell/coordination/home_rows.py
+++ b/src/fireflywell/coordination/home_rows.py
@@ -9,7 +9,7 @@
 import cattrs
 
 from fireflywell import settings as settings_lib
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.requests import home_records
 
 HOME_PREFIX = "home/"
--- a/src/fireflywell/coordination/lease_rows.py
+++ b/src/fireflywell/coordination/lease_rows.py
@@ -8,8 +8,8 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import transactions
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 
 LEASE_PREFIX = "lease/"
 FENCE_PREFIX = "fence/"
--- a/src/fireflywell/coordination/leases.py
+++ b/src/fireflywell/coordination/leases.py
@@ -15,8 +15,8 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import lease_rows
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 from fireflywell.telemetry import logs
 
 DEFAULT_DURATION = datetime.timedelta(seconds=5)
--- a/src/fireflywell/coordination/snapshots.py
+++ b/src/fireflywell/coordination/snapshots.py
@@ -2,8 +2,8 @@
 
 import dataclasses
 
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fireflywell/coordination/transactions.py
+++ b/src/fireflywell/coordination/transactions.py
@@ -5,8 +5,8 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 
 _INITIAL_PAUSE = datetime.timedelta(milliseconds=50)
 _MAXIMUM_PAUSE = datetime.timedelta(seconds=1)
--- a/src/fireflywell/entry/assembly.py
+++ b/src/fireflywell/entry/assembly.py
@@ -22,8 +22,8 @@
 from fireflywell.entry import result_copier
 from fireflywell.entry import status_page
 from fireflywell.fleet import view as view_lib
+from fireflywell.infrastructure import tables
 from fireflywell.membership import links as links_lib
-from fireflywell.platform import tables
 from fireflywell.requests import key_ledger
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
--- a/src/fireflywell/entry/entry_process.py
+++ b/src/fireflywell/entry/entry_process.py
@@ -19,14 +19,14 @@
 from fireflywell.entry import pause_guard
 from fireflywell.entry import settings as entry_settings
 from fireflywell.fleet import view as view_lib
+from fireflywell.infrastructure import machines
+from fireflywell.infrastructure import objects
+from fireflywell.infrastructure import tables
+from fireflywell.infrastructure import transport as transport_lib
 from fireflywell.membership import channel
 from fireflywell.membership import links as links_lib
 from fireflywell.membership import mesh as mesh_lib
 from fireflywell.membership import messages
-from fireflywell.platform import machines
-from fireflywell.platform import objects
-from fireflywell.platform import tables
-from fireflywell.platform import transport as transport_lib
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
 from fireflywell.telemetry import logs
--- a/src/fireflywell/entry/home_evidence.py
+++ b/src/fireflywell/entry/home_evidence.py
@@ -4,8 +4,8 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
+from fireflywell.infrastructure import machines
 from fireflywell.membership import links
-from fireflywell.platform import machines
 from fireflywell.requests import home_records
 from fireflywell.telemetry import logs
 
--- a/src/fireflywell/entry/home_keeper.py
+++ b/src/fireflywell/entry/home_keeper.py
@@ -15,10 +15,10 @@
 from fireflywell.entry import instance_status
 from fireflywell.fleet import instances as instances_lib
 from fireflywell.fleet import view as view_lib
+from fireflywell.infrastructure import machines
+from fireflywell.infrastructure import tables
 from fireflywell.membership import links as links_lib
 from fireflywell.membership import messages
-from fireflywell.platform import machines
-from fireflywell.platform import tables
 from fireflywell.requests import home_planner
 from fireflywell.requests import home_records
 from fireflywell.requests import home_world
--- a/src/fireflywell/entry/home_store.py
+++ b/src/fireflywell/entry/home_store.py
@@ -8,8 +8,8 @@
 from fireflywell import errors
 from fireflywell.coordination import home_rows
 from fireflywell.coordination import transactions
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 from fireflywell.requests import homes
 from fireflywell.telemetry import logs
 
--- a/src/fireflywell/entry/key_owner.py
+++ b/src/fireflywell/entry/key_owner.py
@@ -6,9 +6,9 @@
 from fireflywell import errors
 from fireflywell.entry import forwarding
 from fireflywell.entry import stored_results
+from fireflywell.infrastructure import tables
 from fireflywell.membership import links as links_lib
 from fireflywell.membership import messages
-from fireflywell.platform import tables
 from fireflywell.requests import classification
 from fireflywell.requests import idempotency
 from fireflywell.requests import key_ledger
--- a/src/fireflywell/entry/recorded_keys.py
+++ b/src/fireflywell/entry/recorded_keys.py
@@ -13,8 +13,8 @@
 from fireflywell.coordination import transactions
 from fireflywell.entry import run_control
 from fireflywell.entry import stored_results
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 from fireflywell.requests import idempotency
 from fireflywell.requests import outcomes
 
--- a/src/fireflywell/entry/result_copier.py
+++ b/src/fireflywell/entry/result_copier.py
@@ -10,8 +10,8 @@
 from fireflywell.coordination import transactions
 from fireflywell.entry import recorded_keys
 from fireflywell.entry import stored_results
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 from fireflywell.requests import key_ledger
 from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
--- a/src/fireflywell/fleet/fair_share.py
+++ b/src/fireflywell/fleet/fair_share.py
@@ -8,7 +8,7 @@
 
 from fireflywell.bundle import model
 from fireflywell.fleet import jobs
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 # From this long before its latest start a job's team gains share, up to
 # `_DEADLINE_BOOST` times its weight at the latest start.
--- a/src/fireflywell/fleet/instances.py
+++ b/src/fireflywell/fleet/instances.py
@@ -5,7 +5,7 @@
 
 from fireflywell.bundle import model
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fireflywell/fleet/job_steps.py
+++ b/src/fireflywell/fleet/job_steps.py
@@ -4,7 +4,7 @@
 
 from fireflywell.fleet import jobs
 from fireflywell.fleet import quarantine
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 # Attempts of a job that may fail before it is set aside.
 MAXIMUM_FAILURES = 5
--- a/src/fireflywell/fleet/jobs.py
+++ b/src/fireflywell/fleet/jobs.py
@@ -5,7 +5,7 @@
 import enum
 import json
 
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 JOB_PREFIX = "job/"
 
--- a/src/fireflywell/fleet/placement.py
+++ b/src/fireflywell/fleet/placement.py
@@ -11,7 +11,7 @@
 from fireflywell.fleet import jobs
 from fireflywell.fleet import preemption
 from fireflywell.fleet import worker_pool
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 # Starts in one round. A backlog is worked off in several rounds, so that an
 # urgent job never waits behind the store writes of thousands of others.
--- a/src/fireflywell/fleet/preemption.py
+++ b/src/fireflywell/fleet/preemption.py
@@ -6,7 +6,7 @@
 
 from fireflywell.fleet import jobs
 from fireflywell.fleet import worker_pool
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 # A throttled task keeps its memory and this part of its processors.
 THROTTLED_PART = 0.5
--- a/src/fireflywell/fleet/usage.py
+++ b/src/fireflywell/fleet/usage.py
@@ -4,7 +4,7 @@
 import datetime
 
 from fireflywell.fleet import jobs
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 # Weight of one observation in the running mean of a kind.
 _WEIGHT = 0.1
--- a/src/fireflywell/fleet/view.py
+++ b/src/fireflywell/fleet/view.py
@@ -11,9 +11,9 @@
 from fireflywell.bundle import holder as holder_lib
 from fireflywell.fleet import instances as instances_lib
 from fireflywell.fleet import vm_records
-from fireflywell.platform import machines
-from fireflywell.platform import records
-from fireflywell.platform import tables
+from fireflywell.infrastructure import machines
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 from fireflywell.telemetry import logs
 
 _POLL_INTERVAL = datetime.timedelta(seconds=1)
--- a/src/fireflywell/fleet/waves.py
+++ b/src/fireflywell/fleet/waves.py
@@ -8,7 +8,7 @@
 from fireflywell.bundle import model
 from fireflywell.fleet import budgets
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fireflywell/fleet/worker_pool.py
+++ b/src/fireflywell/fleet/worker_pool.py
@@ -6,7 +6,7 @@
 
 from fireflywell.fleet import fair_share
 from fireflywell.fleet import jobs
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 # Workers with room that are compared for a job; the tightest is taken. More
 # pack a little better and cost time at thousands of workers.
--- a/src/fireflywell/platform/machines.py
+++ b/src/fireflywell/infrastructure/machines.py
@@ -3,8 +3,8 @@
 from typing import Any
 from typing import Protocol
 
-from fireflywell.platform import records
-from fireflywell.platform import transport as transport_lib
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import transport as transport_lib
 
 
 class VmList(Protocol):
--- a/src/fireflywell/platform/objects.py
+++ b/src/fireflywell/infrastructure/objects.py
@@ -7,7 +7,7 @@
 import anyio.to_thread
 
 from fireflywell import errors
-from fireflywell.platform import transport as transport_lib
+from fireflywell.infrastructure import transport as transport_lib
 
 # Hashing more than this takes longer than a millisecond, so a thread does it.
 _HASH_IN_THREAD_BYTES = 256 * 1024
--- a/src/fireflywell/platform/tables.py
+++ b/src/fireflywell/infrastructure/tables.py
@@ -4,8 +4,8 @@
 from typing import Protocol
 import urllib.parse
 
-from fireflywell.platform import records
-from fireflywell.platform import transport as transport_lib
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import transport as transport_lib
 
 _PAGE_ROWS = 2_000
 
--- a/src/fireflywell/standins/deployment.py
+++ b/src/fireflywell/standins/deployment.py
@@ -11,7 +11,7 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.fleet import instances
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import balancer
 from fireflywell.standins import endpoint
 from fireflywell.standins import endpoint_server
--- a/src/fireflywell/standins/machines.py
+++ b/src/fireflywell/standins/machines.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from fireflywell import clock as clock_lib
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import task_changes
 from fireflywell.standins import worker as worker_lib
 
--- a/src/fireflywell/standins/platform.py
+++ b/src/fireflywell/standins/platform.py
@@ -9,7 +9,7 @@
 
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import faults
 from fireflywell.standins import machines as machines_lib
 from fireflywell.standins import table_store
--- a/src/fireflywell/standins/table_store.py
+++ b/src/fireflywell/standins/table_store.py
@@ -3,7 +3,7 @@
 import bisect
 
 from fireflywell import errors
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 
 class MemoryTable:
--- a/src/fireflywell/standins/task_changes.py
+++ b/src/fireflywell/standins/task_changes.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 
 class TaskChanges:
--- a/src/fireflywell/standins/worker.py
+++ b/src/fireflywell/standins/worker.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from fireflywell import clock as clock_lib
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 _THROTTLED_RATE = 0.5
 _USE_PATTERN = re.compile(r"\buse_(cores|memory_mb|accelerators)=([0-9.]+)")
--- a/tests/cli_world.py
+++ b/tests/cli_world.py
@@ -15,7 +15,7 @@
 from fireflywell.cli import main
 from fireflywell.fleet import jobs
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import faults
 from fireflywell.standins import machines
 from fireflywell.standins import platform
--- a/tests/control_world.py
+++ b/tests/control_world.py
@@ -11,9 +11,9 @@
 from fireflywell.fleet import instances as instances_lib
 from fireflywell.fleet import view as view_lib
 from fireflywell.fleet import vm_records
+from fireflywell.infrastructure import records
 from fireflywell.membership import links
 from fireflywell.membership import messages
-from fireflywell.platform import records
 from tests import fleet_samples
 
 _TICK = datetime.timedelta(milliseconds=250)
--- a/tests/entry_helpers.py
+++ b/tests/entry_helpers.py
@@ -16,10 +16,10 @@
 from fireflywell.entry import pause_guard
 from fireflywell.fleet import view as view_lib
 from fireflywell.fleet import vm_records
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
 from fireflywell.membership import links as links_lib
 from fireflywell.membership import messages
-from fireflywell.platform import records
-from fireflywell.platform import tables
 from fireflywell.requests import classification
 from fireflywell.requests import idempotency
 from fireflywell.standins import table_store
--- a/tests/fleet_samples.py
+++ b/tests/fleet_samples.py
@@ -3,7 +3,7 @@
 from fireflywell.bundle import model
 from fireflywell.fleet import budgets
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 ZONES = ("a", "b", "c")
 NO_BUDGET = model.Budget(0)
--- a/tests/homes_case.py
+++ b/tests/homes_case.py
@@ -5,7 +5,7 @@
 import unittest
 
 from fireflywell.coordination import home_rows
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.requests import home_records
 from tests import homes_helpers as helpers
 
--- a/tests/homes_helpers.py
+++ b/tests/homes_helpers.py
@@ -14,9 +14,9 @@
 from fireflywell.fleet import instances as instances_lib
 from fireflywell.fleet import view as view_lib
 from fireflywell.fleet import vm_records
+from fireflywell.infrastructure import records
 from fireflywell.membership import links
 from fireflywell.membership import messages
-from fireflywell.platform import records
 from fireflywell.standins import table_store
 
 ZONES = ("a", "b", "c")
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -16,7 +16,7 @@
 from fireflywell.coordination import leases
 from fireflywell.fleet import jobs
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import table_store
 from fireflywell.telemetry import metrics
 
--- a/tests/rollout_harness.py
+++ b/tests/rollout_harness.py
@@ -9,9 +9,9 @@
 from fireflywell.bundle import peer_heads
 from fireflywell.bundle import signatures
 from fireflywell.bundle import watcher
+from fireflywell.infrastructure import records
 from fireflywell.membership import links
 from fireflywell.membership import messages
-from fireflywell.platform import records
 from fireflywell.standins import table_store
 from tests import bundle_samples
 from tests import stepped_calls
--- a/tests/stepped_calls.py
+++ b/tests/stepped_calls.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from fireflywell import errors
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import table_store
 
 
--- a/tests/test_bundle_rollout.py
+++ b/tests/test_bundle_rollout.py
@@ -7,8 +7,8 @@
 from fireflywell.bundle import acceptance
 from fireflywell.bundle import signatures
 from fireflywell.coordination import snapshots
+from fireflywell.infrastructure import records
 from fireflywell.membership import messages
-from fireflywell.platform import records
 from tests import bundle_samples
 from tests import rollout_harness
 from tests import stepped_calls
--- a/tests/test_bundle_tasks.py
+++ b/tests/test_bundle_tasks.py
@@ -17,11 +17,11 @@
 from fireflywell.bundle import watcher
 from fireflywell.entry import entry_process
 from fireflywell.entry import settings as entry_settings
+from fireflywell.infrastructure import records
+from fireflywell.infrastructure import tables
+from fireflywell.infrastructure import transport as transport_lib
 from fireflywell.membership import links
 from fireflywell.membership import messages
-from fireflywell.platform import records
-from fireflywell.platform import tables
-from fireflywell.platform import transport as transport_lib
 from fireflywell.standins import machines
 from fireflywell.standins import platform
 from fireflywell.standins import table_store
--- a/tests/test_cli_bundles.py
+++ b/tests/test_cli_bundles.py
@@ -17,7 +17,7 @@
 from fireflywell import errors
 from fireflywell.cli import main
 from fireflywell.cli import rollout_wait
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import faults
 from fireflywell.standins import machines
 from fireflywell.standins import platform
--- a/tests/test_cli_fleet.py
+++ b/tests/test_cli_fleet.py
@@ -7,7 +7,7 @@
 from fireflywell.coordination import lease_rows
 from fireflywell.fleet import jobs
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import faults
 from tests import cli_world
 
--- a/tests/test_cli_jobs.py
+++ b/tests/test_cli_jobs.py
@@ -18,7 +18,7 @@
 from fireflywell.fleet import job_steps
 from fireflywell.fleet import jobs
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import faults
 from fireflywell.standins import table_store
 from tests import cli_world
--- a/tests/test_coordination_fencing.py
+++ b/tests/test_coordination_fencing.py
@@ -9,7 +9,7 @@
 
 from fireflywell import errors
 from fireflywell.coordination import lease_rows
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from tests import lease_harness
 from tests import stepped_calls
 
--- a/tests/test_coordination_leases.py
+++ b/tests/test_coordination_leases.py
@@ -9,7 +9,7 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import leases
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import table_store
 from tests import lease_harness
 from tests import stepped_calls
--- a/tests/test_coordination_transactions.py
+++ b/tests/test_coordination_transactions.py
@@ -11,7 +11,7 @@
 
 from fireflywell import errors
 from fireflywell.coordination import transactions
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from tests import stepped_calls
 
 Fate = stepped_calls.Fate
--- a/tests/test_entry_stop.py
+++ b/tests/test_entry_stop.py
@@ -13,7 +13,7 @@
 from fireflywell.entry import entry_process
 from fireflywell.entry import settings as entry_settings
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import endpoint
 from fireflywell.standins import machines
 from fireflywell.standins import platform
--- a/tests/test_fleet_view.py
+++ b/tests/test_fleet_view.py
@@ -8,7 +8,7 @@
 from fireflywell import clock as clock_lib
 from fireflywell.fleet import view as view_lib
 from fireflywell.fleet import vm_records
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import table_store
 from tests import control_world
 from tests import fleet_samples
--- a/tests/test_idempotency_recorded.py
+++ b/tests/test_idempotency_recorded.py
@@ -6,7 +6,7 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.entry import recorded_keys
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.requests import idempotency
 from fireflywell.requests import outcomes
 from fireflywell.standins import table_store
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -11,7 +11,7 @@
 from fireflywell.fleet import quarantine
 from fireflywell.fleet import usage
 from fireflywell.fleet import worker_pool
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from tests import job_world
 
 NOW = datetime.datetime(2026, 6, 1, tzinfo=datetime.UTC)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -12,7 +12,7 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 from fireflywell.standins import deployment
 from fireflywell.standins import endpoint
 from fireflywell.standins import endpoint_server
--- a/tools/local_operator.py
+++ b/tools/local_operator.py
@@ -8,7 +8,7 @@
 from tools import local_system
 
 from fireflywell.fleet import jobs
-from fireflywell.platform import records
+from fireflywell.infrastructure import records
 
 JOB_KIND = "reports"
 JOB_TEAM = "operations"
