--- a/src/fireflywell/clock.py
+++ b/src/fireflywell/clock.py
@@ -46,6 +46,21 @@
         await anyio.sleep(max(0.0, duration.total_seconds()))
 
 
+class SuspendAwareClock(SystemClock):
+    """Counts the time for which the machine was suspended.
+
+    A lease must not seem valid because its holder's clock stood still.
+    """
+
+    __slots__ = ()
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns the time since boot, suspensions included."""
+        return datetime.timedelta(
+            seconds=time.clock_gettime(time.CLOCK_BOOTTIME)
+        )
+
+
 class ManualClock:
     """A clock that moves only when `advance` is called.
 
--- /dev/null
+++ b/src/fireflywell/coordination/row_store.py
@@ -0,0 +1,134 @@
+"""Interface of a transactional store of rows in tables and partitions.
+
+A row has a table, a partition and a key. A transaction touches one partition
+and may touch any of its tables. The implementation for the users' platform is
+in `platform/store.py`; tests use the one in `standins/row_store.py`.
+"""
+
+import dataclasses
+import datetime
+from typing import Protocol
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowKey:
+    """Place of a row."""
+
+    table: str
+    partition: str
+    key: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """A row, or the mark that it was removed.
+
+    Attributes:
+        place: Place of the row.
+        value: Contents; empty if the row was removed.
+        version: Version of the store at the row's last change; 0 if the row
+            doesn't exist.
+        is_removed: Whether the row was removed.
+    """
+
+    place: RowKey
+    value: bytes
+    version: int
+    is_removed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expected:
+    """Condition of a transaction: a row must have this version."""
+
+    place: RowKey
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Put:
+    """Contents that a transaction writes."""
+
+    place: RowKey
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Transaction:
+    """Changes that are applied together if all conditions hold."""
+
+    expected: tuple[Expected, ...] = ()
+    puts: tuple[Put, ...] = ()
+    removes: tuple[RowKey, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Committed:
+    """The transaction was applied at this version."""
+
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Conflict:
+    """A condition didn't hold; nothing was applied.
+
+    Attributes:
+        rows: Current rows of the conditions.
+    """
+
+    rows: tuple[Row, ...]
+
+    def find_version(self, place: RowKey) -> int:
+        """Returns the current version of a row; 0 if it doesn't exist."""
+        for row in self.rows:
+            if row.place == place:
+                return row.version
+        return 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """Rows as of one moment, or changes in order.
+
+    Attributes:
+        rows: The rows.
+        version: Newest version of the store that the page covers.
+        has_more: Whether a further read is needed.
+    """
+
+    rows: tuple[Row, ...]
+    version: int
+    has_more: bool = False
+
+
+class RowStore(Protocol):
+    """What this package needs of the store.
+
+    All methods raise `PlatformUnavailableError` if nothing was done and
+    `AnswerLostError` if the call may have been carried out.
+    """
+
+    async def transact(
+        self,
+        transaction: Transaction,
+        timeout: datetime.timedelta | None = None,
+    ) -> Committed | Conflict:
+        """Applies a transaction if all its conditions hold."""
+
+    async def read(
+        self, table: str, partition: str, first: str = "", end: str = ""
+    ) -> Page:
+        """Returns all rows of a partition of a table, from `first` to `end`."""
+
+    async def follow(
+        self, table: str, after: int, wait: datetime.timedelta
+    ) -> Page:
+        """Returns the changes of a table after a version; waits for one.
+
+        Raises:
+            HistoryLostError: The changes are no longer available.
+        """
+
+    def now_s(self) -> float:
+        """Returns an estimate of the store's steady clock, in seconds."""
--- a/src/fireflywell/errors.py
+++ b/src/fireflywell/errors.py
@@ -48,6 +48,22 @@
     """A change may or may not have been applied, and reading can't tell."""
 
 
+class CorruptRowError(FireflywellError):
+    """A row of the store doesn't hold what its table is for."""
+
+
+class HistoryLostError(FireflywellError):
+    """The store no longer has the changes that a follower asked for."""
+
+
+class TenureLostError(FireflywellError):
+    """Another process owns the service now."""
+
+
+class MalformedRequestError(FireflywellError):
+    """A caller's request can't be understood."""
+
+
 class ConflictError(FireflywellError):
     """A compare-and-set found another version than expected."""
 
--- /dev/null
+++ b/src/fireflywell/http_client.py
@@ -0,0 +1,230 @@
+"""Lean HTTP/1.1 client: keep-alive connections to one address.
+
+httpcore spends several times the processor time of this on a call, and the
+machines have about one core for hundreds of calls a second; httptools parses
+responses in C.
+"""
+
+import dataclasses
+import datetime
+from typing import Self
+
+import anyio
+import anyio.abc
+import httptools
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+
+_RECEIVE_BYTES = 65536
+
+# An idle connection is closed after this time, before most servers do.
+_IDLE_TIMEOUT = datetime.timedelta(seconds=8)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A complete response.
+
+    Attributes:
+        status: Status code.
+        body: Body.
+        elapsed: Time from sending the request to the end of the response.
+    """
+
+    status: int
+    body: bytes
+    elapsed: datetime.timedelta
+
+
+class _ResponseCollector:
+    """Receives the events of one response from the parser."""
+
+    __slots__ = ("body", "is_complete", "keeps_alive")
+
+    def __init__(self) -> None:
+        self.body = bytearray()
+        self.is_complete = False
+        self.keeps_alive = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Notes whether the server closes the connection."""
+        if name.lower() == b"connection" and value.lower() == b"close":
+            self.keeps_alive = False
+
+    def on_body(self, data: bytes) -> None:
+        """Collects a part of the body."""
+        self.body += data
+
+    def on_message_complete(self) -> None:
+        """Notes the end of the response."""
+        self.is_complete = True
+
+
+class Connection:
+    """One connection; it carries one call at a time."""
+
+    __slots__ = ("_clock", "_stream", "idle_since")
+
+    def __init__(
+        self, stream: anyio.abc.SocketStream, clock: clock_lib.Clock
+    ) -> None:
+        self._stream = stream
+        self._clock = clock
+        self.idle_since = clock.monotonic()
+
+    @classmethod
+    async def open(cls, host: str, port: int, clock: clock_lib.Clock) -> Self:
+        """Connects to an address.
+
+        Raises:
+            OSError: The address can't be reached.
+        """
+        return cls(await anyio.connect_tcp(host, port), clock)
+
+    async def exchange(self, request: bytes) -> tuple[Response, bool]:
+        """Sends a request and reads its response.
+
+        Returns:
+            The response, and whether the connection can be used again.
+
+        Raises:
+            AnswerLostError: The connection ended before the response did.
+        """
+        started = self._clock.monotonic()
+        collector = _ResponseCollector()
+        parser = httptools.HttpResponseParser(collector)
+        try:
+            await self._stream.send(request)
+            while not collector.is_complete:
+                parser.feed_data(await self._stream.receive(_RECEIVE_BYTES))
+        except (
+            anyio.BrokenResourceError,
+            anyio.ClosedResourceError,
+            anyio.EndOfStream,
+            OSError,
+            httptools.HttpParserError,
+        ) as error:
+            raise errors.AnswerLostError(
+                f"the connection ended before the response did: {error!r}"
+            ) from error
+        self.idle_since = self._clock.monotonic()
+        response = Response(
+            parser.get_status_code(),
+            bytes(collector.body),
+            self.idle_since - started,
+        )
+        return response, collector.keeps_alive
+
+    async def close(self) -> None:
+        """Closes the connection without waiting for the other side."""
+        await anyio.aclose_forcefully(self._stream)
+
+
+class HttpClient:
+    """Calls to one address over a bounded number of connections."""
+
+    __slots__ = (
+        "_address",
+        "_clock",
+        "_host",
+        "_idle",
+        "_limiter",
+        "_port",
+    )
+
+    def __init__(
+        self, address: str, clock: clock_lib.Clock, max_connections: int
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        self._address = address
+        self._host = host
+        self._port = int(port)
+        self._clock = clock
+        self._idle: list[Connection] = []
+        self._limiter = anyio.CapacityLimiter(max_connections)
+
+    @property
+    def address(self) -> str:
+        """Host and port."""
+        return self._address
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout: datetime.timedelta,
+        headers: str = "",
+    ) -> Response:
+        """Sends one call and returns its response.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: JSON body, empty for none.
+            timeout: Limit for the whole call.
+            headers: Further header lines, each ending with CR LF.
+
+        Raises:
+            PlatformUnavailableError: The request was not sent.
+            AnswerLostError: The request may have been carried out.
+        """
+        head = f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n{headers}"
+        if body:
+            head += (
+                "Content-Type: application/json\r\n"
+                f"Content-Length: {len(body)}\r\n"
+            )
+        elif method != "GET":
+            head += "Content-Length: 0\r\n"
+        request = head.encode("latin-1") + b"\r\n" + body
+        async with self._limiter:
+            return await self._send(request, timeout)
+
+    async def close(self) -> None:
+        """Closes all idle connections."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            await connection.close()
+
+    async def _send(
+        self, request: bytes, timeout: datetime.timedelta
+    ) -> Response:
+        connection: Connection | None = None
+        is_reusable = False
+        try:
+            with anyio.fail_after(timeout.total_seconds()):
+                connection = await self._take_connection()
+                response, is_reusable = await connection.exchange(request)
+                return response
+        except TimeoutError as error:
+            # Other idle connections may be silent for the same reason.
+            await self.close()
+            if connection is None:
+                raise errors.PlatformUnavailableError(
+                    f"{self._address} can't be reached within {timeout}"
+                ) from error
+            raise errors.AnswerLostError(
+                f"{self._address} didn't answer within {timeout}"
+            ) from error
+        finally:
+            if connection is not None:
+                if is_reusable:
+                    self._idle.append(connection)
+                else:
+                    await connection.close()
+
+    async def _take_connection(self) -> Connection:
+        oldest_allowed = self._clock.monotonic() - _IDLE_TIMEOUT
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.idle_since >= oldest_allowed:
+                return connection
+            await connection.close()
+        try:
+            return await Connection.open(self._host, self._port, self._clock)
+        except OSError as error:
+            raise errors.PlatformUnavailableError(
+                f"{self._address} can't be reached: {error}"
+            ) from error
--- /dev/null
+++ b/src/fireflywell/node/__init__.py
@@ -0,0 +1,1 @@
+"""The process on each machine: callers' interface and owned services."""
--- /dev/null
+++ b/src/fireflywell/node/heartbeat.py
@@ -0,0 +1,167 @@
+"""Renews this node's row, which keeps its duties, and reads the others'."""
+
+import datetime
+
+import anyio
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.coordination import row_store
+from fireflywell.node import directory as directory_lib
+from fireflywell.node import settings as node_settings
+from fireflywell.node import tables
+from fireflywell.telemetry import logs
+
+# Three renewals fit into the lease, so one lost call doesn't end it.
+_RENEWALS_PER_LEASE = 3
+
+# The holder stops this share of the lease before others may take over.
+_VALID_SHARE = 0.85
+
+
+class Heartbeat:
+    """Renews one node's row in the store.
+
+    The holder counts its lease from before the call that renewed it; others
+    count from when they saw the change. So the holder always stops first.
+    """
+
+    __slots__ = (
+        "_beats",
+        "_clock",
+        "_directory",
+        "_incarnation",
+        "_is_lost",
+        "_lease",
+        "_renewed_at",
+        "_settings",
+        "_stopping",
+        "_store",
+        "_version",
+        "rounds",
+    )
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        incarnation: str,
+        store: row_store.RowStore,
+        directory: directory_lib.NodeDirectory,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._settings = settings
+        self._incarnation = incarnation
+        self._store = store
+        self._directory = directory
+        self._clock = clock
+        self._lease = settings.bounds.lease
+        self._beats = 0
+        self._version: int | None = None
+        self._renewed_at: datetime.timedelta | None = None
+        self._stopping = False
+        self._is_lost = False
+        self.rounds = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Identifies this run of the process."""
+        return self._incarnation
+
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the node takes no more duties."""
+        return self._stopping
+
+    @property
+    def is_valid(self) -> bool:
+        """Whether this node may still give orders."""
+        return self.measure_lapse() <= datetime.timedelta()
+
+    def measure_lapse(self) -> datetime.timedelta:
+        """Returns for how long the lease has been over; negative before."""
+        if self._renewed_at is None:
+            return datetime.timedelta.max
+        elapsed = self._clock.monotonic() - self._renewed_at
+        return elapsed - self._lease * _VALID_SHARE
+
+    async def run(self) -> None:
+        """Renews until cancelled."""
+        interval = self._lease / _RENEWALS_PER_LEASE
+        while True:
+            started = self._clock.monotonic()
+            await self._renew_once()
+            elapsed = self._clock.monotonic() - started
+            await self._clock.sleep(
+                max(interval - elapsed, datetime.timedelta(milliseconds=50))
+            )
+
+    async def announce_stop(self) -> None:
+        """Tells the other nodes that this one takes no more duties."""
+        self._stopping = True
+        with anyio.move_on_after(1):
+            await self._renew_once()
+
+    async def _renew_once(self) -> None:
+        try:
+            if self._version is None:
+                # The first read decides what the first write replaces.
+                page = await self._read_nodes()
+                self._version = _find_version(page, self._settings.name)
+            started = self._clock.monotonic()
+            if await self._write_row():
+                self._renewed_at = started
+                await self._read_nodes()
+                self.rounds += 1
+        except errors.PlatformError as error:
+            self._note_failure(error)
+        else:
+            self._note_success()
+
+    async def _read_nodes(self) -> row_store.Page:
+        page = await self._store.read(tables.NODES, "")
+        self._directory.observe(page.rows)
+        return page
+
+    async def _write_row(self) -> bool:
+        place = directory_lib.locate_node(self._settings.name)
+        self._beats += 1
+        record = directory_lib.NodeRecord(
+            self._settings.name,
+            self._incarnation,
+            self._settings.callers_address,
+            self._beats,
+            self._stopping,
+        )
+        result = await self._store.transact(
+            row_store.Transaction(
+                expected=(row_store.Expected(place, self._version or 0),),
+                puts=(row_store.Put(place, directory_lib.encode_node(record)),),
+            ),
+            self._lease / _RENEWALS_PER_LEASE,
+        )
+        match result:
+            case row_store.Committed(version=version):
+                self._version = version
+                return True
+            case row_store.Conflict() as conflict:
+                # An earlier write whose answer was lost, or the last write of
+                # this address's previous process.
+                self._version = conflict.find_version(place)
+                return False
+
+    def _note_failure(self, error: Exception) -> None:
+        if not self._is_lost:
+            self._is_lost = True
+            logs.log_event("heartbeat.lost", error=str(error))
+
+    def _note_success(self) -> None:
+        if self._is_lost:
+            self._is_lost = False
+            logs.log_event("heartbeat.regained")
+
+
+def _find_version(page: row_store.Page, name: str) -> int:
+    for row in page.rows:
+        if row.place.key == name:
+            return row.version
+    return 0
--- /dev/null
+++ b/src/fireflywell/node/job_desk.py
@@ -0,0 +1,219 @@
+"""Accepts, shows and cancels jobs for callers, on any node."""
+
+import collections
+import dataclasses
+import datetime
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.coordination import row_store
+from fireflywell.node import configuration as configuration_lib
+from fireflywell.node import tables
+from fireflywell.scheduling import job_rows
+from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import model
+from fireflywell.telemetry import logs
+
+# A store call that failed is sent again until this share of the caller's
+# deadline has passed.
+_DEADLINE_SHARE = 0.8
+
+_RETRY_DELAY = datetime.timedelta(milliseconds=60)
+
+# A queue's stored figure is replaced by a count if it is older than this.
+_FIGURE_AGE_S = 1.8
+
+# Jobs whose service is remembered, to read their state in one call.
+_REMEMBERED_JOBS = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """The job is stored and will run."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotStored:
+    """The job was surely not stored and never runs."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OutcomeOpen:
+    """The change may have been stored; the caller has to ask again."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnknownJob:
+    """No such job exists."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shown:
+    """A job's state."""
+
+    state: jobs_lib.JobState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancelled:
+    """The cancellation is stored."""
+
+
+class JobDesk:
+    """Callers' changes and questions, answered from the store."""
+
+    __slots__ = ("_clock", "_services", "_store")
+
+    def __init__(
+        self, store: row_store.RowStore, clock: clock_lib.Clock
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        # Service that holds a job, by job.
+        self._services: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+
+    async def submit(
+        self,
+        job_id: str,
+        policy: model.QueuePolicy,
+        request: model.JobRequest,
+        limit: datetime.timedelta,
+    ) -> Accepted | NotStored | OutcomeOpen:
+        """Stores a job; one that is there already is accepted again."""
+        submission = model.Submission(
+            job_id, policy, request, self._store.now_s()
+        )
+        place = tables.locate_job(policy.service, job_id)
+        transaction = row_store.Transaction(
+            (row_store.Expected(place, 0),),
+            (row_store.Put(place, job_rows.encode_submission(submission)),),
+        )
+        deadline = self._clock.monotonic() + limit * _DEADLINE_SHARE
+        is_maybe_stored = False
+        while True:
+            try:
+                await self._store.transact(transaction)
+            except errors.PlatformUnavailableError:
+                pass
+            except errors.PlatformError:
+                is_maybe_stored = True
+            else:
+                # A conflict means that the job is stored already.
+                self._remember(job_id, policy.service)
+                return Accepted()
+            if self._clock.monotonic() + _RETRY_DELAY > deadline:
+                return OutcomeOpen() if is_maybe_stored else NotStored()
+            await self._clock.sleep(_RETRY_DELAY)
+
+    async def show(
+        self, job_id: str, policy: model.QueuePolicy
+    ) -> Shown | UnknownJob:
+        """Returns a job's state.
+
+        Raises:
+            PlatformError: The store doesn't answer.
+        """
+        service = self._services.get(job_id, policy.service)
+        progress = await self._read_row(tables.locate_progress(service, job_id))
+        if progress is not None:
+            stored = job_rows.decode_progress(progress.value)
+            return Shown(stored.state)
+        if job_id in self._services:
+            # Accepted here, and its owner has stored no progress yet.
+            return Shown(jobs_lib.JobState.QUEUED)
+        job = await self._read_row(tables.locate_job(service, job_id))
+        if job is None:
+            return UnknownJob()
+        self._remember(job_id, service)
+        return Shown(jobs_lib.JobState.QUEUED)
+
+    async def cancel(
+        self, job_id: str, policy: model.QueuePolicy, limit: datetime.timedelta
+    ) -> Cancelled | UnknownJob | OutcomeOpen:
+        """Stores that a job is cancelled."""
+        deadline = self._clock.monotonic() + limit * _DEADLINE_SHARE
+        while True:
+            try:
+                return await self._cancel_once(job_id, policy)
+            except errors.PlatformError:
+                if self._clock.monotonic() + _RETRY_DELAY > deadline:
+                    return OutcomeOpen()
+            await self._clock.sleep(_RETRY_DELAY)
+
+    async def count_waiting(self, policy: model.QueuePolicy) -> int:
+        """Returns how many jobs of a queue have not started.
+
+        Raises:
+            PlatformError: The store doesn't answer.
+        """
+        place = tables.locate_queue(policy.service, policy.queue)
+        row = await self._read_row(place)
+        if row is not None:
+            count, _, at_s = row.value.decode().partition(" ")
+            if self._store.now_s() - float(at_s) < _FIGURE_AGE_S:
+                return int(count)
+        return await self._count_rows(policy)
+
+    async def _count_rows(self, policy: model.QueuePolicy) -> int:
+        service = policy.service
+        jobs = await self._store.read(tables.name_jobs_table(service), service)
+        progress = await self._store.read(
+            tables.name_progress_table(service), service
+        )
+        started = {row.place.key for row in progress.rows}
+        cancelled = {
+            tables.split_cancel_key(row.place.key) for row in jobs.rows
+        }
+        count = 0
+        for row in jobs.rows:
+            job_id = row.place.key
+            if job_id in started or job_id in cancelled:
+                continue
+            if tables.split_cancel_key(job_id) is not None:
+                continue
+            submission = job_rows.decode_submission(row.value)
+            count += submission.policy.queue == policy.queue
+        return count
+
+    async def _cancel_once(
+        self, job_id: str, policy: model.QueuePolicy
+    ) -> Cancelled | UnknownJob:
+        service = self._services.get(job_id, policy.service)
+        if job_id not in self._services:
+            job = await self._read_row(tables.locate_job(service, job_id))
+            if job is None:
+                return UnknownJob()
+        place = tables.locate_cancel(service, job_id)
+        await self._store.transact(
+            row_store.Transaction((), (row_store.Put(place, b""),))
+        )
+        return Cancelled()
+
+    async def _read_row(self, place: row_store.RowKey) -> row_store.Row | None:
+        page = await self._store.read(
+            place.table, place.partition, place.key, place.key + "\x00"
+        )
+        return page.rows[0] if page.rows else None
+
+    def _remember(self, job_id: str, service: str) -> None:
+        self._services[job_id] = service
+        if len(self._services) > _REMEMBERED_JOBS:
+            self._services.popitem(last=False)
+
+
+def log_refusal(
+    job_id: str,
+    reason: str,
+    status: int,
+    configuration: configuration_lib.Configuration | None,
+) -> None:
+    """Writes the log line for a request that is turned away."""
+    logs.log_event(
+        "job.refused",
+        job=job_id,
+        reason=reason,
+        status=status,
+        configuration=configuration.version if configuration else None,
+    )
--- /dev/null
+++ b/src/fireflywell/node/job_loader.py
@@ -0,0 +1,124 @@
+"""Brings rows of accepted jobs and cancellations to a board."""
+
+from collections.abc import Callable
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.coordination import row_store
+from fireflywell.node import progress_writer
+from fireflywell.node import tables
+from fireflywell.scheduling import board as board_lib
+from fireflywell.scheduling import job_rows
+from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.telemetry import logs
+
+
+class JobLoader:
+    """Adds jobs to a board as their rows appear."""
+
+    __slots__ = (
+        "_board",
+        "_clock",
+        "_is_first",
+        "_on_change",
+        "_progress",
+        "_service",
+        "_store",
+        "_writer",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        board: board_lib.Board,
+        writer: progress_writer.ProgressWriter,
+        store: row_store.RowStore,
+        clock: clock_lib.Clock,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._service = service
+        self._board = board
+        self._writer = writer
+        self._store = store
+        self._clock = clock
+        self._on_change = on_change
+        self._progress: dict[str, row_store.Row] = {}
+        self._is_first = True
+
+    async def load_progress(self) -> None:
+        """Reads the progress that earlier owners stored.
+
+        Must run after the claim: from then on nobody else writes progress.
+        """
+        table = tables.name_progress_table(self._service)
+        page = await self._store.read(table, self._service)
+        self._progress = {row.place.key: row for row in page.rows}
+
+    def apply_snapshot(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Takes all rows into account."""
+        self.apply_changes(rows)
+        if self._is_first:
+            logs.log_event(
+                "ownership.loaded",
+                service=self._service,
+                active=len(self._board.jobs),
+                final=len(self._board.finals),
+            )
+        self._is_first = False
+        self._progress = {}
+
+    def apply_changes(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Takes changed rows into account."""
+        cancelled = []
+        for row in rows:
+            if row.is_removed or row.place.partition != self._service:
+                continue
+            job_id = tables.split_cancel_key(row.place.key)
+            if job_id is not None:
+                cancelled.append(job_id)
+            else:
+                self._add_job(row)
+        for job_id in cancelled:
+            if job_id in self._board.jobs:
+                logs.log_event("job.cancel_seen", job=job_id)
+            self._board.cancel_job(job_id)
+        self._writer.wake()
+        self._on_change()
+
+    def _add_job(self, row: row_store.Row) -> None:
+        job_id = row.place.key
+        if job_id in self._board.jobs or job_id in self._board.finals:
+            return
+        try:
+            submission = job_rows.decode_submission(row.value)
+        except errors.CorruptRowError as error:
+            logs.log_event("job.unreadable", job=job_id, error=str(error))
+            return
+        now_s = self._clock.monotonic().total_seconds()
+        job = board_lib.make_job(submission, self._store.now_s(), now_s)
+        job.is_inherited = self._is_first
+        self._restore_progress(job)
+        self._board.add_job(job)
+        if not job.is_inherited:
+            logs.log_event(
+                "job.seen",
+                job=job_id,
+                queue=submission.policy.queue,
+                units=sum(s.count for s in submission.request.steps),
+                age_s=round(now_s - job.arrived_s, 3),
+                row_version=row.version,
+            )
+
+    def _restore_progress(self, job: jobs_lib.Job) -> None:
+        row = self._progress.get(job.job_id)
+        if row is None:
+            return
+        try:
+            progress = job_rows.decode_progress(row.value)
+        except errors.CorruptRowError as error:
+            logs.log_event("job.unreadable", job=job.job_id, error=str(error))
+            return
+        job_rows.restore(job, progress)
+        job.row_version = row.version
+        if progress.state.is_final:
+            self._writer.note_final(job.job_id, progress.ended_at_s)
--- /dev/null
+++ b/src/fireflywell/node/node_process.py
@@ -0,0 +1,321 @@
+"""The node process: callers' interface and the services that it owns."""
+
+from collections.abc import Callable
+import dataclasses
+import datetime
+import random
+import uuid
+
+import anyio
+
+from fireflywell import asgi
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.coordination import row_store
+from fireflywell.node import configuration as configuration_lib
+from fireflywell.node import directory as directory_lib
+from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import job_desk
+from fireflywell.node import ownership
+from fireflywell.node import service_owner
+from fireflywell.node import settings as node_settings
+from fireflywell.node import table_follower
+from fireflywell.node import tables
+from fireflywell.scheduling import orders
+from fireflywell.scheduling import workers as workers_lib
+from fireflywell.supervision import policies
+from fireflywell.supervision import supervisor as supervisor_lib
+from fireflywell.telemetry import logs
+
+# Workers renew their entries all the time; changes are taken in steps.
+_INSTANCES_PAUSE = datetime.timedelta(milliseconds=300)
+_OWNERS_PAUSE = datetime.timedelta(milliseconds=150)
+
+# Requests that are still being answered at a stop get this share of the
+# grace period.
+_DRAIN_SHARE = 0.6
+
+# The load balancer asks once a second and needs two failures.
+_BALANCER_NOTICE = datetime.timedelta(seconds=2.2)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Boundary:
+    """What translates between the node and its surroundings.
+
+    Attributes:
+        store: The row store.
+        decode_configuration: Reads the operator's configuration.
+        decode_instance: Reads a worker's entry.
+        make_client: Connects to a worker.
+        make_callers_api: Builds the callers' interface.
+        make_readiness_api: Builds the load balancer's interface.
+    """
+
+    store: row_store.RowStore
+    decode_configuration: Callable[[bytes], configuration_lib.Configuration]
+    decode_instance: Callable[[str, bytes], workers_lib.WorkerInstance]
+    make_client: Callable[[workers_lib.WorkerInstance], orders.WorkerClient]
+    make_callers_api: Callable[
+        [job_desk.JobDesk, directory_lib.ConfigurationHolder],
+        asgi.Application,
+    ]
+    make_readiness_api: Callable[[Callable[[], bool]], asgi.Application]
+
+
+class InstanceRegistry:
+    """Workers as they list themselves in the store."""
+
+    __slots__ = ("_decode", "_instances", "_reported")
+
+    def __init__(
+        self, decode: Callable[[str, bytes], workers_lib.WorkerInstance]
+    ) -> None:
+        self._decode = decode
+        self._instances: dict[str, workers_lib.WorkerInstance] = {}
+        # Entries that can't be read are logged once.
+        self._reported: set[str] = set()
+
+    def list_instances(
+        self, service: str
+    ) -> tuple[workers_lib.WorkerInstance, ...]:
+        """Returns the workers of a service."""
+        return tuple(
+            item for item in self._instances.values() if item.service == service
+        )
+
+    def replace_all(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Takes a full read into account."""
+        self._instances = {}
+        self.apply_rows(rows)
+
+    def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Takes changed rows into account."""
+        for row in rows:
+            instance_id = row.place.key
+            if row.is_removed:
+                self._instances.pop(instance_id, None)
+                continue
+            try:
+                self._instances[instance_id] = self._decode(
+                    instance_id, row.value
+                )
+            except errors.CorruptRowError as error:
+                self._instances.pop(instance_id, None)
+                if instance_id not in self._reported:
+                    self._reported.add(instance_id)
+                    logs.log_event("instance.unreadable", error=str(error))
+
+
+class NodeProcess:
+    """One machine's process: the root of its supervisor tree."""
+
+    __slots__ = (
+        "_boundary",
+        "_clock",
+        "_configuration",
+        "_desk",
+        "_directory",
+        "_heartbeat",
+        "_is_draining",
+        "_keeper",
+        "_listeners",
+        "_operator_follower",
+        "_owners",
+        "_owners_tree",
+        "_random",
+        "_registry",
+        "_settings",
+    )
+
+    def __init__(
+        self,
+        settings: node_settings.NodeSettings,
+        boundary: Boundary,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._settings = settings
+        self._boundary = boundary
+        self._clock = clock
+        self._random = rng
+        self._is_draining = False
+        self._configuration = directory_lib.ConfigurationHolder(
+            boundary.decode_configuration
+        )
+        self._registry = InstanceRegistry(boundary.decode_instance)
+        self._directory = directory_lib.NodeDirectory(
+            clock, settings.bounds.lease
+        )
+        store = boundary.store
+        self._heartbeat = heartbeat_lib.Heartbeat(
+            settings, uuid.uuid4().hex, store, self._directory, clock
+        )
+        self._keeper = ownership.OwnershipKeeper(
+            settings.name,
+            store,
+            clock,
+            self._directory,
+            self._heartbeat,
+            self._list_services,
+            self._start_owner,
+        )
+        self._desk = job_desk.JobDesk(store, clock)
+        self._owners: dict[str, service_owner.ServiceOwner] = {}
+        self._owners_tree = supervisor_lib.Supervisor("owners", clock, rng)
+        self._operator_follower = self._follow(
+            tables.OPERATOR,
+            lambda: ("",),
+            self._configuration.apply_rows,
+            self._configuration.apply_rows,
+        )
+        self._listeners = (
+            _make_listener(
+                settings.callers_address,
+                boundary.make_callers_api(self._desk, self._configuration),
+            ),
+            _make_listener(
+                settings.readiness_address,
+                boundary.make_readiness_api(self._check_ready),
+            ),
+        )
+
+    async def run(self, stop: anyio.Event) -> None:
+        """Serves until `stop` is set and requests in progress are answered."""
+        logs.log_event(
+            "node.started",
+            node=self._settings.name,
+            incarnation=self._heartbeat.incarnation,
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._build_tree().run)
+            await stop.wait()
+            await self._drain()
+            group.cancel_scope.cancel()
+        logs.log_event("node.stopped", node=self._settings.name)
+
+    def _build_tree(self) -> supervisor_lib.Supervisor:
+        restart = policies.RestartWithBackoff()
+        instances = self._follow(
+            tables.INSTANCES,
+            lambda: ("",),
+            self._registry.replace_all,
+            self._registry.apply_rows,
+            _INSTANCES_PAUSE,
+        )
+        owners = self._follow(
+            tables.OWNERS,
+            self._keeper.list_partitions,
+            self._keeper.apply_rows,
+            self._keeper.apply_rows,
+            _OWNERS_PAUSE,
+        )
+        callers, readiness = self._listeners
+        children = (
+            supervisor_lib.Child(
+                "callers", callers.run, policies.StopProcess()
+            ),
+            supervisor_lib.Child(
+                "readiness", readiness.run, policies.StopProcess()
+            ),
+            supervisor_lib.Child(
+                "configuration", self._operator_follower.run, restart
+            ),
+            supervisor_lib.Child("instances", instances.run, restart),
+            supervisor_lib.Child("owner-rows", owners.run, restart),
+            supervisor_lib.Child("heartbeat", self._heartbeat.run, restart),
+            supervisor_lib.Child("ownership", self._keeper.run, restart),
+            supervisor_lib.Child(
+                "owners", self._owners_tree.run_until_cancelled, restart
+            ),
+        )
+        return supervisor_lib.Supervisor(
+            self._settings.name, self._clock, self._random, children
+        )
+
+    def _follow(
+        self,
+        table: str,
+        list_partitions: Callable[[], tuple[str, ...]],
+        on_snapshot: Callable[[tuple[row_store.Row, ...]], None],
+        on_changes: Callable[[tuple[row_store.Row, ...]], None],
+        pause: datetime.timedelta = datetime.timedelta(milliseconds=20),
+    ) -> table_follower.TableFollower:
+        return table_follower.TableFollower(
+            self._boundary.store,
+            self._clock,
+            table,
+            list_partitions,
+            on_snapshot,
+            on_changes,
+            pause,
+        )
+
+    async def _drain(self) -> None:
+        """Hands over the services and answers what was accepted."""
+        self._is_draining = True
+        await self._heartbeat.announce_stop()
+        with anyio.move_on_after(1):
+            await self._keeper.release_all()
+        await self._clock.sleep(_BALANCER_NOTICE)
+        for listener in self._listeners:
+            listener.stop()
+        allowed = self._settings.bounds.grace * _DRAIN_SHARE
+        with anyio.move_on_after(
+            max(0.2, (allowed - _BALANCER_NOTICE).total_seconds())
+        ):
+            for listener in self._listeners:
+                await listener.wait_until_stopped()
+
+    def _check_ready(self) -> bool:
+        return not self._is_draining and self._configuration.current is not None
+
+    def _list_services(self) -> tuple[str, ...]:
+        configuration = self._configuration.current
+        if configuration is None:
+            return ()
+        routed = {route.policy.service for route in configuration.routes}
+        return tuple(sorted(routed | set(self._owners)))
+
+    async def _start_owner(
+        self, tenure: ownership.Tenure
+    ) -> Callable[[], None]:
+        if tenure.service == ownership.FLEET_DUTY:
+            return _do_nothing
+        owner = service_owner.ServiceOwner(
+            tenure,
+            self._settings,
+            self._boundary.store,
+            self._clock,
+            self._random,
+            self._heartbeat,
+            self._registry.list_instances,
+            self._boundary.make_client,
+        )
+        self._owners[tenure.service] = owner
+
+        async def run() -> None:
+            try:
+                await owner.run()
+            finally:
+                if self._owners.get(tenure.service) is owner:
+                    del self._owners[tenure.service]
+                    self._keeper.forget(tenure.service)
+
+        self._owners_tree.start_child(
+            supervisor_lib.Child(
+                f"service {tenure.service}", run, policies.LetEnd()
+            )
+        )
+        return owner.stop
+
+
+def _do_nothing() -> None:
+    """Ends a duty that needs no task."""
+
+
+def _make_listener(
+    address: str, application: asgi.Application
+) -> asgi.Listener:
+    host, _, port = address.rpartition(":")
+    return asgi.Listener(application, host, int(port))
--- /dev/null
+++ b/src/fireflywell/node/ownership.py
@@ -0,0 +1,330 @@
+"""Decides which node owns which service and claims services in the store.
+
+An owner is the only process that gives orders to a service's workers. Its
+token fences the workers and its row's version is a condition of all its
+writes, so a paused or cut-off owner can change nothing after a takeover.
+"""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import datetime
+import zlib
+
+import msgpack
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.coordination import row_store
+from fireflywell.node import directory as directory_lib
+from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import tables
+from fireflywell.telemetry import logs
+
+# The duty of moving and maintaining VMs, owned like a service.
+FLEET_DUTY = "~fleet"
+
+_CHECK_INTERVAL = datetime.timedelta(milliseconds=250)
+
+# Renewals that a starting node waits for, so that it has seen the others.
+_ROUNDS_BEFORE_CLAIM = 2
+
+# A service that nobody claimed for this long is claimed by any node.
+_ANY_NODE_AFTER = datetime.timedelta(milliseconds=1500)
+
+# A node that is up for this long is given a service of one that has several.
+_REBALANCE_AFTER = datetime.timedelta(seconds=4)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OwnerRecord:
+    """Row that names the owner of a service.
+
+    Attributes:
+        node: Name of the owner, empty after a release.
+        incarnation: Process of the owner.
+        token: Rises with each owner.
+    """
+
+    node: str
+    incarnation: str
+    token: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tenure:
+    """Proof of ownership of a service.
+
+    Attributes:
+        service: The service.
+        token: Fencing token for workers.
+        version: Version of the owner's row, a condition of all writes.
+        is_first: Whether nobody owned the service before.
+    """
+
+    service: str
+    token: int
+    version: int
+    is_first: bool
+
+    def make_condition(self) -> row_store.Expected:
+        """Returns the condition that this tenure isn't over."""
+        return row_store.Expected(
+            tables.locate_owner(self.service), self.version
+        )
+
+
+def choose_owners(
+    services: tuple[str, ...], owned: dict[str, int], nodes: tuple[str, ...]
+) -> dict[str, str]:
+    """Spreads services without an owner over nodes.
+
+    Args:
+        services: Services without an owner.
+        owned: Number of services that each node owns.
+        nodes: Nodes that can take a service.
+
+    Returns:
+        The node for each service; the same on all nodes with the same view.
+    """
+    counts = {node: owned.get(node, 0) for node in nodes}
+    chosen: dict[str, str] = {}
+    for service in sorted(services):
+        if not counts:
+            break
+        node = min(
+            counts,
+            key=lambda name: (counts[name], _mix(service, name), name),
+        )
+        counts[node] += 1
+        chosen[service] = node
+    return chosen
+
+
+def choose_release(
+    own: tuple[str, ...], owned: dict[str, int], nodes: tuple[str, ...]
+) -> str | None:
+    """Returns a service to give up because another node has far fewer.
+
+    Args:
+        own: Services that this node owns.
+        owned: Number of services that each node owns.
+        nodes: Nodes that have been up for long enough.
+    """
+    if not own or not nodes:
+        return None
+    fewest = min(owned.get(node, 0) for node in nodes)
+    if len(own) - fewest < 2:
+        return None
+    return max(own)
+
+
+class OwnershipKeeper:
+    """Claims services for this node and runs what owns them."""
+
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_heartbeat",
+        "_list_services",
+        "_name",
+        "_owned",
+        "_rows",
+        "_run_owner",
+        "_store",
+        "_unowned_since",
+    )
+
+    def __init__(
+        self,
+        name: str,
+        store: row_store.RowStore,
+        clock: clock_lib.Clock,
+        directory: directory_lib.NodeDirectory,
+        heartbeat: heartbeat_lib.Heartbeat,
+        list_services: Callable[[], tuple[str, ...]],
+        run_owner: Callable[[Tenure], Awaitable[Callable[[], None]]],
+    ) -> None:
+        self._name = name
+        self._store = store
+        self._clock = clock
+        self._directory = directory
+        self._heartbeat = heartbeat
+        self._list_services = list_services
+        self._run_owner = run_owner
+        self._rows: dict[str, tuple[OwnerRecord, int]] = {}
+        self._unowned_since: dict[str, datetime.timedelta] = {}
+        # How to stop the owner of each service that this node owns.
+        self._owned: dict[str, Callable[[], None]] = {}
+
+    def list_partitions(self) -> tuple[str, ...]:
+        """Returns the partitions that hold owners' rows."""
+        return (*self._list_services(), FLEET_DUTY)
+
+    def find_owner(self, service: str) -> str:
+        """Returns the node that owns a service; empty if none does."""
+        known = self._rows.get(service)
+        return known[0].node if known else ""
+
+    def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Takes changed owners' rows into account."""
+        for row in rows:
+            self._apply_row(row)
+
+    async def run(self) -> None:
+        """Claims and releases services until cancelled."""
+        while True:
+            await self._clock.sleep(_CHECK_INTERVAL)
+            if self._heartbeat.rounds < _ROUNDS_BEFORE_CLAIM:
+                continue
+            if not self._heartbeat.is_valid or self._heartbeat.is_stopping:
+                continue
+            try:
+                await self._claim_due()
+                await self._rebalance()
+            except errors.PlatformError as error:
+                logs.log_event("ownership.claim_failed", error=str(error))
+
+    async def release_all(self) -> None:
+        """Gives up all services, for a planned stop."""
+        for service in tuple(self._owned):
+            try:
+                await self._release(service, "stop")
+            except errors.PlatformError as error:
+                logs.log_event(
+                    "ownership.release_failed",
+                    service=service,
+                    error=str(error),
+                )
+
+    def forget(self, service: str) -> None:
+        """Notes that this node no longer runs the owner of a service."""
+        self._owned.pop(service, None)
+
+    def _apply_row(self, row: row_store.Row) -> None:
+        service = row.place.partition
+        known = self._rows.get(service)
+        if known is not None and known[1] >= row.version:
+            return
+        try:
+            record = OwnerRecord(*msgpack.unpackb(row.value))
+        except Exception as error:
+            logs.log_event(
+                "ownership.unreadable", service=service, error=repr(error)
+            )
+            return
+        self._rows[service] = (record, row.version)
+        logs.log_event(
+            "ownership.observed",
+            service=service,
+            owner=record.node,
+            token=record.token,
+        )
+        is_own = record.incarnation == self._heartbeat.incarnation
+        if not is_own and service in self._owned:
+            logs.log_event("ownership.lost", service=service, owner=record.node)
+            self._owned.pop(service)()
+
+    def _is_unowned(self, service: str) -> bool:
+        known = self._rows.get(service)
+        if known is None or not known[0].node:
+            return True
+        record = known[0]
+        if record.incarnation == self._heartbeat.incarnation:
+            return service not in self._owned
+        return self._directory.is_incarnation_gone(
+            record.node, record.incarnation
+        )
+
+    def _count_owned(self) -> dict[str, int]:
+        counts: dict[str, int] = {}
+        for service in self.list_partitions():
+            if not self._is_unowned(service):
+                node = self._rows[service][0].node
+                counts[node] = counts.get(node, 0) + 1
+        return counts
+
+    async def _claim_due(self) -> None:
+        now = self._clock.monotonic()
+        unowned = tuple(
+            s for s in self.list_partitions() if self._is_unowned(s)
+        )
+        for service in tuple(self._unowned_since):
+            if service not in unowned:
+                del self._unowned_since[service]
+        nodes = tuple(n.name for n in self._directory.list_live())
+        chosen = choose_owners(unowned, self._count_owned(), nodes)
+        for service in unowned:
+            since = self._unowned_since.setdefault(service, now)
+            is_due = now - since > _ANY_NODE_AFTER
+            if chosen.get(service) == self._name or is_due:
+                await self._claim(service)
+
+    async def _claim(self, service: str) -> None:
+        known = self._rows.get(service)
+        place = tables.locate_owner(service)
+        version = known[1] if known else 0
+        token = known[0].token + 1 if known else 1
+        previous = known[0].node if known else ""
+        record = OwnerRecord(self._name, self._heartbeat.incarnation, token)
+        result = await self._store.transact(
+            row_store.Transaction(
+                expected=(row_store.Expected(place, version),),
+                puts=(row_store.Put(place, _encode_owner(record)),),
+            )
+        )
+        match result:
+            case row_store.Conflict(rows=rows):
+                # Another node was faster, or an earlier claim of this node
+                # whose answer was lost was applied; both show in the row.
+                self.apply_rows(rows)
+            case row_store.Committed(version=committed):
+                self._rows[service] = (record, committed)
+                self._unowned_since.pop(service, None)
+                tenure = Tenure(service, token, committed, known is None)
+                logs.log_event(
+                    "ownership.claimed",
+                    service=service,
+                    token=token,
+                    previous=previous,
+                )
+                self._owned[service] = await self._run_owner(tenure)
+
+    async def _rebalance(self) -> None:
+        settled = tuple(
+            node.name
+            for node in self._directory.list_live()
+            if self._directory.measure_age(node.name) > _REBALANCE_AFTER
+        )
+        service = choose_release(
+            tuple(self._owned), self._count_owned(), settled
+        )
+        if service is not None:
+            await self._release(service, "rebalance")
+
+    async def _release(self, service: str, reason: str) -> None:
+        stop = self._owned.pop(service)
+        stop()
+        record, version = self._rows[service]
+        place = tables.locate_owner(service)
+        released = OwnerRecord("", "", record.token)
+        logs.log_event("ownership.released", service=service, reason=reason)
+        result = await self._store.transact(
+            row_store.Transaction(
+                expected=(row_store.Expected(place, version),),
+                puts=(row_store.Put(place, _encode_owner(released)),),
+            )
+        )
+        match result:
+            case row_store.Committed(version=committed):
+                self._rows[service] = (released, committed)
+            case row_store.Conflict(rows=rows):
+                self.apply_rows(rows)
+
+
+def _encode_owner(record: OwnerRecord) -> bytes:
+    return bytes(msgpack.packb([record.node, record.incarnation, record.token]))
+
+
+def _mix(service: str, node: str) -> int:
+    return zlib.crc32(f"{service}/{node}".encode())
--- /dev/null
+++ b/src/fireflywell/node/progress_writer.py
@@ -0,0 +1,279 @@
+"""Stores the progress of a service's jobs in batches."""
+
+from collections.abc import Callable
+import datetime
+import random
+
+import anyio
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.coordination import row_store
+from fireflywell.node import ownership
+from fireflywell.node import tables
+from fireflywell.scheduling import board as board_lib
+from fireflywell.scheduling import job_rows
+from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.telemetry import logs
+
+# A transaction holds at most 100 entries: for each job a condition and a
+# row, besides the owner's condition and the queues' figures.
+_JOBS_PER_WRITE = 40
+
+# Progress that no caller waits for is collected for this long.
+_QUIET_DELAY = datetime.timedelta(milliseconds=60)
+_URGENT_DELAY = datetime.timedelta(milliseconds=8)
+
+_RETRY_DELAY = datetime.timedelta(milliseconds=150)
+
+# How often the number of waiting jobs of each queue is stored.
+_FIGURES_INTERVAL = datetime.timedelta(milliseconds=900)
+
+# Final states are kept somewhat longer than they must be shown.
+_RETENTION_FACTOR = 1.5
+_SWEEP_INTERVAL = datetime.timedelta(seconds=5)
+_ROWS_PER_SWEEP = 20
+
+
+class ProgressWriter:
+    """Writes changed jobs of one board under the owner's condition.
+
+    Each row is written under the condition of its last version, so that a
+    write whose answer was lost can't replace a newer one later.
+    """
+
+    __slots__ = (
+        "_board",
+        "_clock",
+        "_ended_at_s",
+        "_figures",
+        "_in_flight",
+        "_is_lost",
+        "_on_tenure_lost",
+        "_retention",
+        "_store",
+        "_stored",
+        "_tenure",
+        "_wake",
+        "random",
+    )
+
+    def __init__(
+        self,
+        tenure: ownership.Tenure,
+        board: board_lib.Board,
+        store: row_store.RowStore,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        retention: datetime.timedelta,
+        on_tenure_lost: Callable[[], None],
+    ) -> None:
+        self._tenure = tenure
+        self._board = board
+        self._store = store
+        self._clock = clock
+        self.random = rng
+        self._retention = retention * _RETENTION_FACTOR
+        self._on_tenure_lost = on_tenure_lost
+        self._wake = anyio.Event()
+        self._stored = anyio.Event()
+        # Jobs in the write that has no answer yet.
+        self._in_flight: frozenset[str] = frozenset()
+        self._is_lost = False
+        self._figures: dict[str, int] = {}
+        # When each final state was stored, on the store's clock.
+        self._ended_at_s: dict[str, float] = {}
+
+    def wake(self) -> None:
+        """Says that jobs may have changed."""
+        if self._board.dirty:
+            self._wake.set()
+
+    def note_final(self, job_id: str, ended_at_s: float) -> None:
+        """Notes a final state that an earlier owner stored."""
+        self._ended_at_s[job_id] = ended_at_s
+
+    def check_tenure(self) -> None:
+        """Checks soon whether another node owns the service."""
+        self._figures.clear()
+        self._wake.set()
+
+    async def wait_until_stored(
+        self, job_ids: frozenset[str], timeout: datetime.timedelta
+    ) -> bool:
+        """Waits until the changes of some jobs made so far are stored.
+
+        Returns:
+            Whether they were stored in time.
+        """
+        self.wake()
+        with anyio.move_on_after(timeout.total_seconds()):
+            while any(
+                job_id in self._board.dirty or job_id in self._in_flight
+                for job_id in job_ids
+            ):
+                await self._stored.wait()
+            return True
+        return False
+
+    async def run(self) -> None:
+        """Stores changes until cancelled or another node is the owner."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            is_urgent = any(self._board.dirty.values())
+            await self._clock.sleep(
+                _URGENT_DELAY if is_urgent else _QUIET_DELAY
+            )
+            while self._board.dirty:
+                await self._store_batch()
+
+    async def run_figures(self) -> None:
+        """Stores the number of waiting jobs of each queue."""
+        while True:
+            await self._clock.sleep(_FIGURES_INTERVAL)
+            figures = dict.fromkeys(self._figures, 0)
+            for job in self._board.jobs.values():
+                waits = int(not job.has_started)
+                queue = job.policy.queue
+                figures[queue] = figures.get(queue, 0) + waits
+            if figures != self._figures:
+                await self._store_figures(figures)
+
+    async def run_sweep(self) -> None:
+        """Removes jobs whose final state need not be shown any more."""
+        while True:
+            await self._clock.sleep(_SWEEP_INTERVAL)
+            oldest_s = self._store.now_s() - self._retention.total_seconds()
+            due = [j for j, at_s in self._ended_at_s.items() if at_s < oldest_s]
+            if due:
+                await self._remove_jobs(due[:_ROWS_PER_SWEEP])
+
+    def _signal_stored(self) -> None:
+        self._in_flight = frozenset()
+        stored, self._stored = self._stored, anyio.Event()
+        stored.set()
+
+    async def _store_batch(self) -> None:
+        jobs = self._board.take_dirty(_JOBS_PER_WRITE)
+        self._in_flight = frozenset(job.job_id for job in jobs)
+        service = self._tenure.service
+        expected = [self._tenure.make_condition()]
+        puts = []
+        now_s = self._store.now_s()
+        for job in jobs:
+            finished = self._board.finished.get(job.job_id)
+            reason = finished.reason if finished else ""
+            place = tables.locate_progress(service, job.job_id)
+            expected.append(row_store.Expected(place, job.row_version))
+            progress = job_rows.summarize(job, now_s, reason)
+            puts.append(
+                row_store.Put(place, job_rows.encode_progress(progress))
+            )
+        result = await self._transact(
+            row_store.Transaction(tuple(expected), tuple(puts))
+        )
+        match result:
+            case row_store.Committed(version=version):
+                for job in jobs:
+                    job.row_version = version
+                    self._settle_final(job, now_s)
+            case row_store.Conflict() as conflict:
+                self._check_owner(conflict)
+                for job in jobs:
+                    place = tables.locate_progress(service, job.job_id)
+                    job.row_version = conflict.find_version(place)
+                    self._board.dirty[job.job_id] = True
+            case None:
+                for job in jobs:
+                    self._board.dirty[job.job_id] = True
+                await self._clock.sleep(_RETRY_DELAY)
+        self._signal_stored()
+
+    def _settle_final(self, job: jobs_lib.Job, now_s: float) -> None:
+        if not job.state.is_final or job.job_id in self._board.dirty:
+            return
+        finished = self._board.finished.pop(job.job_id, None)
+        if finished is None:
+            return
+        self._ended_at_s[job.job_id] = now_s
+        logs.log_event(
+            "job.final",
+            job=job.job_id,
+            queue=job.policy.queue,
+            state=str(job.state),
+            reason=finished.reason,
+            age_s=round(now_s - job.submission.accepted_at_s, 3),
+            version=job.row_version,
+        )
+
+    async def _transact(
+        self, transaction: row_store.Transaction
+    ) -> row_store.Committed | row_store.Conflict | None:
+        try:
+            result = await self._store.transact(transaction)
+        except errors.PlatformError as error:
+            if not self._is_lost:
+                self._is_lost = True
+                logs.log_event(
+                    "store.lost",
+                    service=self._tenure.service,
+                    error=str(error),
+                )
+            return None
+        if self._is_lost:
+            self._is_lost = False
+            logs.log_event("store.regained", service=self._tenure.service)
+        return result
+
+    async def _store_figures(self, figures: dict[str, int]) -> None:
+        puts = [
+            row_store.Put(
+                tables.locate_queue(self._tenure.service, queue),
+                f"{count} {self._store.now_s():.3f}".encode(),
+            )
+            for queue, count in figures.items()
+        ]
+        result = await self._transact(
+            row_store.Transaction((self._tenure.make_condition(),), tuple(puts))
+        )
+        match result:
+            case row_store.Committed():
+                self._figures = figures
+            case row_store.Conflict() as conflict:
+                self._check_owner(conflict)
+
+    async def _remove_jobs(self, job_ids: list[str]) -> None:
+        service = self._tenure.service
+        removes = []
+        for job_id in job_ids:
+            removes.append(tables.locate_job(service, job_id))
+            removes.append(tables.locate_cancel(service, job_id))
+            removes.append(tables.locate_progress(service, job_id))
+        result = await self._transact(
+            row_store.Transaction(
+                (self._tenure.make_condition(),), (), tuple(removes)
+            )
+        )
+        match result:
+            case row_store.Committed():
+                for job_id in job_ids:
+                    del self._ended_at_s[job_id]
+                    self._board.finals.pop(job_id, None)
+            case row_store.Conflict() as conflict:
+                self._check_owner(conflict)
+
+    def _check_owner(self, conflict: row_store.Conflict) -> None:
+        place = tables.locate_owner(self._tenure.service)
+        version = conflict.find_version(place)
+        if version != self._tenure.version:
+            logs.log_event(
+                "ownership.write_refused",
+                service=self._tenure.service,
+                expected=self._tenure.version,
+                found=version,
+            )
+            self._on_tenure_lost()
+            raise errors.TenureLostError(
+                f"another node owns {self._tenure.service} now"
+            )
--- /dev/null
+++ b/src/fireflywell/node/service_owner.py
@@ -0,0 +1,327 @@
+"""Owns one service: its jobs, its workers and the runs between them."""
+
+from collections.abc import Callable
+import datetime
+import random
+
+import anyio
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.coordination import row_store
+from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import job_loader
+from fireflywell.node import ownership
+from fireflywell.node import progress_writer
+from fireflywell.node import roster as roster_lib
+from fireflywell.node import settings as node_settings
+from fireflywell.node import table_follower
+from fireflywell.node import tables
+from fireflywell.node import worker_session
+from fireflywell.scheduling import board as board_lib
+from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import orders
+from fireflywell.scheduling import workers as workers_lib
+from fireflywell.supervision import policies
+from fireflywell.supervision import supervisor as supervisor_lib
+from fireflywell.telemetry import logs
+
+# Events that follow each other this closely are planned together.
+_PLAN_DELAY = datetime.timedelta(milliseconds=6)
+
+# Plans also run at this pace, for times of day and pauses that end.
+_PLAN_INTERVAL_S = 0.2
+
+_SYNC_INTERVAL = datetime.timedelta(milliseconds=250)
+
+# A worker whose entry is gone is only dropped after this time, because
+# entries that lapsed with the store are back about two seconds after it.
+_ENTRY_GRACE_S = 2.5
+
+_RETRY_DELAY = datetime.timedelta(milliseconds=200)
+
+MakeClient = Callable[[workers_lib.WorkerInstance], orders.WorkerClient]
+ListInstances = Callable[[str], tuple[workers_lib.WorkerInstance, ...]]
+
+
+class _RunningSession:
+    """A session and the scope that ends it."""
+
+    __slots__ = ("gone_since_s", "scope", "session")
+
+    def __init__(self, session: worker_session.WorkerSession) -> None:
+        self.session = session
+        self.scope = anyio.CancelScope()
+        self.gone_since_s: float | None = None
+
+    async def run(self) -> None:
+        """Runs the session until its scope is cancelled."""
+        with self.scope:
+            await self.session.run()
+
+
+class ServiceOwner:
+    """Runs a service for the length of one tenure."""
+
+    __slots__ = (
+        "_board",
+        "_clock",
+        "_heartbeat",
+        "_is_over",
+        "_list_instances",
+        "_loader",
+        "_make_client",
+        "_plan_wake",
+        "_random",
+        "_roster",
+        "_scope",
+        "_sessions",
+        "_settings",
+        "_store",
+        "_tenure",
+        "_tree",
+        "_writer",
+    )
+
+    def __init__(
+        self,
+        tenure: ownership.Tenure,
+        settings: node_settings.NodeSettings,
+        store: row_store.RowStore,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+        heartbeat: heartbeat_lib.Heartbeat,
+        list_instances: ListInstances,
+        make_client: MakeClient,
+    ) -> None:
+        self._tenure = tenure
+        self._settings = settings
+        self._store = store
+        self._clock = clock
+        self._random = rng
+        self._heartbeat = heartbeat
+        self._list_instances = list_instances
+        self._make_client = make_client
+        self._is_over = False
+        self._plan_wake = anyio.Event()
+        self._sessions: dict[str, _RunningSession] = {}
+        self._scope = anyio.CancelScope()
+        self._board = board_lib.Board(tenure.token)
+        self._writer = progress_writer.ProgressWriter(
+            tenure,
+            self._board,
+            store,
+            clock,
+            rng,
+            settings.bounds.status_retention,
+            self.stop,
+        )
+        self._roster = roster_lib.Roster(
+            tenure, self._board, store, clock, self._wake_planner
+        )
+        self._loader = job_loader.JobLoader(
+            tenure.service,
+            self._board,
+            self._writer,
+            store,
+            clock,
+            self._wake_planner,
+        )
+        self._tree = self._build_tree()
+
+    @property
+    def board(self) -> board_lib.Board:
+        """The jobs and workers of the service."""
+        return self._board
+
+    @property
+    def service(self) -> str:
+        """Name of the service."""
+        return self._tenure.service
+
+    def stop(self) -> None:
+        """Ends the tenure; no further order is given."""
+        self._is_over = True
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Loads the service's state and runs it until stopped."""
+        with self._scope:
+            await self._load()
+            await self._tree.run_until_cancelled()
+        logs.log_event(
+            "ownership.ended", service=self.service, token=self._tenure.token
+        )
+
+    def _build_tree(self) -> supervisor_lib.Supervisor:
+        restart = policies.RestartWithBackoff()
+        follower = table_follower.TableFollower(
+            self._store,
+            self._clock,
+            tables.name_jobs_table(self.service),
+            lambda: (self.service,),
+            self._loader.apply_snapshot,
+            self._loader.apply_changes,
+        )
+        children = (
+            supervisor_lib.Child("jobs", follower.run, restart),
+            supervisor_lib.Child("writer", self._writer.run, restart),
+            supervisor_lib.Child("figures", self._writer.run_figures, restart),
+            supervisor_lib.Child("sweep", self._writer.run_sweep, restart),
+            supervisor_lib.Child("workers", self._sync_workers, restart),
+            supervisor_lib.Child("planner", self._run_planner, restart),
+        )
+        return supervisor_lib.Supervisor(
+            f"service {self.service}", self._clock, self._random, children
+        )
+
+    async def _load(self) -> None:
+        bounds = self._settings.bounds
+        orphan = worker_session.HOLD_ON + bounds.longest_run_lease * 1.1
+        while True:
+            try:
+                await self._roster.load(orphan)
+                await self._loader.load_progress()
+                return
+            except errors.PlatformError as error:
+                logs.log_event(
+                    "ownership.load_failed",
+                    service=self.service,
+                    error=str(error),
+                )
+                await self._clock.sleep(_RETRY_DELAY)
+
+    async def _sync_workers(self) -> None:
+        """Keeps one session for each listed worker."""
+        while True:
+            listed = {
+                item.instance_id: item
+                for item in self._list_instances(self.service)
+            }
+            lives = {key: item.born_unix_ms for key, item in listed.items()}
+            if await self._roster.store_lives(lives):
+                self._start_sessions(listed)
+            self._end_sessions(listed)
+            self._roster.check_settled()
+            await self._clock.sleep(_SYNC_INTERVAL)
+
+    def _start_sessions(
+        self, listed: dict[str, workers_lib.WorkerInstance]
+    ) -> None:
+        for worker_id, instance in listed.items():
+            running = self._sessions.get(worker_id)
+            if running is not None:
+                worker = running.session.worker
+                is_same = worker.instance.address == instance.address
+                if is_same:
+                    worker.replace_instance(instance)
+                    continue
+                self._end_session(worker_id, "another address")
+            self._start_session(instance)
+
+    def _start_session(self, instance: workers_lib.WorkerInstance) -> None:
+        worker = workers_lib.Worker(instance)
+        self._board.workers[instance.instance_id] = worker
+        session = worker_session.WorkerSession(
+            worker,
+            self._make_client(instance),
+            self._board,
+            self._writer,
+            self._heartbeat,
+            self._tenure.token,
+            self._settings.bounds.longest_run_lease,
+            self._clock,
+            self._note_change,
+        )
+        running = _RunningSession(session)
+        self._sessions[instance.instance_id] = running
+        logs.log_event(
+            "worker.listed",
+            worker=instance.instance_id,
+            service=self.service,
+            rack=instance.rack,
+        )
+        self._tree.start_child(
+            supervisor_lib.Child(
+                f"worker {instance.instance_id}",
+                running.run,
+                policies.RestartWithBackoff(),
+            )
+        )
+
+    def _end_sessions(
+        self, listed: dict[str, workers_lib.WorkerInstance]
+    ) -> None:
+        now_s = self._now_s()
+        for worker_id, running in tuple(self._sessions.items()):
+            if worker_id in listed:
+                running.gone_since_s = None
+                continue
+            if running.gone_since_s is None:
+                running.gone_since_s = now_s
+            worker = running.session.worker
+            running.session.expire_runs()
+            is_over = now_s - running.gone_since_s > _ENTRY_GRACE_S
+            if is_over and not worker.runs and not worker.is_reachable:
+                self._end_session(worker_id, "its entry is gone")
+
+    def _end_session(self, worker_id: str, reason: str) -> None:
+        running = self._sessions.pop(worker_id)
+        running.scope.cancel()
+        self._board.remove_worker(worker_id)
+        logs.log_event("worker.dropped", worker=worker_id, reason=reason)
+
+    def _note_change(self) -> None:
+        for worker_id, running in self._sessions.items():
+            if running.session.has_reported:
+                self._roster.note_report(
+                    worker_id, running.session.born_unix_ms
+                )
+        self._writer.wake()
+        self._wake_planner()
+
+    def _wake_planner(self) -> None:
+        self._plan_wake.set()
+
+    async def _run_planner(self) -> None:
+        while True:
+            with anyio.move_on_after(_PLAN_INTERVAL_S):
+                await self._plan_wake.wait()
+            self._plan_wake = anyio.Event()
+            self._give_stops()
+            self._board.open_due_steps(self._read_unix_ms())
+            if self._board.has_waiting and self._heartbeat.is_valid:
+                self._give_starts(self._board.plan(self._now_s()))
+            self._writer.wake()
+            await self._clock.sleep(_PLAN_DELAY)
+
+    def _give_starts(self, runs: list[jobs_lib.Run]) -> None:
+        for run in runs:
+            self._sessions[run.worker_id].session.give(
+                worker_session.StartCommand(run)
+            )
+        if runs:
+            logs.log_event(
+                "placement.decided",
+                service=self.service,
+                runs=[
+                    f"{run.unit.name}#{run.number}@{run.worker_id}"
+                    for run in runs
+                ],
+            )
+
+    def _give_stops(self) -> None:
+        stops = self._board.stops
+        while stops:
+            item = stops.popleft()
+            running = self._sessions.get(item.worker_id)
+            if running is not None:
+                running.session.give(
+                    worker_session.StopCommand(item.unit, item.run)
+                )
+
+    def _read_unix_ms(self) -> int:
+        return int(self._clock.now().timestamp() * 1000)
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic().total_seconds()
--- /dev/null
+++ b/src/fireflywell/node/table_follower.py
@@ -0,0 +1,112 @@
+"""Follows the rows of a table: a snapshot first, then each change."""
+
+from collections.abc import Callable
+import datetime
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.coordination import row_store
+from fireflywell.telemetry import logs
+
+# A silent connection is noticed after this time and the margin of the call.
+_WAIT = datetime.timedelta(seconds=1)
+
+_RETRY_DELAY = datetime.timedelta(milliseconds=200)
+
+# A lost dependency is reported after this many failures in a row.
+_FAILURES_TO_REPORT = 2
+
+
+class TableFollower:
+    """Keeps a receiver up to date with some partitions of one table.
+
+    The receiver gets all rows after a (re)load and the changed rows after
+    that, each time together with the time of the read.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_failures",
+        "_load",
+        "_on_changes",
+        "_on_snapshot",
+        "_pause",
+        "_store",
+        "_table",
+        "confirmed_at",
+    )
+
+    def __init__(
+        self,
+        store: row_store.RowStore,
+        clock: clock_lib.Clock,
+        table: str,
+        list_partitions: Callable[[], tuple[str, ...]],
+        on_snapshot: Callable[[tuple[row_store.Row, ...]], None],
+        on_changes: Callable[[tuple[row_store.Row, ...]], None],
+        pause: datetime.timedelta = datetime.timedelta(milliseconds=20),
+    ) -> None:
+        self._store = store
+        self._clock = clock
+        self._table = table
+        self._load = list_partitions
+        self._on_snapshot = on_snapshot
+        self._on_changes = on_changes
+        # Collects changes that follow each other closely into one call.
+        self._pause = pause
+        self._failures = 0
+        # When the receiver was last known to be up to date.
+        self.confirmed_at: datetime.timedelta | None = None
+
+    async def run(self) -> None:
+        """Follows the table until cancelled."""
+        version: int | None = None
+        while True:
+            try:
+                if version is None:
+                    version = await self._load_snapshot()
+                version = await self._follow_once(version)
+            except errors.HistoryLostError:
+                logs.log_event(
+                    "store.history_lost", table=self._table, after=version
+                )
+                version = None
+            except errors.PlatformError as error:
+                self._note_failure(error)
+                await self._clock.sleep(_RETRY_DELAY)
+            else:
+                self._note_success()
+                await self._clock.sleep(self._pause)
+
+    async def _load_snapshot(self) -> int:
+        rows: list[row_store.Row] = []
+        version: int | None = None
+        for partition in self._load():
+            page = await self._store.read(self._table, partition)
+            rows.extend(page.rows)
+            version = page.version if version is None else version
+        if version is None:
+            page = await self._store.read(self._table, "")
+            version = page.version
+        self._on_snapshot(tuple(rows))
+        return version
+
+    async def _follow_once(self, version: int) -> int:
+        sent_at = self._clock.monotonic()
+        page = await self._store.follow(self._table, version, _WAIT)
+        if page.rows:
+            self._on_changes(page.rows)
+        self.confirmed_at = sent_at
+        return max(version, page.version)
+
+    def _note_failure(self, error: Exception) -> None:
+        self._failures += 1
+        if self._failures == _FAILURES_TO_REPORT:
+            logs.log_event("store.lost", table=self._table, error=str(error))
+
+    def _note_success(self) -> None:
+        if self._failures >= _FAILURES_TO_REPORT:
+            logs.log_event(
+                "store.regained", table=self._table, failures=self._failures
+            )
+        self._failures = 0
--- /dev/null
+++ b/src/fireflywell/node/tables.py
@@ -0,0 +1,75 @@
+"""Tables of a node's own state in the row store."""
+
+import zlib
+
+from fireflywell.coordination import row_store
+
+# The store holds at most 100 tables. An owner follows the table of its
+# service, so more shards mean fewer changes of other services in between.
+_SHARDS = 32
+
+NODES = "nodes"
+OWNERS = "owners"
+ROSTERS = "rosters"
+QUEUES = "queues"
+UPKEEP = "upkeep"
+
+# Written by others; the node only reads them.
+OPERATOR = "op"
+INSTANCES = "servers"
+STATUS = "status"
+
+_CANCEL_SUFFIX = "/cancel"
+
+
+def name_jobs_table(service: str) -> str:
+    """Returns the table of a service's accepted jobs."""
+    return f"jobs{_find_shard(service):02d}"
+
+
+def name_progress_table(service: str) -> str:
+    """Returns the table of the progress of a service's jobs."""
+    return f"work{_find_shard(service):02d}"
+
+
+def locate_owner(service: str) -> row_store.RowKey:
+    """Returns the place of the row that names a service's owner."""
+    return row_store.RowKey(OWNERS, service, "owner")
+
+
+def locate_roster(service: str) -> row_store.RowKey:
+    """Returns the place of the list of workers that may run units."""
+    return row_store.RowKey(ROSTERS, service, "workers")
+
+
+def locate_job(service: str, job_id: str) -> row_store.RowKey:
+    """Returns the place of an accepted job."""
+    return row_store.RowKey(name_jobs_table(service), service, job_id)
+
+
+def locate_cancel(service: str, job_id: str) -> row_store.RowKey:
+    """Returns the place of the mark that a job is cancelled."""
+    return row_store.RowKey(
+        name_jobs_table(service), service, job_id + _CANCEL_SUFFIX
+    )
+
+
+def locate_progress(service: str, job_id: str) -> row_store.RowKey:
+    """Returns the place of a job's progress."""
+    return row_store.RowKey(name_progress_table(service), service, job_id)
+
+
+def locate_queue(service: str, queue: str) -> row_store.RowKey:
+    """Returns the place of a queue's figures."""
+    return row_store.RowKey(QUEUES, service, queue)
+
+
+def split_cancel_key(key: str) -> str | None:
+    """Returns the job that a key of the jobs table cancels, or None."""
+    if key.endswith(_CANCEL_SUFFIX):
+        return key.removesuffix(_CANCEL_SUFFIX)
+    return None
+
+
+def _find_shard(service: str) -> int:
+    return zlib.crc32(service.encode()) % _SHARDS
--- /dev/null
+++ b/src/fireflywell/node/worker_session.py
@@ -0,0 +1,447 @@
+"""Tasks that talk to one worker: lease renewal, reports and orders."""
+
+from collections.abc import Callable
+import dataclasses
+import datetime
+import math
+
+import anyio
+import anyio.streams.memory
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import progress_writer
+from fireflywell.scheduling import board as board_lib
+from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import orders
+from fireflywell.scheduling import pacing
+from fireflywell.scheduling import workers as workers_lib
+from fireflywell.supervision import policies
+from fireflywell.supervision import supervisor as supervisor_lib
+from fireflywell.telemetry import logs
+
+# How long a report waits for an end; also the pace of reports on load.
+_REPORT_WAIT = datetime.timedelta(milliseconds=900)
+
+# Ends that follow each other within this time come in one report.
+_REPORT_PAUSE = datetime.timedelta(milliseconds=25)
+
+# Without runs, a worker is only asked now and then whether it is there.
+_IDLE_INTERVAL = datetime.timedelta(seconds=2)
+
+_RETRY_DELAY = datetime.timedelta(milliseconds=150)
+
+# Ends are listed again until they are noted in the store; asking sooner
+# would return the same ones.
+_NOTE_TIMEOUT = datetime.timedelta(milliseconds=250)
+
+# Orders that one worker gets at the same time.
+_SENDERS = 4
+_ORDER_QUEUE = 512
+
+# A start without an answer is sent again to the same worker, which carries
+# out a run once only.
+_START_ATTEMPTS = 2
+
+# A worker's clock may be this much slower than the node's.
+_CLOCK_DRIFT = 0.02
+_LAPSE_MARGIN_S = 0.3
+
+# After its node's lease is over, an owner keeps units alive for this long but
+# starts none. A successor counts on this bound.
+HOLD_ON = datetime.timedelta(seconds=10)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartCommand:
+    """A run to start."""
+
+    run: jobs_lib.Run
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopCommand:
+    """A run to stop."""
+
+    unit: str
+    run: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PaceCommand:
+    """A filling run's new share."""
+
+    run: jobs_lib.Run
+    percent: int
+
+
+Command = StartCommand | StopCommand | PaceCommand
+
+
+class WorkerSession:
+    """Talks to one life of a worker on behalf of its service's owner."""
+
+    __slots__ = (
+        "_board",
+        "_client",
+        "_clock",
+        "_clock_ms",
+        "_clock_read_s",
+        "_commands",
+        "_heartbeat",
+        "_lapse_s",
+        "_lease",
+        "_noted",
+        "_on_change",
+        "_received",
+        "_token",
+        "_wake",
+        "_worker",
+        "_writer",
+        "born_unix_ms",
+        "has_reported",
+    )
+
+    def __init__(
+        self,
+        worker: workers_lib.Worker,
+        client: orders.WorkerClient,
+        board: board_lib.Board,
+        writer: progress_writer.ProgressWriter,
+        heartbeat: heartbeat_lib.Heartbeat,
+        token: int,
+        lease: datetime.timedelta,
+        clock: clock_lib.Clock,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._worker = worker
+        self._client = client
+        self._board = board
+        self._writer = writer
+        self._heartbeat = heartbeat
+        self._token = token
+        self._lease = lease
+        self._clock = clock
+        self._on_change = on_change
+        self._clock_ms = 0
+        self._clock_read_s: float | None = None
+        # Monotonic time after which no run can be left if the worker stays
+        # out of reach.
+        self._lapse_s = 0.0
+        self._noted = 0
+        self._wake = anyio.Event()
+        self._commands, self._received = anyio.create_memory_object_stream[
+            Command
+        ](_ORDER_QUEUE)
+        self.born_unix_ms = worker.instance.born_unix_ms
+        self.has_reported = False
+
+    @property
+    def worker(self) -> workers_lib.Worker:
+        """The worker."""
+        return self._worker
+
+    def give(self, command: Command) -> None:
+        """Queues an order."""
+        try:
+            self._commands.send_nowait(command)
+        except anyio.WouldBlock:
+            if isinstance(command, StartCommand):
+                self._board.refuse_start(
+                    command.run, orders.Refusal.NO_ROOM, self._now_s()
+                )
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Runs the session's tasks until cancelled."""
+        restart = policies.RestartWithBackoff()
+        try:
+            async with anyio.create_task_group() as group:
+                tree = supervisor_lib.Supervisor(
+                    f"worker {self._worker.worker_id}",
+                    self._clock,
+                    self._writer.random,
+                    (
+                        supervisor_lib.Child(
+                            "reports", self._follow_reports, restart
+                        ),
+                        *(
+                            supervisor_lib.Child(
+                                f"orders-{number}", self._send_orders, restart
+                            )
+                            for number in range(_SENDERS)
+                        ),
+                    ),
+                )
+                group.start_soon(tree.run)
+        finally:
+            with anyio.CancelScope(shield=True):
+                await self._client.close()
+
+    async def _follow_reports(self) -> None:
+        while True:
+            requested_s = self._now_s()
+            try:
+                report = await self._ask_for_report()
+            except errors.PlatformError as error:
+                self._note_unreachable(str(error))
+                await self._clock.sleep(_RETRY_DELAY)
+                continue
+            match report:
+                case orders.WorkerReport():
+                    await self._take_report(report, requested_s)
+                case orders.OtherLife():
+                    self._note_other_life("another life answered")
+                    await self._clock.sleep(_RETRY_DELAY)
+                case orders.Refused(reason=reason):
+                    self._note_unreachable(f"renewal refused: {reason}")
+                    self._writer.check_tenure()
+                    await self._clock.sleep(_RETRY_DELAY)
+                case _:
+                    self._note_unreachable("the worker is unhealthy")
+                    await self._clock.sleep(_RETRY_DELAY)
+
+    async def _ask_for_report(
+        self,
+    ) -> orders.WorkerReport | orders.OrderOutcome:
+        is_first = self._clock_read_s is None
+        is_idle = not self._worker.runs
+        wait = datetime.timedelta() if is_first or is_idle else _REPORT_WAIT
+        lease_until = None
+        if not is_first and self._may_renew():
+            lease_until = self._compute_lease_end()
+            self._extend_lapse()
+        return await self._client.renew(
+            orders.RenewOrder(self._token, self._noted, lease_until, wait)
+        )
+
+    async def _take_report(
+        self, report: orders.WorkerReport, requested_s: float
+    ) -> None:
+        now_s = self._now_s()
+        if (
+            self.born_unix_ms
+            and report.born_unix_ms
+            and report.born_unix_ms != self.born_unix_ms
+        ):
+            self._note_other_life("the worker has restarted")
+        self.born_unix_ms = report.born_unix_ms or self.born_unix_ms
+        is_first = self._clock_read_s is None
+        self._clock_ms = report.clock_ms
+        self._clock_read_s = now_s
+        if not self._worker.is_reachable:
+            self._worker.is_reachable = True
+            logs.log_event(
+                "worker.reached",
+                worker=self._worker.worker_id,
+                runs=len(report.running),
+                ends=len(report.ended),
+            )
+        last = self._board.apply_report(
+            self._worker.worker_id, report, requested_s, now_s
+        )
+        for throttle in pacing.choose_throttles(self._worker):
+            throttle.run.share_percent = throttle.percent
+            self.give(PaceCommand(throttle.run, throttle.percent))
+        self.has_reported = True
+        self._on_change()
+        if last > self._noted:
+            self._log_ends(report)
+            changed = frozenset(
+                end.unit.partition(".")[0] for end in report.ended
+            )
+            if await self._writer.wait_until_stored(changed, _NOTE_TIMEOUT):
+                self._noted = last
+            await self._clock.sleep(_REPORT_PAUSE)
+        elif not is_first and not self._worker.runs:
+            await self._sleep_idle()
+
+    async def _sleep_idle(self) -> None:
+        self._wake = anyio.Event()
+        if self._worker.runs:
+            return
+        with anyio.move_on_after(_IDLE_INTERVAL.total_seconds()):
+            await self._wake.wait()
+
+    async def _send_orders(self) -> None:
+        async for command in self._received:
+            match command:
+                case StartCommand(run=run):
+                    await self._start(run)
+                case StopCommand(unit=unit, run=number):
+                    await self._stop(unit, number)
+                case PaceCommand(run=run, percent=percent):
+                    await self._pace(run, percent)
+
+    async def _start(self, run: jobs_lib.Run) -> None:
+        if run.phase is not jobs_lib.RunPhase.SENDING:
+            return
+        if self._clock_read_s is None or not self._heartbeat.is_valid:
+            self._board.refuse_start(run, orders.Refusal.NO_ROOM, self._now_s())
+            return
+        unit = run.unit
+        order = orders.StartOrder(
+            unit.name,
+            run.number,
+            unit.step.job.submission.request.specification,
+            self._compute_lease_end(),
+            self._token,
+            unit.checkpoint,
+        )
+        self._extend_lapse()
+        outcome = await self._send_start(order)
+        now_s = self._now_s()
+        match outcome:
+            case orders.Accepted():
+                self._board.confirm_start(run, now_s)
+            case orders.Refused(reason=reason):
+                self._log_refusal(run, reason)
+                self._board.refuse_start(run, reason, now_s)
+                if reason is orders.Refusal.FENCED:
+                    self._writer.check_tenure()
+            case orders.Unhealthy():
+                self._log_refusal(run, "unhealthy")
+                self._board.refuse_start(run, None, now_s)
+            case orders.OtherLife():
+                self._log_refusal(run, "other life")
+                self._board.refuse_start(run, None, now_s)
+            case None:
+                self._log_refusal(run, "no answer")
+                self._board.mark_unsettled(run)
+        self._on_change()
+
+    async def _send_start(
+        self, order: orders.StartOrder
+    ) -> orders.OrderOutcome | None:
+        is_maybe_sent = False
+        for _ in range(_START_ATTEMPTS):
+            try:
+                return await self._client.start(order)
+            except errors.PlatformUnavailableError:
+                await self._clock.sleep(_RETRY_DELAY)
+            except errors.AnswerLostError:
+                is_maybe_sent = True
+        if is_maybe_sent:
+            return None
+        return orders.Unhealthy()
+
+    async def _stop(self, unit: str, number: int) -> None:
+        order = orders.StopOrder(unit, number, self._token)
+        while True:
+            try:
+                outcome = await self._client.stop(order)
+            except errors.PlatformError:
+                if not self._has_run(unit, number):
+                    return
+                await self._clock.sleep(_RETRY_DELAY)
+                continue
+            match outcome:
+                case orders.Accepted():
+                    self._board.settle_stop(
+                        self._worker.worker_id, unit, number, self._now_s()
+                    )
+                    return
+                case orders.Unhealthy():
+                    await self._clock.sleep(_RETRY_DELAY)
+                case _:
+                    return
+
+    async def _pace(self, run: jobs_lib.Run, percent: int) -> None:
+        if run.phase is not jobs_lib.RunPhase.RUNNING:
+            return
+        order = orders.PaceOrder(
+            run.unit.name, run.number, percent, self._token
+        )
+        try:
+            await self._client.pace(order)
+        except errors.PlatformError as error:
+            # The next report finds the pressure unchanged and asks again.
+            run.share_percent = 100
+            logs.log_event(
+                "worker.pace_failed",
+                worker=self._worker.worker_id,
+                unit=run.unit.name,
+                error=str(error),
+            )
+
+    def _has_run(self, unit: str, number: int) -> bool:
+        return (unit, number) in self._worker.runs
+
+    def _may_renew(self) -> bool:
+        return self._heartbeat.measure_lapse() < HOLD_ON
+
+    def _compute_lease_end(self) -> int:
+        """Returns the end of the longest lease, on the worker's clock."""
+        assert self._clock_read_s is not None
+        elapsed_ms = (self._now_s() - self._clock_read_s) * 1000
+        lease_ms = self._lease.total_seconds() * 1000
+        return math.floor(self._clock_ms + elapsed_ms + lease_ms)
+
+    def _extend_lapse(self) -> None:
+        # The order may arrive late; the worker's clock may also be ahead of
+        # the estimate by the time that the last report was on its way.
+        span = self._lease.total_seconds() * (1 + _CLOCK_DRIFT)
+        self._lapse_s = max(
+            self._lapse_s, self._now_s() + span + _LAPSE_MARGIN_S
+        )
+
+    def _note_unreachable(self, reason: str) -> None:
+        if self._worker.is_reachable:
+            self._worker.is_reachable = False
+            logs.log_event(
+                "worker.lost",
+                worker=self._worker.worker_id,
+                reason=reason,
+                runs=len(self._worker.runs),
+            )
+        self.expire_runs()
+
+    def expire_runs(self) -> None:
+        """Gives up the runs of a worker whose leases are over."""
+        if not self._worker.runs or self._worker.is_reachable:
+            return
+        if self._now_s() > self._lapse_s:
+            count = self._board.lose_runs(self._worker.worker_id)
+            logs.log_event(
+                "worker.leases_over",
+                worker=self._worker.worker_id,
+                runs=count,
+            )
+            self._on_change()
+
+    def _note_other_life(self, reason: str) -> None:
+        count = self._board.lose_runs(self._worker.worker_id)
+        self._noted = 0
+        self._worker.is_reachable = False
+        logs.log_event(
+            "worker.restarted",
+            worker=self._worker.worker_id,
+            reason=reason,
+            runs=count,
+        )
+        self._on_change()
+
+    def _log_refusal(self, run: jobs_lib.Run, reason: str) -> None:
+        logs.log_event(
+            "run.refused",
+            job=run.unit.step.job.job_id,
+            unit=run.unit.name,
+            run=run.number,
+            worker=self._worker.worker_id,
+            reason=str(reason),
+        )
+
+    def _log_ends(self, report: orders.WorkerReport) -> None:
+        logs.log_event(
+            "run.ended",
+            worker=self._worker.worker_id,
+            ends=[
+                f"{end.unit}#{end.run}:{end.kind}"
+                for end in report.ended
+                if end.number > self._noted
+            ],
+        )
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic().total_seconds()
--- /dev/null
+++ b/src/fireflywell/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Translation between the product and the users' platform; nothing else."""
--- /dev/null
+++ b/src/fireflywell/platform/job_api.py
@@ -0,0 +1,223 @@
+"""Callers' HTTP interface for jobs on the platform."""
+
+from collections.abc import Callable
+import datetime
+
+from fireflywell import asgi
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.node import configuration as configuration_lib
+from fireflywell.node import directory as directory_lib
+from fireflywell.node import job_desk
+from fireflywell.platform import job_requests
+from fireflywell.telemetry import logs
+
+# Used when a caller names no deadline.
+_DEFAULT_DEADLINE = datetime.timedelta(seconds=3)
+
+_DEADLINE_HEADER = "x-fireflywell-deadline-milliseconds"
+
+# When a caller may come back after a refusal that isn't about load.
+_RETRY_AFTER_S = 1
+
+
+class JobApi:
+    """ASGI application that translates callers' requests."""
+
+    __slots__ = ("_clock", "_configuration", "_desk", "in_progress")
+
+    def __init__(
+        self,
+        desk: job_desk.JobDesk,
+        configuration: directory_lib.ConfigurationHolder,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._desk = desk
+        self._configuration = configuration
+        self._clock = clock
+        self.in_progress = 0
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Serves one request."""
+        self.in_progress += 1
+        try:
+            await self._serve(scope, receive, send)
+        except asgi.CallerGoneError:
+            return
+        finally:
+            self.in_progress -= 1
+
+    async def _serve(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        headers = asgi.decode_headers(scope)
+        limit = _read_deadline(headers)
+        try:
+            body = await asgi.read_body(receive, self._find_body_limit())
+        except asgi.BodyTooLargeError as error:
+            await _send_error(send, 413, str(error))
+            return
+        configuration = self._configuration.current
+        path = scope["path"]
+        if configuration is None:
+            job_desk.log_refusal(path, "no configuration yet", 503, None)
+            await _send_error(send, 503, "there is no configuration yet")
+            return
+        host = (asgi.find_header(headers, "host") or "").partition(":")[0]
+        route = configuration.find_route(host, path)
+        if route is None:
+            job_desk.log_refusal(path, "no such queue", 404, configuration)
+            await _send_error(send, 404, "no such queue")
+            return
+        job_id = path[len(route.prefix) :]
+        try:
+            await self._handle(
+                scope["method"], job_id, route, body, limit, send
+            )
+        except errors.PlatformError as error:
+            # Nothing was changed: only reads let this error through.
+            job_desk.log_refusal(job_id, str(error), 503, configuration)
+            await _send_error(send, 503, "the store can't be reached now")
+
+    async def _handle(
+        self,
+        method: str,
+        job_id: str,
+        route: configuration_lib.Route,
+        body: bytes,
+        limit: datetime.timedelta,
+        send: asgi.Send,
+    ) -> None:
+        if not job_id and method == "GET":
+            count = await self._desk.count_waiting(route.policy)
+            document = job_requests.encode_waiting(count)
+            await asgi.send_json(send, 200, document)
+            return
+        if not job_requests.is_job_id(job_id):
+            await _send_error(
+                send, 400, f"{job_id!r} isn't 16 hexadecimal digits"
+            )
+            return
+        match method:
+            case "POST":
+                await self._submit(job_id, route, body, limit, send)
+            case "GET":
+                await self._show(job_id, route, send)
+            case "DELETE":
+                await self._cancel(job_id, route, limit, send)
+            case _:
+                await _send_error(send, 405, "use POST, GET or DELETE")
+
+    async def _submit(
+        self,
+        job_id: str,
+        route: configuration_lib.Route,
+        body: bytes,
+        limit: datetime.timedelta,
+        send: asgi.Send,
+    ) -> None:
+        try:
+            request = job_requests.decode_job(body)
+        except errors.MalformedRequestError as error:
+            self._log_refusal(job_id, str(error), 400)
+            await _send_error(send, 400, str(error))
+            return
+        started = self._clock.monotonic()
+        outcome = await self._desk.submit(job_id, route.policy, request, limit)
+        elapsed = self._clock.monotonic() - started
+        match outcome:
+            case job_desk.Accepted():
+                logs.log_event(
+                    "job.accepted",
+                    job=job_id,
+                    queue=route.policy.queue,
+                    service=route.policy.service,
+                    configuration=self._get_version(),
+                    store_ms=round(elapsed.total_seconds() * 1000, 1),
+                )
+                await asgi.send_json(send, 200, {})
+            case job_desk.NotStored():
+                self._log_refusal(job_id, "the store took no writes", 503)
+                await _send_error(send, 503, "the store can't be reached now")
+            case job_desk.OutcomeOpen():
+                self._log_refusal(job_id, "the store didn't answer", 504)
+                await _send_error(send, 504, "ask again with the same id")
+
+    async def _show(
+        self, job_id: str, route: configuration_lib.Route, send: asgi.Send
+    ) -> None:
+        match await self._desk.show(job_id, route.policy):
+            case job_desk.Shown(state=state):
+                document = job_requests.encode_state(state)
+                await asgi.send_json(send, 200, document)
+            case job_desk.UnknownJob():
+                self._log_refusal(job_id, "no such job", 410)
+                await _send_error(send, 410, "no such job")
+
+    async def _cancel(
+        self,
+        job_id: str,
+        route: configuration_lib.Route,
+        limit: datetime.timedelta,
+        send: asgi.Send,
+    ) -> None:
+        match await self._desk.cancel(job_id, route.policy, limit):
+            case job_desk.Cancelled():
+                logs.log_event("job.cancelled", job=job_id)
+                await asgi.send_json(send, 200, {})
+            case job_desk.UnknownJob():
+                self._log_refusal(job_id, "no such job", 410)
+                await _send_error(send, 410, "no such job")
+            case job_desk.OutcomeOpen():
+                self._log_refusal(job_id, "the store didn't answer", 504)
+                await _send_error(send, 504, "ask again")
+
+    def _find_body_limit(self) -> int:
+        configuration = self._configuration.current
+        return configuration.max_body_bytes if configuration else 262144
+
+    def _get_version(self) -> int | None:
+        configuration = self._configuration.current
+        return configuration.version if configuration else None
+
+    def _log_refusal(self, job_id: str, reason: str, status: int) -> None:
+        job_desk.log_refusal(
+            job_id, reason, status, self._configuration.current
+        )
+
+
+class ReadinessApi:
+    """ASGI application that answers the load balancer."""
+
+    __slots__ = ("_is_ready",)
+
+    def __init__(self, is_ready: Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        """Answers 200 if the node takes requests."""
+        del scope, receive
+        status = 200 if self._is_ready() else 503
+        await asgi.send_response(send, status, (), b"")
+
+
+def _read_deadline(headers: tuple[asgi.Header, ...]) -> datetime.timedelta:
+    text = asgi.find_header(headers, _DEADLINE_HEADER)
+    if text is None:
+        return _DEFAULT_DEADLINE
+    try:
+        return datetime.timedelta(milliseconds=max(0.0, float(text)))
+    except (ValueError, OverflowError):
+        return _DEFAULT_DEADLINE
+
+
+async def _send_error(send: asgi.Send, status: int, text: str) -> None:
+    headers = [asgi.Header("content-type", "application/json")]
+    if status in (429, 503):
+        headers.append(asgi.Header("retry-after", str(_RETRY_AFTER_S)))
+    body = b'{"error":"' + text.replace('"', "'").encode() + b'"}'
+    await asgi.send_response(send, status, tuple(headers), body)
--- /dev/null
+++ b/src/fireflywell/platform/settings.py
@@ -0,0 +1,103 @@
+"""The settings file that the platform writes for each process."""
+
+import dataclasses
+import datetime
+import pathlib
+import tomllib
+from typing import Any
+
+from fireflywell import errors
+from fireflywell.node import settings as node_settings
+
+SETTINGS_VARIABLE = "FIREFLYWELL_CONFIG"
+
+
+def load_settings(path: pathlib.Path) -> node_settings.NodeSettings:
+    """Reads the platform's settings file; unknown keys are ignored.
+
+    Raises:
+        SettingsError: The file can't be read, or a key is missing or of the
+            wrong type.
+    """
+    try:
+        document = tomllib.loads(path.read_text(encoding="utf-8"))
+    except OSError as error:
+        raise errors.SettingsError(
+            f"{path} can't be read: {error.strerror}; check the path in "
+            f"{SETTINGS_VARIABLE} and its permissions"
+        ) from error
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise errors.SettingsError(
+            f"{path} isn't valid TOML: {error}; correct the file"
+        ) from error
+    reader = _Reader(document, str(path))
+    bounds = reader.section("bounds")
+    store = reader.section("platform")
+    listen = reader.section("listen_addresses")
+    cloud = reader.section("cloud_api", required=False)
+    return node_settings.NodeSettings(
+        name=reader.text("node_name"),
+        zone=reader.text("zone"),
+        callers_address=listen.text("front"),
+        readiness_address=listen.text("ready_address"),
+        metrics_address=listen.text("control", ""),
+        store_address=store.text("address"),
+        machines_address=cloud.text("address", ""),
+        advice_address=reader.text("advice", ""),
+        bounds=node_settings.Bounds(
+            lease=bounds.milliseconds("lease_duration_ms", 3000),
+            longest_run_lease=bounds.milliseconds("max_hold_ms", 6000),
+            stop=bounds.milliseconds("stop_timeout_ms", 900),
+            grace=bounds.seconds("grace_period_s", 6),
+            status_retention=bounds.seconds("status_s", 120),
+            away_notice=bounds.milliseconds("notice_ms", 4500),
+            move=bounds.seconds("move_s", 1.5),
+            upkeep=bounds.seconds("maintenance_s", 2),
+            far_factor=bounds.number("far_factor", 2),
+            history=store.seconds("history_retention_s", 20),
+        ),
+    )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reader:
+    """Typed access to one table of the file."""
+
+    document: dict[str, Any]
+    place: str
+
+    def section(self, key: str, *, required: bool = True) -> "_Reader":
+        value = self.document.get(key)
+        if value is None and not required:
+            value = {}
+        if not isinstance(value, dict):
+            raise self._complain(key, "a table", value)
+        return _Reader(value, f"{self.place}: {key}")
+
+    def text(self, key: str, default: str | None = None) -> str:
+        value = self.document.get(key, default)
+        if not isinstance(value, str):
+            raise self._complain(key, "a text", value)
+        return value
+
+    def number(self, key: str, default: float) -> float:
+        value = self.document.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int | float):
+            raise self._complain(key, "a number", value)
+        if value < 0:
+            raise self._complain(key, "a number that isn't negative", value)
+        return float(value)
+
+    def seconds(self, key: str, default: float) -> datetime.timedelta:
+        return datetime.timedelta(seconds=self.number(key, default))
+
+    def milliseconds(self, key: str, default: float) -> datetime.timedelta:
+        return datetime.timedelta(milliseconds=self.number(key, default))
+
+    def _complain(
+        self, key: str, expected: str, value: Any
+    ) -> errors.SettingsError:
+        return errors.SettingsError(
+            f"{self.place}: {key} must be {expected}, found {value!r}; "
+            "correct the settings of the platform"
+        )
--- /dev/null
+++ b/src/fireflywell/platform/store.py
@@ -0,0 +1,161 @@
+"""The platform's metadata store as a `coordination.row_store.RowStore`."""
+
+import base64
+import datetime
+import json
+from typing import Any
+import urllib.parse
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell import http_client
+from fireflywell.coordination import row_store
+
+# A call takes about 4 to 10 ms; a slow store takes up to 60 times as long.
+_CALL_TIMEOUT = datetime.timedelta(milliseconds=1500)
+
+# Rows that one transaction of the store may hold.
+MAXIMUM_ENTRIES = 100
+
+
+class PlatformStore:
+    """Rows of the platform's store, reached over HTTP."""
+
+    __slots__ = ("_client", "_clock", "_offset_s")
+
+    def __init__(
+        self, client: http_client.HttpClient, clock: clock_lib.Clock
+    ) -> None:
+        self._client = client
+        self._clock = clock
+        self._offset_s: float | None = None
+
+    def now_s(self) -> float:
+        """Returns an estimate of the store's steady clock, in seconds."""
+        return self._clock.monotonic().total_seconds() + (self._offset_s or 0.0)
+
+    async def transact(
+        self,
+        transaction: row_store.Transaction,
+        timeout: datetime.timedelta | None = None,
+    ) -> row_store.Committed | row_store.Conflict:
+        """Applies a transaction; see `RowStore.transact`."""
+        body = json.dumps(_encode_transaction(transaction)).encode()
+        response = await self._client.call(
+            "POST", "/rows-tx", body, timeout or _CALL_TIMEOUT
+        )
+        if response.status == 412:
+            answer = self._parse(response)
+            rows = tuple(_decode_row(item) for item in answer.get("rows", ()))
+            return row_store.Conflict(rows)
+        answer = self._read_answer(response)
+        return row_store.Committed(int(answer["row_version"]))
+
+    async def read(
+        self, table: str, partition: str, first: str = "", end: str = ""
+    ) -> row_store.Page:
+        """Reads the rows of a partition; see `RowStore.read`."""
+        rows: list[row_store.Row] = []
+        version = 0
+        while True:
+            query = {"table": table, "part": partition}
+            if first:
+                query["from"] = first
+            if end:
+                query["target"] = end
+            answer = await self._get("/rows-get", query)
+            rows.extend(_decode_row(item) for item in answer["rows"])
+            # Changes between two pages are seen again by following from the
+            # version of the first one.
+            version = version or int(answer["row_version"])
+            if not answer["has_more"]:
+                return row_store.Page(tuple(rows), version)
+            first = rows[-1].place.key + "\x00"
+
+    async def follow(
+        self, table: str, after: int, wait: datetime.timedelta
+    ) -> row_store.Page:
+        """Returns the changes of a table; see `RowStore.follow`."""
+        wait_ms = int(wait.total_seconds() * 1000)
+        query = {"table": table, "after": str(after), "wait_ms": str(wait_ms)}
+        answer = await self._get("/rows-feed", query, wait + _CALL_TIMEOUT)
+        rows = tuple(_decode_row(item) for item in answer["rows"])
+        return row_store.Page(rows, int(answer["row_version"]))
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, str],
+        timeout: datetime.timedelta = _CALL_TIMEOUT,
+    ) -> Any:
+        response = await self._client.call(
+            "GET", f"{path}?{urllib.parse.urlencode(query)}", b"", timeout
+        )
+        return self._read_answer(response)
+
+    def _read_answer(self, response: http_client.Response) -> Any:
+        if response.status == 200:
+            return self._parse(response)
+        if response.status == 410:
+            raise errors.HistoryLostError(
+                "the store dropped the changes after this version; read the "
+                "rows again"
+            )
+        if response.status in (429, 503):
+            raise errors.PlatformUnavailableError(
+                f"the store refused a call with status {response.status}"
+            )
+        raise errors.PlatformRejectedError(
+            f"the store answered {response.status}: {response.body[:200]!r}"
+        )
+
+    def _parse(self, response: http_client.Response) -> Any:
+        try:
+            answer = json.loads(response.body)
+        except ValueError as error:
+            raise errors.AnswerLostError(
+                "the store's answer isn't JSON"
+            ) from error
+        # The store's steady clock, in milliseconds.
+        now_ms = answer.get("now_ms")
+        if isinstance(now_ms, int | float):
+            local = self._clock.monotonic().total_seconds()
+            self._offset_s = now_ms / 1000 - local
+        return answer
+
+
+def _encode_transaction(transaction: row_store.Transaction) -> dict[str, Any]:
+    return {
+        "expected": [
+            {**_encode_place(item.place), "row_version": item.version}
+            for item in transaction.expected
+        ],
+        "puts": [
+            {
+                **_encode_place(item.place),
+                "value": base64.b64encode(item.value).decode("ascii"),
+            }
+            for item in transaction.puts
+        ],
+        "remove": [_encode_place(item) for item in transaction.removes],
+    }
+
+
+def _encode_place(place: row_store.RowKey) -> dict[str, str]:
+    return {"table": place.table, "part": place.partition, "key": place.key}
+
+
+def _decode_row(item: dict[str, Any]) -> row_store.Row:
+    place = row_store.RowKey(item["table"], item.get("part", ""), item["key"])
+    try:
+        value = base64.b64decode(item.get("value") or "")
+    except ValueError:
+        # Other writers' rows may hold anything; an empty value is malformed
+        # for every table and is logged where the row is decoded.
+        value = b""
+    return row_store.Row(
+        place,
+        value,
+        int(item.get("row_version", 0)),
+        bool(item.get("deleted", False)),
+    )
--- /dev/null
+++ b/src/fireflywell/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions about jobs of several steps: order, placement, progress."""
--- /dev/null
+++ b/src/fireflywell/scheduling/board.py
@@ -0,0 +1,556 @@
+"""All jobs and workers of one service, with the decisions about them.
+
+The board takes events (jobs, reports, outcomes of orders) and says what to
+do. It never waits and knows nothing of connections or rows.
+"""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+
+from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import model
+from fireflywell.scheduling import orders
+from fireflywell.scheduling import placement
+from fireflywell.scheduling import ranking
+from fireflywell.scheduling import workers as workers_lib
+
+# Numbers of runs that one owner may use for a unit before the next owner's
+# numbers begin.
+_RUNS_PER_TENURE = 1000
+
+# Placements of one pass; the rest follows in the next one, so that a pass
+# stays short.
+_PLACEMENTS_PER_PASS = 64
+
+# A worker that had no room for a unit gets no more until it has reported.
+_NO_ROOM_PAUSE_S = 0.15
+
+_UNHEALTHY_PAUSE_S = 0.5
+
+# Failed runs in a row, without a good one, after which a worker is avoided.
+_FAILURES_TO_AVOID = 3
+_AVOID_S = 4.0
+
+
+# A run that is still listed this long after a stop gets another one.
+_REPEAT_STOP_S = 1.0
+_REMEMBERED_STOPS = 2000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopRequest:
+    """A run that must be stopped on a worker."""
+
+    worker_id: str
+    unit: str
+    run: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finished:
+    """A job that has reached a final state."""
+
+    job: jobs_lib.Job
+    reason: str
+
+
+class Board:
+    """Jobs, workers and runs of one service."""
+
+    __slots__ = (
+        "_first_run",
+        "_mean_work",
+        "_open",
+        "_timed",
+        "_unknown_stops",
+        "dirty",
+        "finals",
+        "finished",
+        "is_inheritance_settled",
+        "jobs",
+        "stops",
+        "workers",
+    )
+
+    def __init__(self, token: int) -> None:
+        self._first_run = (token - 1) * _RUNS_PER_TENURE + 1
+        self._mean_work: dict[str, ranking.MeanWork] = {}
+        # Ready steps with waiting units.
+        self._open: dict[str, jobs_lib.StepRun] = {}
+        # Jobs that have steps which become ready at a time of day.
+        self._timed: set[str] = set()
+        self.jobs: dict[str, jobs_lib.Job] = {}
+        self.workers: dict[str, workers_lib.Worker] = {}
+        # Final states, by job, so that late rows don't bring them back.
+        self.finals: dict[str, jobs_lib.JobState] = {}
+        # Jobs to be stored; True if callers wait for it.
+        self.dirty: dict[str, bool] = {}
+        # Jobs that became final and aren't stored yet.
+        self.finished: dict[str, Finished] = {}
+        # Runs to be stopped, in order.
+        self.stops: collections.deque[StopRequest] = collections.deque()
+        self._unknown_stops: dict[StopRequest, float] = {}
+        # Whether it is known which units an earlier owner left running.
+        self.is_inheritance_settled = False
+
+    @property
+    def has_waiting(self) -> bool:
+        """Whether any ready step has waiting units."""
+        return bool(self._open)
+
+    def add_job(self, job: jobs_lib.Job) -> None:
+        """Adds a job; one that is known or final is left out."""
+        if job.job_id in self.jobs or job.job_id in self.finals:
+            return
+        if job.state.is_final:
+            self.finals[job.job_id] = job.state
+            return
+        self.jobs[job.job_id] = job
+        mean = self._mean_work.setdefault(job.policy.queue, ranking.MeanWork())
+        mean.add(ranking.compute_work(job))
+        if job.submission.request.recurrence is not None:
+            self._timed.add(job.job_id)
+        if job.are_units_done:
+            self._finish(job, jobs_lib.JobState.COMPLETED, "")
+            return
+        for step in job.steps:
+            self._check_attempts(step)
+        self._open_ready_steps(job, None)
+
+    def cancel_job(self, job_id: str) -> None:
+        """Stops a job for good."""
+        job = self.jobs.get(job_id)
+        if job is None:
+            self.finals.setdefault(job_id, jobs_lib.JobState.CANCELLED)
+            return
+        self._finish(job, jobs_lib.JobState.CANCELLED, "cancelled")
+
+    def open_due_steps(self, now_unix_ms: int) -> None:
+        """Opens steps whose time has come."""
+        for job_id in tuple(self._timed):
+            job = self.jobs.get(job_id)
+            if job is None:
+                self._timed.discard(job_id)
+                continue
+            self._open_ready_steps(job, now_unix_ms)
+
+    def count_waiting(self, queue: str) -> int:
+        """Returns how many jobs of a queue have not started."""
+        return sum(
+            not job.has_started
+            for job in self.jobs.values()
+            if job.policy.queue == queue
+        )
+
+    def plan(self, now_s: float) -> list[jobs_lib.Run]:
+        """Places waiting units and returns the runs to start."""
+        candidates = [
+            step
+            for step in self._open.values()
+            if self.is_inheritance_settled or not step.job.is_inherited
+        ]
+        if not candidates:
+            return []
+        largest = max(
+            (
+                worker.free_cpu
+                for worker in self.workers.values()
+                if worker.accepts_runs(now_s)
+            ),
+            default=-1,
+        )
+        ranked = []
+        for step in candidates:
+            if step.since_s is None:
+                step.since_s = now_s
+            demand = 0 if step.spec.is_filling else step.spec.demand.cpu_millis
+            is_serving = step.spec.is_long_running
+            if demand > largest and not is_serving:
+                continue
+            mean = self._mean_work[step.job.policy.queue].value
+            rank = ranking.rank_step(step, now_s, step.job.arrived_s, mean)
+            ranked.append(placement.RankedStep(rank, step))
+        ranked.sort(key=lambda item: item.rank)
+        placements = placement.place_units(
+            ranked, tuple(self.workers.values()), now_s, _PLACEMENTS_PER_PASS
+        )
+        return self._begin_runs(placements, now_s)
+
+    def confirm_start(self, run: jobs_lib.Run, now_s: float) -> None:
+        """Notes that a worker accepted a start."""
+        if run.phase is jobs_lib.RunPhase.SENDING:
+            run.phase = jobs_lib.RunPhase.RUNNING
+            run.confirmed_s = now_s
+
+    def refuse_start(
+        self, run: jobs_lib.Run, reason: orders.Refusal | None, now_s: float
+    ) -> None:
+        """Notes that a worker refused a start.
+
+        Args:
+            run: The run.
+            reason: Why, or None if the worker is unhealthy.
+            now_s: Monotonic time.
+        """
+        worker = self.workers.get(run.worker_id)
+        if reason is orders.Refusal.OLD_RUN:
+            # An earlier sending of the order may have been carried out; the
+            # next report says how it went.
+            run.phase = jobs_lib.RunPhase.SETTLED
+            run.confirmed_s = now_s
+            return
+        if worker is not None:
+            pause = _NO_ROOM_PAUSE_S
+            if reason is None:
+                pause = _UNHEALTHY_PAUSE_S
+            worker.avoid_until_s = max(worker.avoid_until_s, now_s + pause)
+        self._drop_run(run)
+
+    def mark_unsettled(self, run: jobs_lib.Run) -> None:
+        """Notes that a start has no answer and may still be carried out."""
+        if run.phase is jobs_lib.RunPhase.SENDING:
+            run.phase = jobs_lib.RunPhase.UNSETTLED
+            self.stops.append(
+                StopRequest(run.worker_id, run.unit.name, run.number)
+            )
+
+    def settle_stop(
+        self, worker_id: str, unit_name: str, number: int, now_s: float
+    ) -> None:
+        """Notes that a worker won't start a run, or is stopping it."""
+        worker = self.workers.get(worker_id)
+        run = worker.runs.get((unit_name, number)) if worker else None
+        if run is not None and run.phase in (
+            jobs_lib.RunPhase.UNSETTLED,
+            jobs_lib.RunPhase.STOPPING,
+        ):
+            run.phase = jobs_lib.RunPhase.SETTLED
+            run.confirmed_s = now_s
+
+    def apply_report(
+        self,
+        worker_id: str,
+        report: orders.WorkerReport,
+        requested_s: float,
+        now_s: float,
+    ) -> int:
+        """Takes a worker's report into account.
+
+        Args:
+            worker_id: The worker.
+            report: The report.
+            requested_s: Monotonic time at which it was asked for.
+            now_s: Monotonic time.
+
+        Returns:
+            The number of the last end in the report, 0 if there is none.
+        """
+        worker = self.workers[worker_id]
+        last = 0
+        listed: set[tuple[str, int]] = set()
+        for end in report.ended:
+            last = max(last, end.number)
+            listed.add((end.unit, end.run))
+            self._apply_end(worker, end, now_s)
+        for item in report.running:
+            listed.add((item.unit, item.run))
+            self._apply_running(worker, item, now_s)
+        for key, run in tuple(worker.runs.items()):
+            if key in listed or run.confirmed_s >= requested_s:
+                continue
+            if run.phase in (
+                jobs_lib.RunPhase.RUNNING,
+                jobs_lib.RunPhase.SETTLED,
+            ):
+                self._drop_run(run)
+        return last
+
+    def lose_runs(self, worker_id: str) -> int:
+        """Treats all runs on a worker as ended; returns their number."""
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return 0
+        lost = tuple(worker.runs.values())
+        for run in lost:
+            self._drop_run(run)
+        return len(lost)
+
+    def remove_worker(self, worker_id: str) -> None:
+        """Removes a worker that runs nothing any more."""
+        self.lose_runs(worker_id)
+        self.workers.pop(worker_id, None)
+
+    def take_dirty(self, limit: int) -> list[jobs_lib.Job]:
+        """Returns jobs to be stored, those that callers wait for first."""
+        order = sorted(self.dirty, key=lambda job_id: not self.dirty[job_id])
+        taken = []
+        for job_id in order[:limit]:
+            del self.dirty[job_id]
+            finished = self.finished.get(job_id)
+            job = finished.job if finished else self.jobs.get(job_id)
+            if job is not None:
+                taken.append(job)
+        return taken
+
+    def _begin_runs(
+        self, placements: Iterable[placement.Placement], now_s: float
+    ) -> list[jobs_lib.Run]:
+        runs = []
+        gang_numbers: dict[str, int] = {}
+        for item in placements:
+            unit, step = item.unit, item.unit.step
+            number = max(unit.last_number + 1, self._first_run)
+            if step.spec.is_gang:
+                number = gang_numbers.setdefault(
+                    step.key,
+                    max(
+                        self._first_run,
+                        1 + max(u.last_number for u in step.units),
+                    ),
+                )
+            run = jobs_lib.Run(unit, number, item.worker.worker_id, now_s)
+            unit.last_number = number
+            unit.last_worker = item.worker.worker_id
+            unit.runs.append(run)
+            step.waiting.remove(unit)
+            if not step.waiting:
+                self._open.pop(step.key, None)
+            item.worker.add_run(run)
+            if not step.job.has_started:
+                step.job.has_started = True
+                step.job.state = jobs_lib.JobState.RUNNING
+                self.dirty.setdefault(step.job.job_id, False)
+            runs.append(run)
+        return runs
+
+    def _apply_end(
+        self, worker: workers_lib.Worker, end: orders.EndReport, now_s: float
+    ) -> None:
+        run = worker.runs.get((end.unit, end.run))
+        unit = run.unit if run else self._find_unit(end.unit)
+        if unit is None:
+            return
+        unit.last_number = max(unit.last_number, end.run)
+        if run is not None:
+            self._remove_run(run)
+        job = unit.step.job
+        if job.job_id not in self.jobs:
+            return
+        match end.kind:
+            case orders.EndKind.DONE:
+                self._apply_done(unit, run, worker, now_s)
+            case orders.EndKind.FAILED:
+                self._apply_failed(unit, end, worker, now_s)
+            case _:
+                self._keep_checkpoint(unit, end.checkpoint)
+        self._requeue(unit)
+
+    def _apply_done(
+        self,
+        unit: jobs_lib.Unit,
+        run: jobs_lib.Run | None,
+        worker: workers_lib.Worker,
+        now_s: float,
+    ) -> None:
+        worker.failure_streak = 0
+        step = unit.step
+        if step.spec.is_long_running:
+            self.dirty.setdefault(step.job.job_id, False)
+            return
+        if unit.is_done:
+            return
+        if run is not None:
+            step.note_duration(now_s - run.started_s)
+        # One done end of a gang represents all its members.
+        members = step.units if step.spec.is_gang else [unit]
+        for member in members:
+            if member.is_done:
+                continue
+            member.is_done = True
+            step.done += 1
+            if member in step.waiting:
+                step.waiting.remove(member)
+            self._stop_runs(member)
+        if not step.waiting:
+            self._open.pop(step.key, None)
+        job = step.job
+        if step.is_done and job.are_units_done:
+            self._finish(job, jobs_lib.JobState.COMPLETED, "")
+            return
+        self.dirty.setdefault(job.job_id, False)
+        if step.is_done:
+            self._open_ready_steps(job, None)
+
+    def _apply_failed(
+        self,
+        unit: jobs_lib.Unit,
+        end: orders.EndReport,
+        worker: workers_lib.Worker,
+        now_s: float,
+    ) -> None:
+        worker.failure_streak += 1
+        if worker.failure_streak >= _FAILURES_TO_AVOID:
+            worker.avoid_until_s = now_s + _AVOID_S
+        self._keep_checkpoint(unit, end.checkpoint)
+        if unit.step.spec.is_long_running:
+            return
+        if end.run not in unit.failed_runs:
+            unit.failed_runs.append(end.run)
+            self.dirty.setdefault(unit.step.job.job_id, False)
+        self._check_attempts(unit.step)
+
+    def _check_attempts(self, step: jobs_lib.StepRun) -> None:
+        job = step.job
+        if step.spec.is_long_running or job.job_id not in self.jobs:
+            return
+        limit = job.policy.max_attempts
+        for unit in step.units:
+            if not unit.is_done and len(unit.failed_runs) >= limit:
+                self._finish(
+                    job,
+                    jobs_lib.JobState.FAILED,
+                    f"unit {unit.name} failed {len(unit.failed_runs)} times",
+                )
+                return
+
+    def _apply_running(
+        self, worker: workers_lib.Worker, item: orders.RunReport, now_s: float
+    ) -> None:
+        run = worker.runs.get((item.unit, item.run))
+        if run is None:
+            run = self._adopt_run(worker, item, now_s)
+            if run is None:
+                return
+        if run.phase is jobs_lib.RunPhase.SENDING:
+            run.phase = jobs_lib.RunPhase.RUNNING
+            run.confirmed_s = now_s
+        run.percent = item.percent
+        run.load = item.load
+        if item.checkpoint:
+            run.unit.checkpoint = item.checkpoint
+
+    def _adopt_run(
+        self, worker: workers_lib.Worker, item: orders.RunReport, now_s: float
+    ) -> jobs_lib.Run | None:
+        unit = self._find_unit(item.unit)
+        is_wanted = (
+            unit is not None
+            and unit.step.job.job_id in self.jobs
+            and not unit.is_done
+            and not unit.runs
+        )
+        if unit is None or not is_wanted:
+            self._stop_unknown(
+                StopRequest(worker.worker_id, item.unit, item.run), now_s
+            )
+            return None
+        run = jobs_lib.Run(unit, item.run, worker.worker_id, now_s)
+        run.phase = jobs_lib.RunPhase.RUNNING
+        unit.last_number = max(unit.last_number, item.run)
+        unit.last_worker = worker.worker_id
+        unit.runs.append(run)
+        if unit in unit.step.waiting:
+            unit.step.waiting.remove(unit)
+        if not unit.step.waiting:
+            self._open.pop(unit.step.key, None)
+        unit.step.job.has_started = True
+        worker.add_run(run)
+        return run
+
+    def _stop_unknown(self, request: StopRequest, now_s: float) -> None:
+        """Asks for a stop; a run takes a while to end and is listed again."""
+        asked_s = self._unknown_stops.get(request)
+        if asked_s is not None and now_s - asked_s < _REPEAT_STOP_S:
+            return
+        if len(self._unknown_stops) > _REMEMBERED_STOPS:
+            self._unknown_stops.clear()
+        self._unknown_stops[request] = now_s
+        self.stops.append(request)
+
+    def _find_unit(self, name: str) -> jobs_lib.Unit | None:
+        parts = jobs_lib.parse_unit_name(name)
+        if parts is None:
+            return None
+        job = self.jobs.get(parts[0])
+        return job.find_unit(*parts[1:]) if job else None
+
+    def _keep_checkpoint(self, unit: jobs_lib.Unit, checkpoint: str) -> None:
+        if checkpoint and unit.step.spec.is_checkpointing:
+            unit.checkpoint = checkpoint
+            self.dirty.setdefault(unit.step.job.job_id, False)
+
+    def _drop_run(self, run: jobs_lib.Run) -> None:
+        """Ends a run that has left no end in a report."""
+        if run.phase is jobs_lib.RunPhase.ENDED:
+            return
+        self._remove_run(run)
+        self._requeue(run.unit)
+
+    def _remove_run(self, run: jobs_lib.Run) -> None:
+        run.phase = jobs_lib.RunPhase.ENDED
+        if run in run.unit.runs:
+            run.unit.runs.remove(run)
+        worker = self.workers.get(run.worker_id)
+        if worker is not None:
+            worker.remove_run(run)
+
+    def _requeue(self, unit: jobs_lib.Unit) -> None:
+        """Lets a unit wait again if it isn't done and has no other run."""
+        step = unit.step
+        if unit.is_done or unit.runs or step.job.job_id not in self.jobs:
+            return
+        if unit not in step.waiting:
+            step.waiting.append(unit)
+        if step.spec.is_gang:
+            # The others are of no use without this one.
+            for member in step.units:
+                self._stop_runs(member)
+        self._open[step.key] = step
+
+    def _stop_runs(self, unit: jobs_lib.Unit) -> None:
+        for run in unit.runs:
+            if run.phase is jobs_lib.RunPhase.STOPPING:
+                continue
+            run.phase = jobs_lib.RunPhase.STOPPING
+            self.stops.append(StopRequest(run.worker_id, unit.name, run.number))
+
+    def _open_ready_steps(
+        self, job: jobs_lib.Job, now_unix_ms: int | None
+    ) -> None:
+        is_timed = job.submission.request.recurrence is not None
+        if is_timed and now_unix_ms is None:
+            return
+        for step in job.steps:
+            if not step.waiting or step.key in self._open:
+                continue
+            if job.is_step_ready(step, now_unix_ms or 0):
+                self._open[step.key] = step
+
+    def _finish(
+        self, job: jobs_lib.Job, state: jobs_lib.JobState, reason: str
+    ) -> None:
+        job.state = state
+        self.jobs.pop(job.job_id, None)
+        self._timed.discard(job.job_id)
+        self.finals[job.job_id] = state
+        self.finished[job.job_id] = Finished(job, reason)
+        self.dirty[job.job_id] = True
+        for step in job.steps:
+            self._open.pop(step.key, None)
+            for unit in step.units:
+                self._stop_runs(unit)
+
+
+def make_job(
+    submission: model.Submission, store_now_s: float, now_s: float
+) -> jobs_lib.Job:
+    """Returns a job without progress.
+
+    Args:
+        submission: The accepted job.
+        store_now_s: The store's steady clock.
+        now_s: Monotonic time, to which the age is converted.
+    """
+    age_s = max(0.0, store_now_s - submission.accepted_at_s)
+    return jobs_lib.Job(submission, now_s - age_s)
--- /dev/null
+++ b/src/fireflywell/scheduling/workers.py
@@ -0,0 +1,139 @@
+"""Capacity of a service's workers and what is placed on them."""
+
+import dataclasses
+import datetime
+
+from fireflywell.scheduling import jobs
+from fireflywell.scheduling import model
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerInstance:
+    """One life of a VM that runs units, as the registry lists it.
+
+    Attributes:
+        instance_id: Identifier of this life; a restart may keep it.
+        service: Service that it belongs to.
+        address: Host and port.
+        zone: Availability zone.
+        rack: Rack, empty if unknown.
+        labels: All labels, the rack among them.
+        capacity: Resources that it offers.
+        is_draining: Whether it leaves soon.
+        leaves_in: Time until it leaves, as far as it is known.
+        born_unix_ms: Start of this life; 0 if unknown.
+        machine: The VM, empty if unknown.
+    """
+
+    instance_id: str
+    service: str
+    address: str
+    zone: str
+    rack: str
+    labels: tuple[str, ...]
+    capacity: model.Demand
+    is_draining: bool = False
+    leaves_in: datetime.timedelta | None = None
+    born_unix_ms: int = 0
+    machine: str = ""
+
+
+class Worker:
+    """A worker's free capacity and the runs placed on it."""
+
+    __slots__ = (
+        "avoid_until_s",
+        "failure_streak",
+        "free_accelerators",
+        "free_cpu",
+        "free_memory",
+        "instance",
+        "is_reachable",
+        "is_reserved_for_upkeep",
+        "per_step",
+        "runs",
+        "slow_factor",
+    )
+
+    def __init__(self, instance: WorkerInstance) -> None:
+        self.instance = instance
+        self.free_cpu = instance.capacity.cpu_millis
+        self.free_memory = instance.capacity.memory_mb
+        self.free_accelerators = instance.capacity.accelerators
+        self.runs: dict[tuple[str, int], jobs.Run] = {}
+        self.per_step: dict[str, int] = {}
+        self.is_reachable = False
+        self.is_reserved_for_upkeep = False
+        # No new runs before this monotonic time.
+        self.avoid_until_s = 0.0
+        self.failure_streak = 0
+        # Smoothed duration of units against their step's expectation.
+        self.slow_factor = 1.0
+
+    @property
+    def worker_id(self) -> str:
+        """Identifier of the worker."""
+        return self.instance.instance_id
+
+    def replace_instance(self, instance: WorkerInstance) -> None:
+        """Takes over a changed listing of the same life."""
+        old = self.instance.capacity
+        new = instance.capacity
+        self.free_cpu += new.cpu_millis - old.cpu_millis
+        self.free_memory += new.memory_mb - old.memory_mb
+        self.free_accelerators += new.accelerators - old.accelerators
+        self.instance = instance
+
+    def accepts_runs(self, now_s: float) -> bool:
+        """Returns whether new runs may be placed here at all."""
+        return (
+            self.is_reachable
+            and not self.instance.is_draining
+            and not self.is_reserved_for_upkeep
+            and now_s >= self.avoid_until_s
+        )
+
+    def fits(self, step: jobs.StepRun) -> bool:
+        """Returns whether one more unit of a step may run here."""
+        spec = step.spec
+        demand = spec.demand
+        if not spec.is_filling and demand.cpu_millis > self.free_cpu:
+            return False
+        if demand.memory_mb > self.free_memory:
+            return False
+        if demand.accelerators > self.free_accelerators:
+            return False
+        if spec.required_label and (
+            spec.required_label not in self.instance.labels
+        ):
+            return False
+        return (
+            not spec.max_per_worker
+            or self.per_step.get(step.key, 0) < spec.max_per_worker
+        )
+
+    def add_run(self, run: jobs.Run) -> None:
+        """Occupies capacity for a run."""
+        step = run.unit.step
+        self.runs[run.unit.name, run.number] = run
+        self._change_use(step.spec, -1)
+        self.per_step[step.key] = self.per_step.get(step.key, 0) + 1
+
+    def remove_run(self, run: jobs.Run) -> None:
+        """Frees the capacity of a run that has ended; once only."""
+        if self.runs.pop((run.unit.name, run.number), None) is None:
+            return
+        step = run.unit.step
+        self._change_use(step.spec, 1)
+        left = self.per_step[step.key] - 1
+        if left:
+            self.per_step[step.key] = left
+        else:
+            del self.per_step[step.key]
+
+    def _change_use(self, spec: model.Step, sign: int) -> None:
+        demand = spec.demand
+        if not spec.is_filling:
+            self.free_cpu += sign * demand.cpu_millis
+        self.free_memory += sign * demand.memory_mb
+        self.free_accelerators += sign * demand.accelerators
