Carry out maintenance waves through tickets in the store

Change: one owner of the fleet duty issues a ticket for each VM; the owner of its pool empties the worker while it has little to do, or as late as the deadline allows, and marks it ready; the duty orders the upkeep within the wave's limit and writes the wave's state.

--- /dev/null
+++ b/src/fireflywell/node/fleet_duty.py
@@ -0,0 +1,326 @@
+"""The duty that gives orders for VMs: maintenance waves.
+
+Only the owner of this duty calls the platform's interface for VMs. Owners of
+services empty their workers and say so in the VM's ticket.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import datetime
+import random
+from typing import Protocol
+
+import anyio
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.coordination import row_store
+from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import ownership
+from fireflywell.node import tables
+from fireflywell.node import upkeep_book
+from fireflywell.scheduling import upkeep
+from fireflywell.supervision import policies
+from fireflywell.supervision import supervisor as supervisor_lib
+from fireflywell.telemetry import logs
+
+_INTERVAL = datetime.timedelta(milliseconds=250)
+
+# The list of VMs is read at this pace while one is away.
+_LIST_INTERVAL = datetime.timedelta(milliseconds=700)
+
+# A new holder of the duty waits until the former one can't give orders.
+_START_DELAY_SHARE = 1.1
+
+_RUNNING = "running"
+_COMPLETED = "completed"
+
+
+class FleetClient(Protocol):
+    """Calls to the platform's interface for VMs.
+
+    All methods raise `PlatformUnavailableError` if nothing was done and
+    `AnswerLostError` if the order may have been carried out.
+    """
+
+    async def list_vms(self) -> tuple[upkeep.Vm, ...]:
+        """Returns all VMs."""
+
+    async def begin_upkeep(
+        self, machine: str, wave: int, token: int
+    ) -> upkeep.VmRefusal | None:
+        """Begins the maintenance of a VM; returns why not, or None."""
+
+    async def move(
+        self, machine: str, pool: str, token: int
+    ) -> upkeep.VmRefusal | None:
+        """Moves a VM to another pool; returns why not, or None."""
+
+
+class WaveBook:
+    """Operators' requests for maintenance, as last read."""
+
+    __slots__ = ("_decode", "_seen_at_s", "_store", "waves")
+
+    def __init__(
+        self,
+        decode: Callable[[bytes], upkeep.Wave],
+        store: row_store.RowStore,
+    ) -> None:
+        self._decode = decode
+        self._store = store
+        self._seen_at_s: dict[int, float] = {}
+        self.waves: dict[int, upkeep.Wave] = {}
+
+    def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Takes rows of the operator's table into account."""
+        for row in rows:
+            if not row.place.key.startswith("wave/") or row.is_removed:
+                continue
+            try:
+                wave = self._decode(row.value)
+            except errors.CorruptRowError as error:
+                logs.log_event("wave.unreadable", error=str(error))
+                continue
+            if self.waves.get(wave.number) == wave:
+                continue
+            self.waves[wave.number] = wave
+            self._seen_at_s.setdefault(wave.number, self._store.now_s())
+            logs.log_event(
+                "wave.observed",
+                wave=wave.number,
+                machines=len(wave.machines),
+                duration_s=wave.duration_s,
+                max_count=wave.max_count,
+            )
+
+    def compute_deadline_s(self, wave: upkeep.Wave) -> float:
+        """Returns when a wave must be complete, on the store's clock."""
+        return self._seen_at_s[wave.number] + wave.duration_s
+
+
+class FleetDuty:
+    """Carries out maintenance waves for the length of one tenure."""
+
+    __slots__ = (
+        "_book",
+        "_client",
+        "_clock",
+        "_completed",
+        "_down",
+        "_heartbeat",
+        "_listed_at",
+        "_pools",
+        "_random",
+        "_scope",
+        "_started",
+        "_store",
+        "_tenure",
+        "_vms",
+        "_waves",
+        "_lease",
+    )
+
+    def __init__(
+        self,
+        tenure: ownership.Tenure,
+        store: row_store.RowStore,
+        client: FleetClient,
+        book: upkeep_book.UpkeepBook,
+        waves: WaveBook,
+        heartbeat: heartbeat_lib.Heartbeat,
+        list_pools: Callable[[], tuple[str, ...]],
+        lease: datetime.timedelta,
+        clock: clock_lib.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._tenure = tenure
+        self._store = store
+        self._client = client
+        self._book = book
+        self._waves = waves
+        self._heartbeat = heartbeat
+        self._pools = list_pools
+        self._lease = lease
+        self._clock = clock
+        self._random = rng
+        self._scope = anyio.CancelScope()
+        self._vms: dict[str, upkeep.Vm] = {}
+        self._listed_at: datetime.timedelta | None = None
+        # VMs that may be down for maintenance, with their wave.
+        self._down: dict[str, int] = {}
+        self._started: set[int] = set()
+        self._completed: set[int] = set()
+
+    def stop(self) -> None:
+        """Ends the tenure; no further order is given."""
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Carries out waves until stopped."""
+        with self._scope:
+            tree = supervisor_lib.Supervisor(
+                "fleet",
+                self._clock,
+                self._random,
+                (
+                    supervisor_lib.Child(
+                        "waves",
+                        self._run_waves,
+                        policies.RestartWithBackoff(),
+                    ),
+                ),
+            )
+            await tree.run()
+
+    async def _run_waves(self) -> None:
+        if not self._tenure.is_first:
+            await self._clock.sleep(self._lease * _START_DELAY_SHARE)
+        while True:
+            await self._clock.sleep(_INTERVAL)
+            if not self._heartbeat.is_valid:
+                continue
+            try:
+                for wave in tuple(self._waves.waves.values()):
+                    if wave.number not in self._completed:
+                        await self._advance_wave(wave)
+            except errors.PlatformError as error:
+                logs.log_event("wave.delayed", error=str(error))
+
+    async def _advance_wave(self, wave: upkeep.Wave) -> None:
+        if wave.number not in self._started:
+            if await self._is_completed(wave):
+                self._completed.add(wave.number)
+                return
+            await self._write_state(wave, _RUNNING)
+            self._started.add(wave.number)
+        await self._refresh_vms()
+        await self._issue_tickets(wave)
+        for machine in wave.machines:
+            await self._advance_machine(wave, machine)
+        if all(self._is_served(wave, name) for name in wave.machines):
+            await self._refresh_vms(force=True)
+            await self._write_state(wave, _COMPLETED)
+            self._completed.add(wave.number)
+
+    async def _refresh_vms(self, *, force: bool = False) -> None:
+        now = self._clock.monotonic()
+        if (
+            not force
+            and self._listed_at is not None
+            and (now - self._listed_at < _LIST_INTERVAL)
+        ):
+            return
+        vms = await self._client.list_vms()
+        self._vms = {vm.name: vm for vm in vms}
+        for machine in tuple(self._down):
+            vm = self._vms.get(machine)
+            if vm is None or vm.state is upkeep.VmState.UP:
+                del self._down[machine]
+        self._listed_at = self._clock.monotonic()
+
+    async def _issue_tickets(self, wave: upkeep.Wave) -> None:
+        missing = [
+            name
+            for name in wave.machines
+            if (found := self._book.find(name)) is None
+            or found.wave < wave.number
+        ]
+        pools = max(1, len(self._pools()))
+        at_once = max(1, -(-wave.max_count // pools))
+        for name in missing:
+            ticket = upkeep.Ticket(
+                name,
+                wave.number,
+                upkeep.Phase.DUE,
+                self._waves.compute_deadline_s(wave),
+                at_once,
+            )
+            await self._advance(ticket)
+
+    async def _advance_machine(self, wave: upkeep.Wave, machine: str) -> None:
+        ticket = self._book.find(machine)
+        vm = self._vms.get(machine)
+        if ticket is None or ticket.wave != wave.number or vm is None:
+            return
+        if ticket.phase is upkeep.Phase.DONE:
+            return
+        is_empty = ticket.phase is upkeep.Phase.READY or (
+            # Nobody owns a VM without a worker, so nobody empties it.
+            not vm.instance_id
+            and vm.state is upkeep.VmState.UP
+        )
+        if not is_empty or machine in self._down:
+            return
+        down = sum(number == wave.number for number in self._down.values())
+        if down >= wave.max_count or not self._heartbeat.is_valid:
+            return
+        await self._begin(wave, ticket)
+
+    async def _begin(self, wave: upkeep.Wave, ticket: upkeep.Ticket) -> None:
+        machine = ticket.machine
+        self._down[machine] = wave.number
+        # The list that was read before the order says nothing about it.
+        self._listed_at = self._clock.monotonic()
+        refusal = await self._client.begin_upkeep(
+            machine, wave.number, self._tenure.token
+        )
+        logs.log_event(
+            "upkeep.ordered",
+            machine=machine,
+            wave=wave.number,
+            token=self._tenure.token,
+            outcome=str(refusal) if refusal else "begun",
+        )
+        if refusal is None:
+            await self._advance(
+                dataclasses.replace(ticket, phase=upkeep.Phase.DONE)
+            )
+            return
+        del self._down[machine]
+
+    def _is_served(self, wave: upkeep.Wave, machine: str) -> bool:
+        if machine not in self._vms:
+            # It has left for good.
+            return True
+        ticket = self._book.find(machine)
+        return (
+            ticket is not None
+            and ticket.wave >= wave.number
+            and ticket.phase is upkeep.Phase.DONE
+        )
+
+    async def _advance(self, ticket: upkeep.Ticket) -> bool:
+        return await upkeep_book.advance_ticket(
+            self._store,
+            self._book,
+            ownership.FLEET_DUTY,
+            ticket,
+            (self._tenure.make_condition(),),
+        )
+
+    async def _is_completed(self, wave: upkeep.Wave) -> bool:
+        row = await self._read_state(wave)
+        return row is not None and _COMPLETED.encode() in row.value
+
+    async def _write_state(self, wave: upkeep.Wave, state: str) -> None:
+        row = await self._read_state(wave)
+        place = _locate_state(wave)
+        await self._store.transact(
+            row_store.Transaction(
+                (row_store.Expected(place, row.version if row else 0),),
+                (row_store.Put(place, upkeep_book.encode_wave_state(state)),),
+            )
+        )
+        logs.log_event("wave.state", wave=wave.number, state=state)
+
+    async def _read_state(self, wave: upkeep.Wave) -> row_store.Row | None:
+        place = _locate_state(wave)
+        page = await self._store.read(
+            place.table, place.partition, place.key, place.key + "\x00"
+        )
+        return page.rows[0] if page.rows else None
+
+
+def _locate_state(wave: upkeep.Wave) -> row_store.RowKey:
+    return row_store.RowKey(tables.STATUS, "", f"wave/{wave.number}")
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -14,6 +14,7 @@
 from fireflywell.coordination import row_store
 from fireflywell.node import configuration as configuration_lib
 from fireflywell.node import directory as directory_lib
+from fireflywell.node import fleet_duty
 from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import job_desk
 from fireflywell.node import ownership
@@ -21,7 +22,9 @@
 from fireflywell.node import settings as node_settings
 from fireflywell.node import table_follower
 from fireflywell.node import tables
+from fireflywell.node import upkeep_book
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import upkeep
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
@@ -47,7 +50,9 @@
         store: The row store.
         decode_configuration: Reads the operator's configuration.
         decode_instance: Reads a worker's entry.
+        decode_wave: Reads an operator's request for maintenance.
         make_client: Connects to a worker.
+        fleet: The platform's interface for VMs.
         make_callers_api: Builds the callers' interface.
         make_readiness_api: Builds the load balancer's interface.
     """
@@ -55,7 +60,9 @@
     store: row_store.RowStore
     decode_configuration: Callable[[bytes], configuration_lib.Configuration]
     decode_instance: Callable[[str, bytes], workers_lib.WorkerInstance]
+    decode_wave: Callable[[bytes], upkeep.Wave]
     make_client: Callable[[workers_lib.WorkerInstance], orders.WorkerClient]
+    fleet: fleet_duty.FleetClient
     make_callers_api: Callable[
         [job_desk.JobDesk, directory_lib.ConfigurationHolder],
         asgi.Application,
@@ -126,6 +133,8 @@
         "_random",
         "_registry",
         "_settings",
+        "_upkeep",
+        "_waves",
     )
 
     def __init__(
@@ -160,14 +169,16 @@
             self._list_services,
             self._start_owner,
         )
+        self._upkeep = upkeep_book.UpkeepBook()
+        self._waves = fleet_duty.WaveBook(boundary.decode_wave, store)
         self._desk = job_desk.JobDesk(store, clock)
         self._owners: dict[str, service_owner.ServiceOwner] = {}
         self._owners_tree = supervisor_lib.Supervisor("owners", clock, rng)
         self._operator_follower = self._follow(
             tables.OPERATOR,
             lambda: ("",),
-            self._configuration.apply_rows,
-            self._configuration.apply_rows,
+            self._apply_operator_rows,
+            self._apply_operator_rows,
         )
         self._listeners = (
             _make_listener(
@@ -206,8 +217,8 @@
         owners = self._follow(
             tables.OWNERS,
             self._keeper.list_partitions,
-            self._keeper.apply_rows,
-            self._keeper.apply_rows,
+            self._apply_owner_rows,
+            self._apply_owner_rows,
             _OWNERS_PAUSE,
         )
         callers, readiness = self._listeners
@@ -233,6 +244,14 @@
             self._settings.name, self._clock, self._random, children
         )
 
+    def _apply_operator_rows(self, rows: tuple[row_store.Row, ...]) -> None:
+        self._configuration.apply_rows(rows)
+        self._waves.apply_rows(rows)
+
+    def _apply_owner_rows(self, rows: tuple[row_store.Row, ...]) -> None:
+        self._keeper.apply_rows(rows)
+        self._upkeep.apply_rows(rows)
+
     def _follow(
         self,
         table: str,
@@ -281,7 +300,7 @@
         self, tenure: ownership.Tenure
     ) -> Callable[[], None]:
         if tenure.service == ownership.FLEET_DUTY:
-            return _do_nothing
+            return self._start_fleet_duty(tenure)
         owner = service_owner.ServiceOwner(
             tenure,
             self._settings,
@@ -291,6 +310,7 @@
             self._heartbeat,
             self._registry.list_instances,
             self._boundary.make_client,
+            self._upkeep,
         )
         self._owners[tenure.service] = owner
 
@@ -309,9 +329,23 @@
         )
         return owner.stop
 
-
-def _do_nothing() -> None:
-    """Ends a duty that needs no task."""
+    def _start_fleet_duty(self, tenure: ownership.Tenure) -> Callable[[], None]:
+        duty = fleet_duty.FleetDuty(
+            tenure,
+            self._boundary.store,
+            self._boundary.fleet,
+            self._upkeep,
+            self._waves,
+            self._heartbeat,
+            self._list_services,
+            self._settings.bounds.lease,
+            self._clock,
+            self._random,
+        )
+        self._owners_tree.start_child(
+            supervisor_lib.Child("fleet", duty.run, policies.LetEnd())
+        )
+        return duty.stop
 
 
 def _make_listener(
--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -169,7 +169,8 @@
     def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
         """Takes changed owners' rows into account."""
         for row in rows:
-            self._apply_row(row)
+            if row.place.key == tables.OWNER_KEY:
+                self._apply_row(row)
 
     async def run(self) -> None:
         """Claims and releases services until cancelled."""
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -1,6 +1,7 @@
 """Owns one service: its jobs, its workers and the runs between them."""
 
 from collections.abc import Callable
+import dataclasses
 import datetime
 import random
 
@@ -17,10 +18,12 @@
 from fireflywell.node import settings as node_settings
 from fireflywell.node import table_follower
 from fireflywell.node import tables
+from fireflywell.node import upkeep_book
 from fireflywell.node import worker_session
 from fireflywell.scheduling import board as board_lib
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import upkeep
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
@@ -47,12 +50,14 @@
 class _RunningSession:
     """A session and the scope that ends it."""
 
-    __slots__ = ("gone_since_s", "scope", "session")
+    __slots__ = ("gone_since_s", "reserved_since_s", "scope", "session")
 
     def __init__(self, session: worker_session.WorkerSession) -> None:
         self.session = session
         self.scope = anyio.CancelScope()
         self.gone_since_s: float | None = None
+        # When the worker was reserved for maintenance.
+        self.reserved_since_s: float | None = None
 
     async def run(self) -> None:
         """Runs the session until its scope is cancelled."""
@@ -80,6 +85,7 @@
         "_store",
         "_tenure",
         "_tree",
+        "_upkeep",
         "_writer",
     )
 
@@ -93,7 +99,9 @@
         heartbeat: heartbeat_lib.Heartbeat,
         list_instances: ListInstances,
         make_client: MakeClient,
+        book: upkeep_book.UpkeepBook,
     ) -> None:
+        self._upkeep = book
         self._tenure = tenure
         self._settings = settings
         self._store = store
@@ -170,6 +178,7 @@
             supervisor_lib.Child("sweep", self._writer.run_sweep, restart),
             supervisor_lib.Child("workers", self._sync_workers, restart),
             supervisor_lib.Child("planner", self._run_planner, restart),
+            supervisor_lib.Child("upkeep", self._run_upkeep, restart),
         )
         return supervisor_lib.Supervisor(
             f"service {self.service}", self._clock, self._random, children
@@ -295,6 +304,58 @@
             self._writer.wake()
             await self._clock.sleep(_PLAN_DELAY)
 
+    async def _run_upkeep(self) -> None:
+        """Empties workers whose VMs are due for maintenance."""
+        while True:
+            await self._clock.sleep(_SYNC_INTERVAL)
+            tickets = self._upkeep.list_tickets()
+            for worker in upkeep.choose_reservations(
+                self._board, tickets, self._store.now_s(), self._now_s()
+            ):
+                self._reserve(worker)
+            for running in tuple(self._sessions.values()):
+                if running.reserved_since_s is not None:
+                    await self._empty_worker(running)
+
+    def _reserve(self, worker: workers_lib.Worker) -> None:
+        running = self._sessions.get(worker.worker_id)
+        if running is None:
+            return
+        worker.is_reserved_for_upkeep = True
+        running.reserved_since_s = self._now_s()
+        logs.log_event(
+            "upkeep.reserved",
+            worker=worker.worker_id,
+            machine=worker.instance.machine,
+            runs=len(worker.runs),
+        )
+
+    async def _empty_worker(self, running: _RunningSession) -> None:
+        assert running.reserved_since_s is not None
+        worker = running.session.worker
+        ticket = self._upkeep.find(worker.instance.machine)
+        if ticket is None or ticket.phase is not upkeep.Phase.DUE:
+            return
+        waited_s = self._now_s() - running.reserved_since_s
+        for run in upkeep.choose_evictions(self._board, worker, waited_s):
+            logs.log_event(
+                "run.evicted",
+                job=run.unit.step.job.job_id,
+                unit=run.unit.name,
+                worker=worker.worker_id,
+                wave=ticket.wave,
+            )
+            self._board.stop_run(run)
+        self._give_stops()
+        if worker.runs or not worker.is_reachable:
+            return
+        await upkeep_book.advance_ticket(
+            self._store,
+            self._upkeep,
+            ownership.FLEET_DUTY,
+            dataclasses.replace(ticket, phase=upkeep.Phase.READY),
+        )
+
     def _give_starts(self, runs: list[jobs_lib.Run]) -> None:
         for run in runs:
             self._sessions[run.worker_id].session.give(
--- a/src/fireflywell/node/tables.py
+++ b/src/fireflywell/node/tables.py
@@ -12,13 +12,14 @@
 OWNERS = "owners"
 ROSTERS = "rosters"
 QUEUES = "queues"
-UPKEEP = "upkeep"
 
 # Written by others; the node only reads them.
 OPERATOR = "op"
 INSTANCES = "servers"
 STATUS = "status"
 
+OWNER_KEY = "owner"
+
 _CANCEL_SUFFIX = "/cancel"
 
 
@@ -34,7 +35,7 @@
 
 def locate_owner(service: str) -> row_store.RowKey:
     """Returns the place of the row that names a service's owner."""
-    return row_store.RowKey(OWNERS, service, "owner")
+    return row_store.RowKey(OWNERS, service, OWNER_KEY)
 
 
 def locate_roster(service: str) -> row_store.RowKey:
--- /dev/null
+++ b/src/fireflywell/platform/machines.py
@@ -0,0 +1,93 @@
+"""The platform's interface for VMs."""
+
+import datetime
+import json
+from typing import Any
+
+from fireflywell import errors
+from fireflywell import http_client
+from fireflywell.platform import instances
+from fireflywell.scheduling import upkeep
+
+_TIMEOUT = datetime.timedelta(seconds=2)
+
+
+class MachinesClient:
+    """Lists VMs and gives orders for them."""
+
+    __slots__ = ("_client", "_holder")
+
+    def __init__(self, client: http_client.HttpClient, holder: str) -> None:
+        self._client = client
+        self._holder = holder
+
+    async def list_vms(self) -> tuple[upkeep.Vm, ...]:
+        """Returns all VMs; see `FleetClient.list_vms`."""
+        vms: list[upkeep.Vm] = []
+        page = ""
+        while True:
+            path = f"/machines?page_token={page}" if page else "/machines"
+            response = await self._client.call("GET", path, b"", _TIMEOUT)
+            if response.status != 200:
+                raise errors.PlatformUnavailableError(
+                    f"the list of VMs answered {response.status}"
+                )
+            document = json.loads(response.body)
+            vms.extend(_decode_vm(item) for item in document["machines"])
+            page = document.get("next_page_token") or ""
+            if not page:
+                return tuple(vms)
+
+    async def begin_upkeep(
+        self, machine: str, wave: int, token: int
+    ) -> upkeep.VmRefusal | None:
+        """Begins maintenance; see `FleetClient.begin_upkeep`."""
+        body = {"machine": machine, "wave": wave}
+        return await self._order("/machine-upkeep", body, token)
+
+    async def move(
+        self, machine: str, pool: str, token: int
+    ) -> upkeep.VmRefusal | None:
+        """Moves a VM; see `FleetClient.move`."""
+        body = {"machine": machine, "pool": pool}
+        return await self._order("/machine-move", body, token)
+
+    async def _order(
+        self, path: str, body: dict[str, Any], token: int
+    ) -> upkeep.VmRefusal | None:
+        headers = (
+            f"X-Fireflywell-Duty-Holder: {self._holder}\r\n"
+            f"X-Fireflywell-Fencing-Token: {token}\r\n"
+        )
+        response = await self._client.call(
+            "POST", path, json.dumps(body).encode(), _TIMEOUT, headers
+        )
+        match response.status:
+            case 200:
+                return None
+            case 409:
+                reason = json.loads(response.body).get("reason", "")
+                try:
+                    return upkeep.VmRefusal(reason)
+                except ValueError:
+                    return upkeep.VmRefusal.UNKNOWN
+            case 400:
+                return upkeep.VmRefusal.UNKNOWN
+            case 429:
+                return upkeep.VmRefusal.RATE
+        raise errors.PlatformUnavailableError(
+            f"an order for VM {body['machine']} was answered with "
+            f"{response.status}"
+        )
+
+
+def _decode_vm(item: dict[str, Any]) -> upkeep.Vm:
+    return upkeep.Vm(
+        item["machine"],
+        item.get("pool", ""),
+        upkeep.VmState(item.get("state", "down")),
+        item.get("zone", ""),
+        tuple(item.get("labels") or ()),
+        instances.decode_demand(item.get("capacity") or {}),
+        item.get("id") or "",
+    )
--- a/src/fireflywell/platform/main.py
+++ b/src/fireflywell/platform/main.py
@@ -19,8 +19,10 @@
 from fireflywell.platform import configuration
 from fireflywell.platform import instances
 from fireflywell.platform import job_api
+from fireflywell.platform import machines
 from fireflywell.platform import settings as platform_settings
 from fireflywell.platform import store as platform_store
+from fireflywell.platform import waves
 from fireflywell.platform import worker_calls
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import workers
@@ -30,6 +32,7 @@
 # Each follower of a table keeps one connection; the rest are short calls.
 _STORE_CONNECTIONS = 48
 _WORKER_CONNECTIONS = 8
+_FLEET_CONNECTIONS = 2
 
 
 def make_boundary(
@@ -57,7 +60,14 @@
         store=store,
         decode_configuration=configuration.decode_configuration,
         decode_instance=instances.decode_instance,
+        decode_wave=waves.decode_wave,
         make_client=make_client,
+        fleet=machines.MachinesClient(
+            http_client.HttpClient(
+                settings.machines_address, clock, _FLEET_CONNECTIONS
+            ),
+            settings.name,
+        ),
         make_callers_api=make_callers_api,
         make_readiness_api=job_api.ReadinessApi,
     )
--- a/src/fireflywell/scheduling/board.py
+++ b/src/fireflywell/scheduling/board.py
@@ -99,6 +99,20 @@
         """Whether any ready step has waiting units."""
         return bool(self._open)
 
+    def iterate_open_steps(self) -> tuple[jobs_lib.StepRun, ...]:
+        """Returns the ready steps that have waiting units."""
+        return tuple(self._open.values())
+
+    def stop_run(self, run: jobs_lib.Run) -> None:
+        """Asks for the stop of a run; its unit waits again once it ended."""
+        if run.phase in (
+            jobs_lib.RunPhase.STOPPING,
+            jobs_lib.RunPhase.ENDED,
+        ):
+            return
+        run.phase = jobs_lib.RunPhase.STOPPING
+        self.stops.append(StopRequest(run.worker_id, run.unit.name, run.number))
+
     def add_job(self, job: jobs_lib.Job) -> None:
         """Adds a job; one that is known or final is left out."""
         if job.job_id in self.jobs or job.job_id in self.finals:
@@ -510,10 +524,7 @@
 
     def _stop_runs(self, unit: jobs_lib.Unit) -> None:
         for run in unit.runs:
-            if run.phase is jobs_lib.RunPhase.STOPPING:
-                continue
-            run.phase = jobs_lib.RunPhase.STOPPING
-            self.stops.append(StopRequest(run.worker_id, unit.name, run.number))
+            self.stop_run(run)
 
     def _open_ready_steps(
         self, job: jobs_lib.Job, now_unix_ms: int | None
--- /dev/null
+++ b/src/fireflywell/scheduling/upkeep.py
@@ -0,0 +1,219 @@
+"""Maintenance of VMs: requests, their phases, and when to empty a worker."""
+
+import dataclasses
+import enum
+
+from fireflywell.scheduling import board as board_lib
+from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import model
+from fireflywell.scheduling import workers as workers_lib
+
+# Time in which a worker is emptied, maintained and listed again.
+_CYCLE_S = 6.0
+
+# Work that runs when a worker is reserved may take this long to end; then it
+# is stopped if its VM must go.
+_PATIENCE_S = 3.0
+
+# Share of a service's processors that must be free, besides those of the
+# worker, to empty it ahead of time.
+_FREE_SHARE = 0.35
+
+# Start of the schedule's end, kept for VMs that fail to come back in time.
+_RESERVE_S = 4.0
+
+
+class VmState(enum.StrEnum):
+    """State of a VM in the platform's list."""
+
+    UP = "up"
+    MOVING = "moving"
+    UPKEEP = "upkeep"
+    DOWN = "down"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Vm:
+    """A VM as the platform lists it.
+
+    Attributes:
+        name: Identifier that stays for good.
+        pool: Service that it belongs to.
+        state: What it does.
+        zone: Availability zone.
+        labels: Labels, the rack among them.
+        capacity: Resources.
+        instance_id: The worker that runs on it; empty if there is none.
+    """
+
+    name: str
+    pool: str
+    state: VmState
+    zone: str
+    labels: tuple[str, ...]
+    capacity: model.Demand
+    instance_id: str
+
+
+class VmRefusal(enum.StrEnum):
+    """Why the platform refused an order for a VM."""
+
+    FENCED = "fence"
+    BUSY = "busy"  # It isn't up, or it leaves.
+    NOT_IN_WAVE = "wave"
+    RATE = "rate"  # Too many orders; nothing was done.
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wave:
+    """A request that VMs are maintained.
+
+    Attributes:
+        number: Number of the wave.
+        machines: The VMs.
+        duration_s: Time in which all must have had it.
+        max_count: Most VMs that may be down for it at once.
+    """
+
+    number: int
+    machines: tuple[str, ...]
+    duration_s: float
+    max_count: int
+
+
+class Phase(enum.StrEnum):
+    """How far the maintenance of one VM is."""
+
+    DUE = "due"  # The owner of its pool may empty it.
+    READY = "ready"  # Nothing runs on it and nothing will.
+    DONE = "done"  # The platform has begun it.
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """Maintenance of one VM in one wave.
+
+    Attributes:
+        machine: The VM.
+        wave: Number of the wave.
+        phase: How far it is.
+        deadline_s: When the wave must be complete, on the store's clock.
+        at_once: How many VMs of one service may be emptied at the same time.
+    """
+
+    machine: str
+    wave: int
+    phase: Phase
+    deadline_s: float
+    at_once: int
+
+
+def choose_reservations(
+    board: board_lib.Board,
+    tickets: tuple[Ticket, ...],
+    store_now_s: float,
+    now_s: float,
+) -> list[workers_lib.Worker]:
+    """Returns the workers that are to be emptied for maintenance now.
+
+    A worker is emptied while its service has little to do, or as late as the
+    wave's deadline allows.
+
+    Args:
+        board: Jobs and workers of the service.
+        tickets: Maintenance that is due, for any VM.
+        store_now_s: The store's steady clock.
+        now_s: Monotonic time.
+    """
+    by_machine = {
+        worker.instance.machine: worker for worker in board.workers.values()
+    }
+    due = [
+        (ticket, worker)
+        for ticket in tickets
+        if ticket.phase is Phase.DUE
+        and (worker := by_machine.get(ticket.machine)) is not None
+        and worker.is_reachable
+    ]
+    reserved = sum(w.is_reserved_for_upkeep for w in board.workers.values())
+    chosen: list[workers_lib.Worker] = []
+    # The emptiest worker is free soonest.
+    due.sort(key=lambda item: -item[1].free_cpu)
+    for ticket, worker in due:
+        if worker.is_reserved_for_upkeep:
+            continue
+        if reserved + len(chosen) >= ticket.at_once:
+            break
+        left = sum(1 for item in due if item[0].wave == ticket.wave)
+        rounds = -(-left // max(1, ticket.at_once))
+        latest_s = ticket.deadline_s - rounds * _CYCLE_S - _RESERVE_S
+        if store_now_s >= latest_s or _has_room_without(board, worker, now_s):
+            chosen.append(worker)
+    return chosen
+
+
+def choose_evictions(
+    board: board_lib.Board, worker: workers_lib.Worker, waited_s: float
+) -> list[jobs_lib.Run]:
+    """Returns the runs to stop on a worker that is to be emptied.
+
+    Units that end by themselves are given time. Long-running units are
+    stopped as their step's allowance permits, since they never end.
+
+    Args:
+        board: Jobs and workers of the service.
+        worker: The worker.
+        waited_s: Time since it was reserved.
+    """
+    del board
+    evicted: list[jobs_lib.Run] = []
+    leaving: dict[str, int] = {}
+    for run in worker.runs.values():
+        if run.phase is not jobs_lib.RunPhase.RUNNING:
+            continue
+        step = run.unit.step
+        if not step.spec.is_long_running:
+            if waited_s > _PATIENCE_S:
+                evicted.append(run)
+            continue
+        away = count_away(step, run.unit) + leaving.get(step.key, 0)
+        if step.spec.may_be_away and away >= step.spec.may_be_away:
+            continue
+        leaving[step.key] = leaving.get(step.key, 0) + 1
+        evicted.append(run)
+    return evicted
+
+
+def count_away(step: jobs_lib.StepRun, unit: jobs_lib.Unit) -> int:
+    """Returns how many other units of a step aren't at work."""
+    return sum(
+        other is not unit and not is_at_work(other) for other in step.units
+    )
+
+
+def is_at_work(unit: jobs_lib.Unit) -> bool:
+    """Returns whether a long-running unit serves its users."""
+    return any(
+        run.phase is jobs_lib.RunPhase.RUNNING and run.percent >= 100
+        for run in unit.runs
+    )
+
+
+def _has_room_without(
+    board: board_lib.Board, worker: workers_lib.Worker, now_s: float
+) -> bool:
+    if any(
+        not step.spec.is_long_running for step in board.iterate_open_steps()
+    ):
+        return False
+    others = [
+        item
+        for item in board.workers.values()
+        if item is not worker and item.accepts_runs(now_s)
+    ]
+    free = sum(item.free_cpu for item in others)
+    total = sum(
+        item.instance.capacity.cpu_millis for item in board.workers.values()
+    )
+    return total > 0 and free >= _FREE_SHARE * total
