--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -62,7 +62,8 @@
         # When the current phase was confirmed, in monotonic seconds. Reports
         # requested later must list the run, or it is gone.
         self.confirmed_s = started_s
-        self.percent = 100
+        # Nothing is known before the first report that lists the run.
+        self.percent = 0
         # Share of the worker that a filling unit was last told to use.
         self.share_percent = 100
         # Tail latency in ms of a serving unit, else cpu in use.
