--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import anyio
+
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import row_store
@@ -19,7 +21,8 @@
     __slots__ = (
         "_board",
         "_clock",
-        "_is_first",
+        "_absent",
+        "_loaded",
         "_on_change",
         "_progress",
         "_service",
@@ -43,7 +46,35 @@
         self._clock = clock
         self._on_change = on_change
         self._progress: dict[str, row_store.Row] = {}
-        self._is_first = True
+        self._loaded = anyio.Event()
+        # Jobs that workers named and that the store doesn't hold any more.
+        self._absent: set[str] = set()
+
+    @property
+    def _is_first(self) -> bool:
+        return not self._loaded.is_set()
+
+    async def wait_until_loaded(self) -> None:
+        """Waits for the first snapshot; reports mean nothing before it."""
+        await self._loaded.wait()
+
+    async def fetch_unknown(self, job_ids: frozenset[str]) -> None:
+        """Adds jobs that a worker names and that no change has shown yet.
+
+        An earlier owner may have started a job that was accepted after this
+        owner's snapshot.
+
+        Raises:
+            PlatformError: The store doesn't answer.
+        """
+        for job_id in job_ids - self._absent:
+            place = tables.locate_job(self._service, job_id)
+            page = await self._store.read(
+                place.table, place.partition, job_id, job_id + "\x7f"
+            )
+            if not any(row.place.key == job_id for row in page.rows):
+                self._absent.add(job_id)
+            self.apply_changes(page.rows)
 
     async def load_progress(self) -> None:
         """Reads the progress that earlier owners stored.
@@ -64,7 +95,7 @@
                 active=len(self._board.jobs),
                 final=len(self._board.finals),
             )
-        self._is_first = False
+        self._loaded.set()
         self._progress = {}
 
     def apply_changes(self, rows: tuple[row_store.Row, ...]) -> None:
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -202,6 +202,7 @@
 
     async def _sync_workers(self) -> None:
         """Keeps one session for each listed worker."""
+        await self._loader.wait_until_loaded()
         while True:
             listed = {
                 item.instance_id: item
@@ -241,6 +242,7 @@
             self._settings.bounds.longest_run_lease,
             self._clock,
             self._note_change,
+            self._loader.fetch_unknown,
         )
         running = _RunningSession(session)
         self._sessions[instance.instance_id] = running
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -1,5 +1,6 @@
 """Tasks that talk to one worker: lease renewal, reports and orders."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import datetime
@@ -89,6 +90,7 @@
         "_clock_ms",
         "_clock_read_s",
         "_commands",
+        "_fetch_jobs",
         "_heartbeat",
         "_lapse_s",
         "_lease",
@@ -114,7 +116,9 @@
         lease: datetime.timedelta,
         clock: clock_lib.Clock,
         on_change: Callable[[], None],
+        fetch_jobs: Callable[[frozenset[str]], Awaitable[None]],
     ) -> None:
+        self._fetch_jobs = fetch_jobs
         self._worker = worker
         self._client = client
         self._board = board
@@ -219,6 +223,20 @@
     async def _take_report(
         self, report: orders.WorkerReport, requested_s: float
     ) -> None:
+        unknown = self._board.find_unknown_jobs(report)
+        if unknown:
+            try:
+                await self._fetch_jobs(unknown)
+            except errors.PlatformError as error:
+                # Nothing of the report is used; it is asked for again.
+                logs.log_event(
+                    "worker.report_deferred",
+                    worker=self._worker.worker_id,
+                    jobs=sorted(unknown),
+                    error=str(error),
+                )
+                await self._clock.sleep(_RETRY_DELAY)
+                return
         now_s = self._now_s()
         if (
             self.born_unix_ms
--- a/src/fireflywell/scheduling/board.py
+++ b/src/fireflywell/scheduling/board.py
@@ -280,6 +280,17 @@
                 self._drop_run(run)
         return last
 
+    def find_unknown_jobs(self, report: orders.WorkerReport) -> frozenset[str]:
+        """Returns the jobs of a report that the board has never seen."""
+        names = {item.unit for item in report.running}
+        names.update(item.unit for item in report.ended)
+        job_ids = {name.partition(".")[0] for name in names}
+        return frozenset(
+            job_id
+            for job_id in job_ids
+            if job_id not in self.jobs and job_id not in self.finals
+        )
+
     def lose_runs(self, worker_id: str) -> int:
         """Treats all runs on a worker as ended; returns their number."""
         worker = self.workers.get(worker_id)
