Shorten the wait for units of an earlier owner; spread long-running units

Change: leases of at most 6 s, an owner without the store holds on for 2 s, a handover counts no such time, the end of the wait is kept in the roster's row; long-running units are spread over workers and racks.

--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -60,12 +60,15 @@
         token: Fencing token for workers.
         version: Version of the owner's row, a condition of all writes.
         is_first: Whether nobody owned the service before.
+        is_handover: Whether the former owner gave it up by itself and gives
+            no orders any more.
     """
 
     service: str
     token: int
     version: int
     is_first: bool
+    is_handover: bool = False
 
     def make_condition(self) -> row_store.Expected:
         """Returns the condition that this tenure isn't over."""
@@ -282,7 +285,13 @@
             case row_store.Committed(version=committed):
                 self._rows[service] = (record, committed)
                 self._unowned_since.pop(service, None)
-                tenure = Tenure(service, token, committed, known is None)
+                tenure = Tenure(
+                    service,
+                    token,
+                    committed,
+                    is_first=known is None,
+                    is_handover=known is not None and not previous,
+                )
                 logs.log_event(
                     "ownership.claimed",
                     service=service,
--- a/src/fireflywell/node/roster.py
+++ b/src/fireflywell/node/roster.py
@@ -5,7 +5,6 @@
 
 import msgpack
 
-from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import ownership
@@ -23,7 +22,6 @@
 
     __slots__ = (
         "_board",
-        "_clock",
         "_lives",
         "_on_settled",
         "_store",
@@ -38,17 +36,16 @@
         tenure: ownership.Tenure,
         board: board_lib.Board,
         store: row_store.RowStore,
-        clock: clock_lib.Clock,
         on_settled: Callable[[], None],
     ) -> None:
         self._tenure = tenure
         self._board = board
         self._store = store
-        self._clock = clock
         self._on_settled = on_settled
         self._lives: dict[str, int] = {}
         self._version = 0
         self._unsettled: dict[str, int] = {}
+        # On the store's clock, which all owners share.
         self._unsettled_until_s = 0.0
 
     async def load(self, longest_orphan: datetime.timedelta) -> None:
@@ -62,10 +59,15 @@
         page = await self._store.read(place.table, place.partition)
         for row in page.rows:
             if row.place == place:
-                self._lives = dict(msgpack.unpackb(row.value))
+                lives, earlier_s = msgpack.unpackb(row.value)
+                self._lives = dict(lives)
+                self._unsettled_until_s = float(earlier_s)
                 self._version = row.version
         self._unsettled = dict(self._lives)
-        self._unsettled_until_s = self._now_s() + longest_orphan.total_seconds()
+        self._unsettled_until_s = max(
+            self._unsettled_until_s,
+            self._store.now_s() + longest_orphan.total_seconds(),
+        )
         self.check_settled()
 
     def note_report(self, worker_id: str, born_unix_ms: int) -> None:
@@ -81,7 +83,7 @@
         """Releases inherited units once all earlier runs are accounted for."""
         if self._board.is_inheritance_settled:
             return
-        is_over = self._now_s() > self._unsettled_until_s
+        is_over = self._store.now_s() > self._unsettled_until_s
         if self._unsettled and not is_over:
             return
         logs.log_event(
@@ -104,6 +106,7 @@
         if all(self._lives.get(key) == born for key, born in lives.items()):
             return True
         wanted = {**self._unsettled, **lives}
+        value = msgpack.packb([wanted, self._unsettled_until_s])
         place = tables.locate_roster(self._tenure.service)
         try:
             result = await self._store.transact(
@@ -112,7 +115,7 @@
                         self._tenure.make_condition(),
                         row_store.Expected(place, self._version),
                     ),
-                    (row_store.Put(place, bytes(msgpack.packb(wanted))),),
+                    (row_store.Put(place, bytes(value)),),
                 )
             )
         except errors.PlatformError:
@@ -126,6 +129,3 @@
                 # An earlier write of this owner whose answer was lost.
                 self._version = conflict.find_version(place)
                 return False
-
-    def _now_s(self) -> float:
-        return self._clock.monotonic().total_seconds()
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -43,6 +43,9 @@
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=200)
 
+# Added to the longest lease that an earlier owner can have given.
+_ORPHAN_MARGIN = datetime.timedelta(milliseconds=500)
+
 MakeClient = Callable[[workers_lib.WorkerInstance], orders.WorkerClient]
 ListInstances = Callable[[str], tuple[workers_lib.WorkerInstance, ...]]
 
@@ -125,7 +128,7 @@
             self.stop,
         )
         self._roster = roster_lib.Roster(
-            tenure, self._board, store, clock, self._wake_planner
+            tenure, self._board, store, self._wake_planner
         )
         self._loader = job_loader.JobLoader(
             tenure.service,
@@ -147,6 +150,11 @@
         """Name of the service."""
         return self._tenure.service
 
+    @property
+    def _run_lease(self) -> datetime.timedelta:
+        longest = self._settings.bounds.longest_run_lease
+        return min(longest, worker_session.LONGEST_LEASE)
+
     def stop(self) -> None:
         """Ends the tenure; no further order is given."""
         self._is_over = True
@@ -185,8 +193,10 @@
         )
 
     async def _load(self) -> None:
-        bounds = self._settings.bounds
-        orphan = worker_session.HOLD_ON + bounds.longest_run_lease * 1.1
+        orphan = self._run_lease * (1 + worker_session.CLOCK_DRIFT)
+        orphan += _ORPHAN_MARGIN
+        if not self._tenure.is_handover:
+            orphan += worker_session.HOLD_ON
         while True:
             try:
                 await self._roster.load(orphan)
@@ -239,7 +249,7 @@
             self._writer,
             self._heartbeat,
             self._tenure.token,
-            self._settings.bounds.longest_run_lease,
+            self._run_lease,
             self._clock,
             self._note_change,
             self._loader.fetch_unknown,
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -46,12 +46,16 @@
 _START_ATTEMPTS = 2
 
 # A worker's clock may be this much slower than the node's.
-_CLOCK_DRIFT = 0.02
+CLOCK_DRIFT = 0.02
 _LAPSE_MARGIN_S = 0.3
 
+# Runs get leases of at most this length: long enough for a successor to take
+# over, short enough to give up the runs of a worker that is out of reach.
+LONGEST_LEASE = datetime.timedelta(seconds=6)
+
 # After its node's lease is over, an owner keeps units alive for this long but
 # starts none. A successor counts on this bound.
-HOLD_ON = datetime.timedelta(seconds=10)
+HOLD_ON = datetime.timedelta(seconds=2)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -399,7 +403,7 @@
     def _extend_lapse(self) -> None:
         # The order may arrive late; the worker's clock may also be ahead of
         # the estimate by the time that the last report was on its way.
-        span = self._lease.total_seconds() * (1 + _CLOCK_DRIFT)
+        span = self._lease.total_seconds() * (1 + CLOCK_DRIFT)
         self._lapse_s = max(
             self._lapse_s, self._now_s() + span + _LAPSE_MARGIN_S
         )
--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -16,6 +16,13 @@
 _OTHER_RACK_COST = 1_000_000
 
 
+# Costs of fit of a long-running unit beside others of its step, and of a
+# filling unit beside other filling ones, in thousandths of a core.
+_SAME_WORKER_COST = 200_000
+_SAME_RACK_COST = 40_000
+_FILLING_COST = 4_000
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
     """A unit that is to start on a worker.
@@ -104,9 +111,10 @@
 class _Budget:
     """Free capacity during one pass, less what the pass has placed."""
 
-    __slots__ = ("_free", "_largest_cpu")
+    __slots__ = ("_free", "_largest_cpu", "_workers")
 
     def __init__(self, workers: Sequence[workers_lib.Worker]) -> None:
+        self._workers = workers
         self._free = {worker.worker_id: _Free(worker) for worker in workers}
         self._largest_cpu = max(
             (free.cpu for free in self._free.values()), default=0
@@ -126,9 +134,25 @@
         """Returns the processors left free after one more unit."""
         free = self._free[worker.worker_id]
         if step.spec.is_filling:
-            return -free.cpu + 4000 * free.filling
+            return -free.cpu + _FILLING_COST * free.filling
+        if step.spec.is_long_running:
+            # Spread, so that one crash or upkeep takes few of them away.
+            beside = free.per_step.get(step.key, 0)
+            in_rack = self._count_in_rack(worker, step)
+            return (
+                _SAME_WORKER_COST * beside + _SAME_RACK_COST * in_rack
+            ) - free.cpu
         return free.cpu - step.spec.demand.cpu_millis
 
+    def _count_in_rack(
+        self, worker: workers_lib.Worker, step: jobs.StepRun
+    ) -> int:
+        return sum(
+            self._free[other.worker_id].per_step.get(step.key, 0)
+            for other in self._workers
+            if other.instance.rack == worker.instance.rack
+        )
+
     def take(self, worker: workers_lib.Worker, step: jobs.StepRun) -> None:
         """Occupies capacity for one unit."""
         self._free[worker.worker_id].take(step)
