--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -349,7 +349,9 @@
         if ticket is None or ticket.phase is not upkeep.Phase.DUE:
             return
         waited_s = self._now_s() - running.reserved_since_s
-        for run in upkeep.choose_evictions(self._board, worker, waited_s):
+        for run in upkeep.choose_evictions(
+            self._board, worker, waited_s, self._now_s()
+        ):
             logs.log_event(
                 "run.evicted",
                 job=run.unit.step.job.job_id,
--- a/src/fireflywell/scheduling/board.py
+++ b/src/fireflywell/scheduling/board.py
@@ -261,6 +261,7 @@
             The number of the last end in the report, 0 if there is none.
         """
         worker = self.workers[worker_id]
+        worker.reported_s = now_s
         last = 0
         listed: set[tuple[str, int]] = set()
         for end in report.ended:
--- a/src/fireflywell/scheduling/upkeep.py
+++ b/src/fireflywell/scheduling/upkeep.py
@@ -19,6 +19,12 @@
 # worker, to empty it ahead of time.
 _FREE_SHARE = 0.35
 
+# A worker with runs reports about once a second; an older report says nothing
+# about what it does now.
+_FRESH_REPORT_S = 1.5
+
+_AT_WORK_PERCENT = 100
+
 # Start of the schedule's end, kept for VMs that fail to come back in time.
 _RESERVE_S = 4.0
 
@@ -154,7 +160,10 @@
 
 
 def choose_evictions(
-    board: board_lib.Board, worker: workers_lib.Worker, waited_s: float
+    board: board_lib.Board,
+    worker: workers_lib.Worker,
+    waited_s: float,
+    now_s: float,
 ) -> list[jobs_lib.Run]:
     """Returns the runs to stop on a worker that is to be emptied.
 
@@ -165,8 +174,8 @@
         board: Jobs and workers of the service.
         worker: The worker.
         waited_s: Time since it was reserved.
+        now_s: Monotonic time.
     """
-    del board
     evicted: list[jobs_lib.Run] = []
     leaving: dict[str, int] = {}
     for run in worker.runs.values():
@@ -177,7 +186,7 @@
             if waited_s > _PATIENCE_S:
                 evicted.append(run)
             continue
-        away = count_away(step, run.unit) + leaving.get(step.key, 0)
+        away = count_away(board, run.unit, now_s) + leaving.get(step.key, 0)
         if step.spec.may_be_away and away >= step.spec.may_be_away:
             continue
         leaving[step.key] = leaving.get(step.key, 0) + 1
@@ -185,19 +194,34 @@
     return evicted
 
 
-def count_away(step: jobs_lib.StepRun, unit: jobs_lib.Unit) -> int:
-    """Returns how many other units of a step aren't at work."""
+def count_away(
+    board: board_lib.Board, unit: jobs_lib.Unit, now_s: float
+) -> int:
+    """Returns how many other units of a unit's step aren't at work."""
     return sum(
-        other is not unit and not is_at_work(other) for other in step.units
+        other is not unit and not is_at_work(board, other, now_s)
+        for other in unit.step.units
     )
 
 
-def is_at_work(unit: jobs_lib.Unit) -> bool:
-    """Returns whether a long-running unit serves its users."""
-    return any(
-        run.phase is jobs_lib.RunPhase.RUNNING and run.percent >= 100
-        for run in unit.runs
-    )
+def is_at_work(
+    board: board_lib.Board, unit: jobs_lib.Unit, now_s: float
+) -> bool:
+    """Returns whether a long-running unit surely serves its users.
+
+    What a worker said of it counts only for as long as the worker reports.
+    """
+    for run in unit.runs:
+        worker = board.workers.get(run.worker_id)
+        if (
+            worker is not None
+            and worker.is_reachable
+            and now_s - worker.reported_s < _FRESH_REPORT_S
+            and run.phase is jobs_lib.RunPhase.RUNNING
+            and run.percent >= _AT_WORK_PERCENT
+        ):
+            return True
+    return False
 
 
 def _has_room_without(
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -51,6 +51,7 @@
         "is_reachable",
         "is_reserved_for_upkeep",
         "per_step",
+        "reported_s",
         "runs",
         "slow_factor",
     )
@@ -63,6 +64,8 @@
         self.runs: dict[tuple[str, int], jobs.Run] = {}
         self.per_step: dict[str, int] = {}
         self.is_reachable = False
+        # Monotonic time of the last report.
+        self.reported_s = 0.0
         self.is_reserved_for_upkeep = False
         # No new runs before this monotonic time.
         self.avoid_until_s = 0.0
