Let leases on silent workers end; reload settings on SIGHUP

Change: a worker out of reach is only asked for a report, without a lease; SIGHUP reads the settings again, applies addresses and logs the rest.

--- a/src/fireflywell/http_client.py
+++ b/src/fireflywell/http_client.py
@@ -64,7 +64,7 @@
 class Connection:
     """One connection; it carries one call at a time."""
 
-    __slots__ = ("_clock", "_stream", "idle_since")
+    __slots__ = ("_clock", "_stream", "idle_since", "is_stale")
 
     def __init__(
         self, stream: anyio.abc.SocketStream, clock: clock_lib.Clock
@@ -72,6 +72,7 @@
         self._stream = stream
         self._clock = clock
         self.idle_since = clock.monotonic()
+        self.is_stale = False
 
     @classmethod
     async def open(cls, host: str, port: int, clock: clock_lib.Clock) -> Self:
@@ -182,6 +183,18 @@
         async with self._limiter:
             return await self._send(request, timeout)
 
+    def retarget(self, address: str) -> None:
+        """Uses another address for the calls that follow."""
+        if address == self._address:
+            return
+        host, _, port = address.rpartition(":")
+        self._address = address
+        self._host = host
+        self._port = int(port)
+        # Connections to the former address are closed when they are found.
+        for connection in self._idle:
+            connection.is_stale = True
+
     async def close(self) -> None:
         """Closes all idle connections."""
         idle, self._idle = self._idle, []
@@ -219,7 +232,10 @@
         oldest_allowed = self._clock.monotonic() - _IDLE_TIMEOUT
         while self._idle:
             connection = self._idle.pop()
-            if connection.idle_since >= oldest_allowed:
+            if (
+                connection.idle_since >= oldest_allowed
+                and not connection.is_stale
+            ):
                 return connection
             await connection.close()
         try:
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -214,10 +214,15 @@
         self,
     ) -> orders.WorkerReport | orders.OrderOutcome:
         is_first = self._clock_read_s is None
+        is_out_of_reach = not self._worker.is_reachable
         is_idle = not self._worker.runs
-        wait = datetime.timedelta() if is_first or is_idle else _REPORT_WAIT
+        wait = _REPORT_WAIT
+        if is_first or is_idle or is_out_of_reach:
+            wait = datetime.timedelta()
         lease_until = None
-        if not is_first and self._may_renew():
+        # Leases of a worker that doesn't answer must be over at a known time,
+        # even if it receives what it is sent.
+        if not is_first and not is_out_of_reach and self._may_renew():
             lease_until = self._compute_lease_end()
             self._extend_lapse()
         return await self._client.renew(
--- a/src/fireflywell/platform/main.py
+++ b/src/fireflywell/platform/main.py
@@ -1,5 +1,6 @@
 """Entry point of the node process on the users' platform."""
 
+import dataclasses
 import os
 import pathlib
 import random
@@ -26,6 +27,7 @@
 from fireflywell.platform import worker_calls
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import workers
+from fireflywell.telemetry import logs
 
 _DEFAULT_SETTINGS = "/etc/fireflywell/local.toml"
 
@@ -34,17 +36,79 @@
 _WORKER_CONNECTIONS = 8
 _FLEET_CONNECTIONS = 2
 
+# Stands for a service that the settings don't name; calls to it fail.
+_NO_ADDRESS = "127.0.0.1:9"
+
+# Settings that a reload changes in a running process.
+_RELOADABLE = ("store_address", "machines_address")
+
+
+class Connections:
+    """Clients of the platform's services, which a reload may retarget."""
+
+    __slots__ = ("_clock", "fleet", "store")
+
+    def __init__(
+        self, settings: node_settings.NodeSettings, clock: clock_lib.Clock
+    ) -> None:
+        self._clock = clock
+        self.store = http_client.HttpClient(
+            settings.store_address, clock, _STORE_CONNECTIONS
+        )
+        self.fleet = http_client.HttpClient(
+            settings.machines_address or _NO_ADDRESS, clock, _FLEET_CONNECTIONS
+        )
+
+    def apply(self, settings: node_settings.NodeSettings) -> None:
+        """Uses the addresses of changed settings."""
+        self.store.retarget(settings.store_address)
+        self.fleet.retarget(settings.machines_address or _NO_ADDRESS)
+
+
+class SettingsReloader:
+    """Reads the settings file again on SIGHUP."""
+
+    __slots__ = ("_connections", "_path", "_settings")
+
+    def __init__(
+        self,
+        path: pathlib.Path,
+        settings: node_settings.NodeSettings,
+        connections: Connections,
+    ) -> None:
+        self._path = path
+        self._settings = settings
+        self._connections = connections
+
+    def reload(self) -> None:
+        """Applies a changed file; a mistake leaves the old settings."""
+        try:
+            fresh = platform_settings.load_settings(self._path)
+        except errors.SettingsError as error:
+            logs.log_event("settings.rejected", error=str(error))
+            return
+        changed = [
+            field.name
+            for field in dataclasses.fields(fresh)
+            if getattr(fresh, field.name) != getattr(self._settings, field.name)
+        ]
+        applied = [name for name in changed if name in _RELOADABLE]
+        self._connections.apply(fresh)
+        self._settings = fresh
+        logs.log_event(
+            "settings.reloaded",
+            applied=applied,
+            at_next_start=[name for name in changed if name not in applied],
+        )
+
 
 def make_boundary(
-    settings: node_settings.NodeSettings, clock: clock_lib.Clock
+    settings: node_settings.NodeSettings,
+    connections: Connections,
+    clock: clock_lib.Clock,
 ) -> node_process.Boundary:
     """Builds the translation for a node with these settings."""
-    store = platform_store.PlatformStore(
-        http_client.HttpClient(
-            settings.store_address, clock, _STORE_CONNECTIONS
-        ),
-        clock,
-    )
+    store = platform_store.PlatformStore(connections.store, clock)
 
     def make_client(instance: workers.WorkerInstance) -> orders.WorkerClient:
         return worker_calls.HttpWorkerClient(
@@ -62,12 +126,7 @@
         decode_instance=instances.decode_instance,
         decode_wave=waves.decode_wave,
         make_client=make_client,
-        fleet=machines.MachinesClient(
-            http_client.HttpClient(
-                settings.machines_address, clock, _FLEET_CONNECTIONS
-            ),
-            settings.name,
-        ),
+        fleet=machines.MachinesClient(connections.fleet, settings.name),
         make_callers_api=make_callers_api,
         make_readiness_api=job_api.ReadinessApi,
     )
@@ -85,14 +144,16 @@
         return process.EXIT_USAGE
     clock = clock_lib.SuspendAwareClock()
     rng = random.Random()
+    connections = Connections(settings, clock)
+    reloader = SettingsReloader(path, settings, connections)
 
     async def run(stop: anyio.Event) -> None:
         node = node_process.NodeProcess(
-            settings, make_boundary(settings, clock), clock, rng
+            settings, make_boundary(settings, connections, clock), clock, rng
         )
         await node.run(stop)
 
-    return process.run_process(run, None)
+    return process.run_process(run, None, reloader.reload)
 
 
 if __name__ == "__main__":
--- a/src/fireflywell/process.py
+++ b/src/fireflywell/process.py
@@ -21,6 +21,7 @@
 def run_process(
     run: Callable[[anyio.Event], Awaitable[None]],
     log_path: pathlib.Path | None,
+    reload: Callable[[], None] | None = None,
 ) -> int:
     """Runs a daemon until it ends.
 
@@ -28,6 +29,7 @@
         run: Runs the root supervisor; ends gracefully once the event that it
             is given is set, which SIGTERM or SIGINT does.
         log_path: File for log lines, or None for the standard output.
+        reload: Called on SIGHUP; without it the signal only leaves a line.
 
     Returns:
         The exit code: 0 after a graceful stop, 1 after a failure, 2 after a
@@ -43,7 +45,7 @@
     writer.start()
     try:
         with supervisor_lib.raise_single_error():
-            anyio.run(_run_with_signals, run)
+            anyio.run(_run_with_signals, run, reload)
         return EXIT_OK
     except errors.SettingsError as error:
         print(f"error: {error}", file=sys.stderr)
@@ -60,16 +62,26 @@
 
 async def _run_with_signals(
     run: Callable[[anyio.Event], Awaitable[None]],
+    reload: Callable[[], None] | None,
 ) -> None:
     stop = anyio.Event()
     async with anyio.create_task_group() as group:
-        group.start_soon(_watch_signals, stop)
+        group.start_soon(_watch_signals, stop, reload)
         await run(stop)
         group.cancel_scope.cancel()
 
 
-async def _watch_signals(stop: anyio.Event) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+async def _watch_signals(
+    stop: anyio.Event, reload: Callable[[], None] | None
+) -> None:
+    with anyio.open_signal_receiver(
+        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+    ) as signals:
         async for number in signals:
+            if number == signal.SIGHUP:
+                logs.log_event("process.reload_asked", signal=number.name)
+                if reload is not None:
+                    reload()
+                continue
             logs.log_event("process.stopping", signal=number.name)
             stop.set()
