Move the spare pool's VMs to the service whose demand peaks

Change: owners publish how many more VMs they could use, from arrivals and backlog; the fleet duty moves the spare VMs after the peak and switches them off when nobody needs them. Upkeep is forced later, so that it misses fewer peaks.

--- a/src/fireflywell/node/fleet_duty.py
+++ b/src/fireflywell/node/fleet_duty.py
@@ -1,4 +1,4 @@
-"""The duty that gives orders for VMs: maintenance waves.
+"""The duty that gives orders for VMs: maintenance waves and moves.
 
 Only the owner of this duty calls the platform's interface for VMs. Owners of
 services empty their workers and say so in the VM's ticket.
@@ -11,6 +11,7 @@
 from typing import Protocol
 
 import anyio
+import msgpack
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
@@ -19,6 +20,7 @@
 from fireflywell.node import ownership
 from fireflywell.node import tables
 from fireflywell.node import upkeep_book
+from fireflywell.scheduling import capacity
 from fireflywell.scheduling import upkeep
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
@@ -109,7 +111,10 @@
         "_completed",
         "_down",
         "_heartbeat",
+        "_find_spare_pool",
         "_listed_at",
+        "_idle_since_s",
+        "_moving",
         "_pools",
         "_random",
         "_scope",
@@ -117,6 +122,7 @@
         "_store",
         "_tenure",
         "_vms",
+        "_wake",
         "_waves",
         "_lease",
     )
@@ -130,6 +136,7 @@
         waves: WaveBook,
         heartbeat: heartbeat_lib.Heartbeat,
         list_pools: Callable[[], tuple[str, ...]],
+        find_spare_pool: Callable[[], str],
         lease: datetime.timedelta,
         clock: clock_lib.Clock,
         rng: random.Random,
@@ -141,6 +148,11 @@
         self._waves = waves
         self._heartbeat = heartbeat
         self._pools = list_pools
+        self._find_spare_pool = find_spare_pool
+        self._wake = anyio.Event()
+        # VMs on their way to another pool, with their target.
+        self._moving: dict[str, str] = {}
+        self._idle_since_s: dict[str, float] = {}
         self._lease = lease
         self._clock = clock
         self._random = rng
@@ -157,7 +169,7 @@
         self._scope.cancel()
 
     async def run(self) -> None:
-        """Carries out waves until stopped."""
+        """Carries out waves and moves until stopped."""
         with self._scope:
             tree = supervisor_lib.Supervisor(
                 "fleet",
@@ -166,26 +178,165 @@
                 (
                     supervisor_lib.Child(
                         "waves",
-                        self._run_waves,
+                        self._run_duty,
                         policies.RestartWithBackoff(),
                     ),
                 ),
             )
-            await tree.run()
+            end_subscription = self._book.subscribe(self._wake_duty)
+            try:
+                await tree.run()
+            finally:
+                end_subscription()
+
+    def _wake_duty(self) -> None:
+        self._wake.set()
 
-    async def _run_waves(self) -> None:
+    async def _run_duty(self) -> None:
         if not self._tenure.is_first:
             await self._clock.sleep(self._lease * _START_DELAY_SHARE)
         while True:
-            await self._clock.sleep(_INTERVAL)
+            with anyio.move_on_after(_INTERVAL.total_seconds()):
+                await self._wake.wait()
+            self._wake = anyio.Event()
             if not self._heartbeat.is_valid:
                 continue
             try:
+                await self._advance_moves()
                 for wave in tuple(self._waves.waves.values()):
                     if wave.number not in self._completed:
                         await self._advance_wave(wave)
             except errors.PlatformError as error:
-                logs.log_event("wave.delayed", error=str(error))
+                logs.log_event("fleet.delayed", error=str(error))
+
+    async def _advance_moves(self) -> None:
+        """Brings the VMs of the spare pool to where they are needed."""
+        spare = self._find_spare_pool()
+        if not spare:
+            return
+        if not self._book.floating:
+            await self._refresh_vms()
+            await self._store_floating(spare)
+            return
+        needs = self._book.get_needs()
+        is_active = self._moving or any(
+            vm.pool != spare
+            for name, vm in self._vms.items()
+            if name in self._book.floating
+        )
+        if not any(needs.values()) and not is_active:
+            return
+        await self._refresh_vms()
+        await self._finish_moves()
+        floating = tuple(
+            self._describe(vm, needs)
+            for name, vm in sorted(self._vms.items())
+            if name in self._book.floating
+        )
+        for move in capacity.choose_moves(floating, needs, spare):
+            await self._begin_move(move, spare)
+
+    def _describe(
+        self, vm: upkeep.Vm, needs: dict[str, int]
+    ) -> capacity.FloatingVm:
+        now_s = self._clock.monotonic().total_seconds()
+        pool = self._moving.get(vm.name, vm.pool)
+        if needs.get(pool, 0):
+            self._idle_since_s.pop(vm.name, None)
+            idle_s = 0.0
+        else:
+            idle_s = now_s - self._idle_since_s.setdefault(vm.name, now_s)
+        ticket = self._book.find(vm.name)
+        is_claimed = ticket is not None and (
+            ticket.phase is not upkeep.Phase.DONE
+        )
+        is_settled = (
+            vm.name not in self._moving
+            and vm.name not in self._down
+            and vm.state is upkeep.VmState.UP
+            and not is_claimed
+        )
+        return capacity.FloatingVm(vm.name, pool, is_settled, idle_s)
+
+    async def _begin_move(self, move: capacity.Move, spare: str) -> None:
+        vm = self._vms[move.name]
+        ticket = upkeep.Ticket(
+            move.name,
+            self._find_last_wave(move.name),
+            upkeep.Phase.DUE,
+            0.0,
+            1,
+            move.pool,
+        )
+        if vm.pool == spare:
+            # It is off, so nobody has to empty it.
+            await self._order_move(move.name, move.pool)
+        elif await self._advance(ticket):
+            self._moving[move.name] = move.pool
+
+    async def _finish_moves(self) -> None:
+        for name, vm in tuple(self._vms.items()):
+            ticket = self._book.find(name)
+            if ticket is None or not ticket.target:
+                if self._moving.get(name) == vm.pool and (
+                    vm.state is upkeep.VmState.UP
+                ):
+                    del self._moving[name]
+                continue
+            if ticket.phase is upkeep.Phase.READY:
+                await self._order_move(name, ticket.target)
+                await self._advance(
+                    dataclasses.replace(ticket, phase=upkeep.Phase.DONE)
+                )
+            elif ticket.phase is upkeep.Phase.DUE:
+                self._moving.setdefault(name, ticket.target)
+            elif self._moving.get(name) == vm.pool and (
+                vm.state is upkeep.VmState.UP
+            ):
+                del self._moving[name]
+
+    async def _order_move(self, name: str, pool: str) -> None:
+        # The list that was read before the order says nothing about it.
+        self._listed_at = self._clock.monotonic()
+        refusal = await self._client.move(name, pool, self._tenure.token)
+        logs.log_event(
+            "vm.move_ordered",
+            machine=name,
+            pool=pool,
+            token=self._tenure.token,
+            outcome=str(refusal) if refusal else "begun",
+        )
+        if refusal is None:
+            self._moving[name] = pool
+        else:
+            self._moving.pop(name, None)
+
+    def _find_last_wave(self, name: str) -> int:
+        """Returns the wave that a VM's ticket must not forget."""
+        ticket = self._book.find(name)
+        return ticket.wave if ticket else 0
+
+    async def _store_floating(self, spare: str) -> None:
+        names = [vm.name for vm in self._vms.values() if vm.pool == spare]
+        if not names:
+            return
+        place = upkeep_book.locate_floating(ownership.FLEET_DUTY)
+        value = bytes(msgpack.packb(sorted(names)))
+        result = await self._store.transact(
+            row_store.Transaction(
+                (
+                    self._tenure.make_condition(),
+                    row_store.Expected(place, 0),
+                ),
+                (row_store.Put(place, value),),
+            )
+        )
+        match result:
+            case row_store.Committed(version=version):
+                row = row_store.Row(place, value, version)
+                self._book.apply_rows((row,))
+            case row_store.Conflict(rows=rows):
+                self._book.apply_rows(rows)
 
     async def _advance_wave(self, wave: upkeep.Wave) -> None:
         if wave.number not in self._started:
@@ -221,10 +372,7 @@
 
     async def _issue_tickets(self, wave: upkeep.Wave) -> None:
         missing = [
-            name
-            for name in wave.machines
-            if (found := self._book.find(name)) is None
-            or found.wave < wave.number
+            name for name in wave.machines if self._needs_ticket(wave, name)
         ]
         pools = max(1, len(self._pools()))
         at_once = max(1, -(-wave.max_count // pools))
@@ -238,11 +386,22 @@
             )
             await self._advance(ticket)
 
+    def _needs_ticket(self, wave: upkeep.Wave, machine: str) -> bool:
+        found = self._book.find(machine)
+        if found is None:
+            return True
+        if found.target and found.phase is not upkeep.Phase.DONE:
+            # Its move ends first.
+            return False
+        return found.wave < wave.number
+
     async def _advance_machine(self, wave: upkeep.Wave, machine: str) -> None:
         ticket = self._book.find(machine)
         vm = self._vms.get(machine)
         if ticket is None or ticket.wave != wave.number or vm is None:
             return
+        if ticket.target or machine in self._moving:
+            return
         if ticket.phase is upkeep.Phase.DONE:
             return
         is_empty = ticket.phase is upkeep.Phase.READY or (
--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -12,6 +12,7 @@
 from fireflywell.scheduling import board as board_lib
 from fireflywell.scheduling import job_rows
 from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import ranking
 from fireflywell.telemetry import logs
 
 
@@ -23,6 +24,7 @@
         "_clock",
         "_absent",
         "_loaded",
+        "_note_arrival",
         "_on_change",
         "_progress",
         "_service",
@@ -38,7 +40,9 @@
         store: row_store.RowStore,
         clock: clock_lib.Clock,
         on_change: Callable[[], None],
+        note_arrival: Callable[[float, float], None],
     ) -> None:
+        self._note_arrival = note_arrival
         self._service = service
         self._board = board
         self._writer = writer
@@ -131,6 +135,8 @@
         self._restore_progress(job)
         self._board.add_job(job)
         if not job.is_inherited:
+            if not job.is_long_running:
+                self._note_arrival(now_s, ranking.compute_work(job))
             logs.log_event(
                 "job.seen",
                 job=job_id,
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -31,8 +31,8 @@
 from fireflywell.telemetry import logs
 
 # Workers renew their entries all the time; changes are taken in steps.
-_INSTANCES_PAUSE = datetime.timedelta(milliseconds=300)
-_OWNERS_PAUSE = datetime.timedelta(milliseconds=150)
+_INSTANCES_PAUSE = datetime.timedelta(milliseconds=200)
+_OWNERS_PAUSE = datetime.timedelta(milliseconds=80)
 
 # Requests that are still being answered at a stop get this share of the
 # grace period.
@@ -210,8 +210,8 @@
         instances = self._follow(
             tables.INSTANCES,
             lambda: ("",),
-            self._registry.replace_all,
-            self._registry.apply_rows,
+            self._replace_instances,
+            self._apply_instances,
             _INSTANCES_PAUSE,
         )
         owners = self._follow(
@@ -248,6 +248,18 @@
         self._configuration.apply_rows(rows)
         self._waves.apply_rows(rows)
 
+    def _replace_instances(self, rows: tuple[row_store.Row, ...]) -> None:
+        self._registry.replace_all(rows)
+        self._wake_owners()
+
+    def _apply_instances(self, rows: tuple[row_store.Row, ...]) -> None:
+        self._registry.apply_rows(rows)
+        self._wake_owners()
+
+    def _wake_owners(self) -> None:
+        for owner in self._owners.values():
+            owner.wake_sync()
+
     def _apply_owner_rows(self, rows: tuple[row_store.Row, ...]) -> None:
         self._keeper.apply_rows(rows)
         self._upkeep.apply_rows(rows)
@@ -296,6 +308,15 @@
         routed = {route.policy.service for route in configuration.routes}
         return tuple(sorted(routed | set(self._owners)))
 
+    def _find_spare_pool(self) -> str:
+        configuration = self._configuration.current
+        if configuration is None:
+            return ""
+        for service in configuration.services:
+            if service.is_spare:
+                return service.name
+        return ""
+
     async def _start_owner(
         self, tenure: ownership.Tenure
     ) -> Callable[[], None]:
@@ -338,6 +359,7 @@
             self._waves,
             self._heartbeat,
             self._list_services,
+            self._find_spare_pool,
             self._settings.bounds.lease,
             self._clock,
             self._random,
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -21,6 +21,7 @@
 from fireflywell.node import upkeep_book
 from fireflywell.node import worker_session
 from fireflywell.scheduling import board as board_lib
+from fireflywell.scheduling import capacity
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import upkeep
@@ -35,7 +36,10 @@
 # Plans also run at this pace, for times of day and pauses that end.
 _PLAN_INTERVAL_S = 0.2
 
-_SYNC_INTERVAL = datetime.timedelta(milliseconds=250)
+_SYNC_INTERVAL_S = 0.25
+
+# Tickets wake this loop; otherwise it checks loads and emptied workers.
+_UPKEEP_INTERVAL_S = 0.15
 
 # A worker whose entry is gone is only dropped after this time, because
 # entries that lapsed with the store are back about two seconds after it.
@@ -79,6 +83,8 @@
         "_list_instances",
         "_loader",
         "_make_client",
+        "_meter",
+        "_need",
         "_plan_wake",
         "_random",
         "_roster",
@@ -86,9 +92,11 @@
         "_sessions",
         "_settings",
         "_store",
+        "_sync_wake",
         "_tenure",
         "_tree",
         "_upkeep",
+        "_upkeep_wake",
         "_writer",
     )
 
@@ -105,6 +113,8 @@
         book: upkeep_book.UpkeepBook,
     ) -> None:
         self._upkeep = book
+        self._upkeep_wake = anyio.Event()
+        self._sync_wake = anyio.Event()
         self._tenure = tenure
         self._settings = settings
         self._store = store
@@ -114,6 +124,9 @@
         self._list_instances = list_instances
         self._make_client = make_client
         self._is_over = False
+        self._meter = capacity.DemandMeter()
+        # The number of wanted VMs as it was last stored.
+        self._need: int | None = None
         self._plan_wake = anyio.Event()
         self._sessions: dict[str, _RunningSession] = {}
         self._scope = anyio.CancelScope()
@@ -137,6 +150,7 @@
             store,
             clock,
             self._wake_planner,
+            self._meter.note_arrival,
         )
         self._tree = self._build_tree()
 
@@ -162,9 +176,13 @@
 
     async def run(self) -> None:
         """Loads the service's state and runs it until stopped."""
-        with self._scope:
-            await self._load()
-            await self._tree.run_until_cancelled()
+        end_subscription = self._upkeep.subscribe(self._wake_upkeep)
+        try:
+            with self._scope:
+                await self._load()
+                await self._tree.run_until_cancelled()
+        finally:
+            end_subscription()
         logs.log_event(
             "ownership.ended", service=self.service, token=self._tenure.token
         )
@@ -223,7 +241,9 @@
                 self._start_sessions(listed)
             self._end_sessions(listed)
             self._roster.check_settled()
-            await self._clock.sleep(_SYNC_INTERVAL)
+            with anyio.move_on_after(_SYNC_INTERVAL_S):
+                await self._sync_wake.wait()
+            self._sync_wake = anyio.Event()
 
     def _start_sessions(
         self, listed: dict[str, workers_lib.WorkerInstance]
@@ -235,12 +255,17 @@
                 is_same = worker.instance.address == instance.address
                 if is_same:
                     worker.replace_instance(instance)
+                    worker.is_floating = self._is_floating(instance)
                     continue
                 self._end_session(worker_id, "another address")
             self._start_session(instance)
 
+    def _is_floating(self, instance: workers_lib.WorkerInstance) -> bool:
+        return instance.machine in self._upkeep.floating
+
     def _start_session(self, instance: workers_lib.WorkerInstance) -> None:
         worker = workers_lib.Worker(instance)
+        worker.is_floating = self._is_floating(instance)
         self._board.workers[instance.instance_id] = worker
         session = worker_session.WorkerSession(
             worker,
@@ -301,6 +326,13 @@
         self._writer.wake()
         self._wake_planner()
 
+    def wake_sync(self) -> None:
+        """Says that the list of workers may have changed."""
+        self._sync_wake.set()
+
+    def _wake_upkeep(self) -> None:
+        self._upkeep_wake.set()
+
     def _wake_planner(self) -> None:
         self._plan_wake.set()
 
@@ -317,9 +349,12 @@
             await self._clock.sleep(_PLAN_DELAY)
 
     async def _run_upkeep(self) -> None:
-        """Empties workers whose VMs are due for maintenance."""
+        """Empties workers whose VMs are due for maintenance or a move."""
         while True:
-            await self._clock.sleep(_SYNC_INTERVAL)
+            with anyio.move_on_after(_UPKEEP_INTERVAL_S):
+                await self._upkeep_wake.wait()
+            self._upkeep_wake = anyio.Event()
+            await self._publish_need()
             tickets = self._upkeep.list_tickets()
             for worker in upkeep.choose_reservations(
                 self._board, tickets, self._store.now_s(), self._now_s()
@@ -329,6 +364,34 @@
                 if running.reserved_since_s is not None:
                     await self._empty_worker(running)
 
+    async def _publish_need(self) -> None:
+        """Tells the fleet duty how many more VMs the service could use."""
+        if not self._heartbeat.is_valid or self._fleet_pool_is_absent():
+            return
+        need = self._meter.compute_need(self._board, self._now_s())
+        if need == self._need:
+            return
+        place = upkeep_book.locate_need(ownership.FLEET_DUTY, self.service)
+        try:
+            await self._store.transact(
+                row_store.Transaction(
+                    (), (row_store.Put(place, str(need).encode()),)
+                )
+            )
+        except errors.PlatformError:
+            return
+        logs.log_event(
+            "capacity.need",
+            service=self.service,
+            need=need,
+            previous=self._need,
+            jobs=len(self._board.jobs),
+        )
+        self._need = need
+
+    def _fleet_pool_is_absent(self) -> bool:
+        return not self._upkeep.floating
+
     def _reserve(self, worker: workers_lib.Worker) -> None:
         running = self._sessions.get(worker.worker_id)
         if running is None:
@@ -350,7 +413,11 @@
             return
         waited_s = self._now_s() - running.reserved_since_s
         for run in upkeep.choose_evictions(
-            self._board, worker, waited_s, self._now_s()
+            self._board,
+            worker,
+            waited_s,
+            self._now_s(),
+            is_move=bool(ticket.target),
         ):
             logs.log_event(
                 "run.evicted",
--- a/src/fireflywell/node/upkeep_book.py
+++ b/src/fireflywell/node/upkeep_book.py
@@ -1,5 +1,6 @@
 """Tickets for the maintenance of VMs, shared through the store."""
 
+from collections.abc import Callable
 import json
 
 import msgpack
@@ -11,14 +12,21 @@
 from fireflywell.telemetry import logs
 
 _PREFIX = "vm/"
+_NEED_PREFIX = "need/"
+_FLOATING_KEY = "floating"
 
 
 class UpkeepBook:
     """The tickets as last read."""
 
-    __slots__ = ("_tickets",)
+    __slots__ = ("_listeners", "_needs", "_tickets", "floating")
 
     def __init__(self) -> None:
+        self._listeners: list[Callable[[], None]] = []
+        # VMs that each service could use, with the row's version.
+        self._needs: dict[str, tuple[int, int]] = {}
+        # VMs that belong to the spare pool, wherever they are.
+        self.floating: frozenset[str] = frozenset()
         self._tickets: dict[str, tuple[upkeep.Ticket, int]] = {}
 
     def list_tickets(self) -> tuple[upkeep.Ticket, ...]:
@@ -35,8 +43,31 @@
         found = self._tickets.get(machine)
         return found[1] if found else 0
 
+    def subscribe(self, listener: Callable[[], None]) -> Callable[[], None]:
+        """Calls `listener` after each change; returns how to end that."""
+        self._listeners.append(listener)
+        return lambda: self._listeners.remove(listener)
+
+    def get_needs(self) -> dict[str, int]:
+        """Returns how many VMs each service could use."""
+        return {service: need for service, (need, _) in self._needs.items()}
+
     def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
         """Takes rows of the fleet's partition into account."""
+        self._apply_tickets(rows)
+        for row in rows:
+            if row.place.key == _FLOATING_KEY:
+                self.floating = frozenset(msgpack.unpackb(row.value))
+            elif row.place.key.startswith(_NEED_PREFIX):
+                service = row.place.key.removeprefix(_NEED_PREFIX)
+                known = self._needs.get(service)
+                if known is None or known[1] < row.version:
+                    need = int(row.value) if row.value.isdigit() else 0
+                    self._needs[service] = (need, row.version)
+        for listener in tuple(self._listeners):
+            listener()
+
+    def _apply_tickets(self, rows: tuple[row_store.Row, ...]) -> None:
         for row in rows:
             if not row.place.key.startswith(_PREFIX):
                 continue
@@ -47,9 +78,16 @@
                 self._tickets.pop(machine, None)
                 continue
             try:
-                wave, phase, deadline_s, at_once = msgpack.unpackb(row.value)
+                wave, phase, deadline_s, at_once, target = msgpack.unpackb(
+                    row.value
+                )
                 ticket = upkeep.Ticket(
-                    machine, wave, upkeep.Phase(phase), deadline_s, at_once
+                    machine,
+                    wave,
+                    upkeep.Phase(phase),
+                    deadline_s,
+                    at_once,
+                    target,
                 )
             except Exception as error:
                 logs.log_event(
@@ -61,6 +99,7 @@
                 "upkeep.observed",
                 machine=machine,
                 wave=ticket.wave,
+                target=ticket.target,
                 phase=str(ticket.phase),
                 version=row.version,
             )
@@ -71,6 +110,16 @@
     return row_store.RowKey(tables.OWNERS, partition, _PREFIX + machine)
 
 
+def locate_need(partition: str, service: str) -> row_store.RowKey:
+    """Returns the place of the number of VMs that a service could use."""
+    return row_store.RowKey(tables.OWNERS, partition, _NEED_PREFIX + service)
+
+
+def locate_floating(partition: str) -> row_store.RowKey:
+    """Returns the place of the list of VMs that belong to the spare pool."""
+    return row_store.RowKey(tables.OWNERS, partition, _FLOATING_KEY)
+
+
 def encode_ticket(ticket: upkeep.Ticket) -> bytes:
     """Returns the stored form of a ticket."""
     return bytes(
@@ -80,6 +129,7 @@
                 str(ticket.phase),
                 ticket.deadline_s,
                 ticket.at_once,
+                ticket.target,
             ]
         )
     )
--- /dev/null
+++ b/src/fireflywell/scheduling/capacity.py
@@ -0,0 +1,185 @@
+"""How many VMs a service needs, and which VM moves to which pool.
+
+Answers the load in which the queues take turns to ask for several times their
+mean for some seconds: VMs of the spare pool follow the peak from pool to pool
+and are switched off when there is none.
+"""
+
+import collections
+from collections.abc import Mapping
+import dataclasses
+import math
+
+from fireflywell.scheduling import board as board_lib
+from fireflywell.scheduling import ranking
+
+# Arrivals are averaged over this time; a shorter one takes a single large job
+# for a peak.
+_ARRIVAL_WINDOW_S = 1.5
+
+# Share of a pool's own processors that demand may use before VMs are asked.
+_COMFORT_SHARE = 0.85
+
+# A need that has passed is still reported for this long, because arrivals
+# within a peak vary.
+_DECREASE_DELAY_S = 1.2
+
+# An unneeded VM is switched off after this time. It must save more than the
+# two moves cost.
+_IDLE_BEFORE_OFF_S = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Arrival:
+    at_s: float
+    core_seconds: float
+
+
+class DemandMeter:
+    """Estimates how many more VMs a service could use now."""
+
+    __slots__ = ("_arrivals", "_high_until_s", "_last")
+
+    def __init__(self) -> None:
+        self._arrivals: collections.deque[_Arrival] = collections.deque()
+        self._last = 0
+        self._high_until_s = 0.0
+
+    def note_arrival(self, now_s: float, core_seconds: float) -> None:
+        """Notes an accepted job."""
+        self._arrivals.append(_Arrival(now_s, core_seconds))
+
+    def compute_need(self, board: board_lib.Board, now_s: float) -> int:
+        """Returns the number of VMs wanted beside the pool's own ones."""
+        needed = self._compute_now(board, now_s)
+        if needed >= self._last:
+            self._high_until_s = now_s + _DECREASE_DELAY_S
+            self._last = needed
+        elif now_s > self._high_until_s:
+            self._last = needed
+        return self._last
+
+    def _compute_now(self, board: board_lib.Board, now_s: float) -> int:
+        arrivals = self._arrivals
+        while arrivals and now_s - arrivals[0].at_s > _ARRIVAL_WINDOW_S:
+            arrivals.popleft()
+        rate = sum(a.core_seconds for a in arrivals) / _ARRIVAL_WINDOW_S
+        backlog = 0.0
+        for job in board.jobs.values():
+            if job.is_long_running:
+                continue
+            chain_s = ranking.compute_chain_s(job, 0, remaining=False)
+            objective_s = ranking.compute_objective_s(job, 0)
+            if now_s - job.arrived_s > objective_s:
+                # Too late to gain from more VMs.
+                continue
+            work = ranking.compute_remaining_work(job)
+            backlog += work / max(0.5, chain_s)
+        own, vm_cores = _measure_own_cores(board)
+        demand = max(rate, backlog)
+        excess = demand - _COMFORT_SHARE * own
+        if excess <= 0 or vm_cores <= 0:
+            return 0
+        return math.ceil(excess / vm_cores)
+
+
+def _measure_own_cores(board: board_lib.Board) -> tuple[float, float]:
+    """Returns the cores of a pool's own VMs for short units, and of one VM."""
+    own = 0.0
+    largest = 0.0
+    for worker in board.workers.values():
+        cores = worker.instance.capacity.cpu_millis / 1000
+        largest = max(largest, cores)
+        if worker.is_floating or worker.is_reserved_for_upkeep:
+            continue
+        if not worker.is_reachable or worker.instance.is_draining:
+            continue
+        lasting = sum(
+            run.unit.step.spec.demand.cpu_millis
+            for run in worker.runs.values()
+            if run.unit.step.spec.is_long_running
+            and not run.unit.step.spec.is_filling
+        )
+        own += cores - lasting / 1000
+    return own, largest
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FloatingVm:
+    """A VM of the spare pool, wherever it is now.
+
+    Attributes:
+        name: Identifier.
+        pool: Where it is.
+        is_settled: Whether it is up and no move is under way.
+        idle_s: For how long its pool has not needed it.
+    """
+
+    name: str
+    pool: str
+    is_settled: bool
+    idle_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Move:
+    """A VM that is to go to another pool."""
+
+    name: str
+    pool: str
+
+
+def choose_targets(needs: Mapping[str, int], count: int) -> dict[str, int]:
+    """Shares floating VMs out over pools, in proportion to their needs.
+
+    Args:
+        needs: VMs wanted by each pool.
+        count: Floating VMs in all.
+    """
+    total = sum(needs.values())
+    if total <= count:
+        return {pool: need for pool, need in needs.items() if need > 0}
+    shares = {pool: need * count / total for pool, need in needs.items()}
+    targets = {pool: int(share) for pool, share in shares.items()}
+    rest = count - sum(targets.values())
+    by_rest = sorted(shares, key=lambda p: (targets[p] - shares[p], p))
+    for pool in by_rest[:rest]:
+        targets[pool] += 1
+    return {pool: target for pool, target in targets.items() if target > 0}
+
+
+def choose_moves(
+    vms: tuple[FloatingVm, ...], needs: Mapping[str, int], spare_pool: str
+) -> list[Move]:
+    """Returns the moves that bring floating VMs where they are needed.
+
+    Args:
+        vms: All floating VMs.
+        needs: VMs wanted by each pool.
+        spare_pool: Where unneeded VMs are off.
+    """
+    targets = choose_targets(needs, len(vms))
+    present: dict[str, int] = {}
+    for vm in vms:
+        present[vm.pool] = present.get(vm.pool, 0) + 1
+    wanting = [
+        pool
+        for pool, target in sorted(targets.items(), key=lambda i: -i[1])
+        for _ in range(target - present.get(pool, 0))
+    ]
+    surplus = dict(present)
+    for pool, target in targets.items():
+        surplus[pool] = max(0, surplus.get(pool, 0) - target)
+    moves: list[Move] = []
+    # VMs that are off first: they leave no work behind.
+    for vm in sorted(vms, key=lambda v: (v.pool != spare_pool, v.name)):
+        if not vm.is_settled or surplus.get(vm.pool, 0) <= 0:
+            continue
+        if wanting:
+            moves.append(Move(vm.name, wanting.pop(0)))
+        elif vm.pool != spare_pool and vm.idle_s > _IDLE_BEFORE_OFF_S:
+            moves.append(Move(vm.name, spare_pool))
+        else:
+            continue
+        surplus[vm.pool] -= 1
+    return moves
--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -16,6 +16,9 @@
 _OTHER_RACK_COST = 1_000_000
 
 
+# A floating VM is used last, so that it is empty when it has to move.
+_FLOATING_COST = 20_000
+
 # Costs of fit of a long-running unit beside others of its step, and of a
 # filling unit beside other filling ones, in thousandths of a core.
 _SAME_WORKER_COST = 200_000
@@ -272,6 +275,8 @@
         if not budget.fits(worker, step):
             continue
         cost = budget.measure_leftover(worker, step) * worker.slow_factor
+        if worker.is_floating:
+            cost += _FLOATING_COST
         if rack and worker.instance.rack != rack:
             cost += _OTHER_RACK_COST
         if best is None or cost < best_cost:
@@ -309,6 +314,8 @@
             continue
         if not _could_ever_fit(step, worker):
             continue
+        if worker.is_floating and step.spec.is_long_running:
+            continue
         if best is None or worker.free_cpu > best.free_cpu:
             best = worker
     if best is not None:
--- a/src/fireflywell/scheduling/upkeep.py
+++ b/src/fireflywell/scheduling/upkeep.py
@@ -9,7 +9,7 @@
 from fireflywell.scheduling import workers as workers_lib
 
 # Time in which a worker is emptied, maintained and listed again.
-_CYCLE_S = 6.0
+_CYCLE_S = 4.5
 
 # Work that runs when a worker is reserved may take this long to end; then it
 # is stopped if its VM must go.
@@ -26,7 +26,7 @@
 _AT_WORK_PERCENT = 100
 
 # Start of the schedule's end, kept for VMs that fail to come back in time.
-_RESERVE_S = 4.0
+_RESERVE_S = 2.5
 
 
 class VmState(enum.StrEnum):
@@ -98,14 +98,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticket:
-    """Maintenance of one VM in one wave.
+    """Maintenance of one VM in one wave, or its move to another pool.
 
     Attributes:
         machine: The VM.
-        wave: Number of the wave.
+        wave: Number of the wave; 0 for a move.
         phase: How far it is.
         deadline_s: When the wave must be complete, on the store's clock.
         at_once: How many VMs of one service may be emptied at the same time.
+        target: Pool that the VM moves to; empty for maintenance.
     """
 
     machine: str
@@ -113,6 +114,7 @@
     phase: Phase
     deadline_s: float
     at_once: int
+    target: str = ""
 
 
 def choose_reservations(
@@ -149,6 +151,9 @@
     for ticket, worker in due:
         if worker.is_reserved_for_upkeep:
             continue
+        if ticket.target:
+            chosen.append(worker)
+            continue
         if reserved + len(chosen) >= ticket.at_once:
             break
         left = sum(1 for item in due if item[0].wave == ticket.wave)
@@ -164,6 +169,8 @@
     worker: workers_lib.Worker,
     waited_s: float,
     now_s: float,
+    *,
+    is_move: bool,
 ) -> list[jobs_lib.Run]:
     """Returns the runs to stop on a worker that is to be emptied.
 
@@ -175,6 +182,7 @@
         worker: The worker.
         waited_s: Time since it was reserved.
         now_s: Monotonic time.
+        is_move: Whether the VM moves to another pool; short units may end.
     """
     evicted: list[jobs_lib.Run] = []
     leaving: dict[str, int] = {}
@@ -183,7 +191,7 @@
             continue
         step = run.unit.step
         if not step.spec.is_long_running:
-            if waited_s > _PATIENCE_S:
+            if waited_s > _PATIENCE_S and not is_move:
                 evicted.append(run)
             continue
         away = count_away(board, run.unit, now_s) + leaving.get(step.key, 0)
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -48,6 +48,7 @@
         "free_cpu",
         "free_memory",
         "instance",
+        "is_floating",
         "is_reachable",
         "is_reserved_for_upkeep",
         "per_step",
@@ -64,6 +65,8 @@
         self.runs: dict[tuple[str, int], jobs.Run] = {}
         self.per_step: dict[str, int] = {}
         self.is_reachable = False
+        # Whether its VM belongs to the spare pool and leaves after a peak.
+        self.is_floating = False
         # Monotonic time of the last report.
         self.reported_s = 0.0
         self.is_reserved_for_upkeep = False
@@ -100,6 +103,8 @@
         """Returns whether one more unit of a step may run here."""
         spec = step.spec
         demand = spec.demand
+        if self.is_floating and spec.is_long_running:
+            return False
         if not spec.is_filling and demand.cpu_millis > self.free_cpu:
             return False
         if demand.memory_mb > self.free_memory:
