--- a/src/fireflywell/node/fleet_duty.py
+++ b/src/fireflywell/node/fleet_duty.py
@@ -320,6 +320,19 @@
         names = [vm.name for vm in self._vms.values() if vm.pool == spare]
         if not names:
             return
+        logs.log_event(
+            "fleet.listed",
+            vms=len(self._vms),
+            spare_pool=spare,
+            floating=len(names),
+            states=sorted(
+                {
+                    f"{vm.state}/{bool(vm.instance_id)}"
+                    for vm in self._vms.values()
+                    if vm.pool == spare
+                }
+            ),
+        )
         place = upkeep_book.locate_floating(ownership.FLEET_DUTY)
         value = bytes(msgpack.packb(sorted(names)))
         result = await self._store.transact(
--- a/src/fireflywell/scheduling/upkeep.py
+++ b/src/fireflywell/scheduling/upkeep.py
@@ -144,10 +144,15 @@
         and (worker := by_machine.get(ticket.machine)) is not None
         and worker.is_reachable
     ]
-    reserved = sum(w.is_reserved_for_upkeep for w in board.workers.values())
+    moving = {ticket.machine for ticket in tickets if ticket.target}
+    reserved = sum(
+        worker.is_reserved_for_upkeep and worker.instance.machine not in moving
+        for worker in board.workers.values()
+    )
     chosen: list[workers_lib.Worker] = []
     # The emptiest worker is free soonest.
     due.sort(key=lambda item: -item[1].free_cpu)
+    waiting = sum(1 for item in due if not item[0].target)
     for ticket, worker in due:
         if worker.is_reserved_for_upkeep:
             continue
@@ -156,8 +161,7 @@
             continue
         if reserved + len(chosen) >= ticket.at_once:
             break
-        left = sum(1 for item in due if item[0].wave == ticket.wave)
-        rounds = -(-left // max(1, ticket.at_once))
+        rounds = -(-waiting // max(1, ticket.at_once))
         latest_s = ticket.deadline_s - rounds * _CYCLE_S - _RESERVE_S
         if store_now_s >= latest_s or _has_room_without(board, worker, now_s):
             chosen.append(worker)
