--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	$(RUN) -m tools.demo
 
 test: $(VENV)/.installed
-	$(RUN) tools/run_tests.py
+	$(RUN) -m tools.run_tests
 
 check: $(VENV)/.installed
 	$(VENV)/bin/pyink --check --quiet $(SOURCES)
--- a/tools/local_system.py
+++ b/tools/local_system.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import os
 import pathlib
 import secrets
 import signal
@@ -9,13 +10,17 @@
 
 from tools import local_processes
 
-ENTRY_PORT = 18400
-ENTRY_PEER_PORT = 18420
-CONTROL_PEER_PORT = 18440
-PLATFORM_PORT = 18460
-BALANCER_PORT = 18470
-LINK_PORT = 18480
-SERVICE_PORT = 19001
+# Added to all ports, so that several deployments run side by side in tests.
+PORT_OFFSET_VARIABLE = "FIREFLYWELL_PORT_OFFSET"
+_OFFSET = int(os.environ.get(PORT_OFFSET_VARIABLE, "0"))
+
+ENTRY_PORT = 18400 + _OFFSET
+ENTRY_PEER_PORT = 18420 + _OFFSET
+CONTROL_PEER_PORT = 18440 + _OFFSET
+PLATFORM_PORT = 18460 + _OFFSET
+BALANCER_PORT = 18470 + _OFFSET
+LINK_PORT = 18480 + _OFFSET
+SERVICE_PORT = 19001 + _OFFSET
 PLATFORM_URL = f"http://127.0.0.1:{PLATFORM_PORT}"
 BALANCER_URL = f"http://127.0.0.1:{BALANCER_PORT}"
 _ZONES = ("a", "b", "c")
