Turn callers to other nodes when the store refuses this one

Change: a submission is tried for 0.7 s at most, then the caller is told so and another attempt reaches another node; readiness fails after 0.6 of a lease without a renewal.

--- a/src/fireflywell/node/heartbeat.py
+++ b/src/fireflywell/node/heartbeat.py
@@ -19,6 +19,11 @@
 _VALID_SHARE = 0.85
 
 
+# A node whose renewals fail for this share of the lease sends callers to other
+# nodes: it can't accept jobs.
+_FAILING_SHARE = 0.6
+
+
 class Heartbeat:
     """Renews one node's row in the store.
 
@@ -77,6 +82,14 @@
         """Whether this node may still give orders."""
         return self.measure_lapse() <= datetime.timedelta()
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the store hasn't taken a renewal for a while."""
+        if self._renewed_at is None:
+            return False
+        elapsed = self._clock.monotonic() - self._renewed_at
+        return elapsed > self._lease * _FAILING_SHARE
+
     def measure_lapse(self) -> datetime.timedelta:
         """Returns for how long the lease has been over; negative before."""
         if self._renewed_at is None:
--- a/src/fireflywell/node/job_desk.py
+++ b/src/fireflywell/node/job_desk.py
@@ -15,11 +15,16 @@
 from fireflywell.telemetry import logs
 
 # A store call that failed is sent again until this share of the caller's
-# deadline has passed.
+# deadline has passed, but not for longer than the limit: the store may refuse
+# this node only, and another attempt of the caller reaches another node.
 _DEADLINE_SHARE = 0.8
+_RETRY_LIMIT = datetime.timedelta(milliseconds=700)
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=60)
 
+# A slow store answers within half a second; a silent one never does.
+_CALL_LIMIT = datetime.timedelta(milliseconds=600)
+
 # A queue's stored figure is replaced by a count if it is older than this.
 _FIGURE_AGE_S = 1.8
 
@@ -90,11 +95,13 @@
             (row_store.Expected(place, 0),),
             (row_store.Put(place, job_rows.encode_submission(submission)),),
         )
-        deadline = self._clock.monotonic() + limit * _DEADLINE_SHARE
+        deadline = self._clock.monotonic() + min(
+            limit * _DEADLINE_SHARE, _RETRY_LIMIT
+        )
         is_maybe_stored = False
         while True:
             try:
-                await self._store.transact(transaction)
+                await self._store.transact(transaction, _CALL_LIMIT)
             except errors.PlatformUnavailableError:
                 pass
             except errors.PlatformError:
@@ -133,7 +140,9 @@
         self, job_id: str, policy: model.QueuePolicy, limit: datetime.timedelta
     ) -> Cancelled | UnknownJob | OutcomeOpen:
         """Stores that a job is cancelled."""
-        deadline = self._clock.monotonic() + limit * _DEADLINE_SHARE
+        deadline = self._clock.monotonic() + min(
+            limit * _DEADLINE_SHARE, _RETRY_LIMIT
+        )
         while True:
             try:
                 return await self._cancel_once(job_id, policy)
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -299,7 +299,11 @@
                 await listener.wait_until_stopped()
 
     def _check_ready(self) -> bool:
-        return not self._is_draining and self._configuration.current is not None
+        return (
+            not self._is_draining
+            and not self._heartbeat.is_failing
+            and self._configuration.current is not None
+        )
 
     def _list_services(self) -> tuple[str, ...]:
         configuration = self._configuration.current
--- a/tests/test_scheduling_board.py
+++ b/tests/test_scheduling_board.py
@@ -17,9 +17,11 @@
     """Starts, ends and reports."""
 
     def setUp(self) -> None:
+        """Builds the board."""
         self.board = samples.make_board("w1", "w2")
 
     def start(self, *steps: object) -> list[jobs_lib.Run]:
+        """Adds a job and returns its first runs."""
         job = samples.make_job(_ID, *steps)  # type: ignore[arg-type]
         self.board.add_job(job)
         return self.board.plan(1.0)
--- a/tests/test_scheduling_order.py
+++ b/tests/test_scheduling_order.py
@@ -135,6 +135,7 @@
     """Filling units beside serving ones."""
 
     def choose(self, load: float, share: int = 100) -> list[int]:
+        """Returns the number or shares that are chosen."""
         board = samples.make_board("w1")
         serving = node_world.make_step(1, is_long_running=True, target_ms=100.0)
         filling = node_world.make_step(1, is_long_running=True, is_filling=True)
--- a/tests/test_scheduling_upkeep.py
+++ b/tests/test_scheduling_upkeep.py
@@ -19,6 +19,7 @@
     """Long-running units of one step on three workers."""
 
     def setUp(self) -> None:
+        """Builds the board."""
         self.board = samples.make_board()
         for number in (1, 2, 3):
             samples.add_worker(self.board, f"w{number}", f"r{number}-1")
@@ -29,11 +30,13 @@
             self.report(run.worker_id, run.unit.name, 100, 2.0)
 
     def report(self, worker: str, unit: str, percent: int, at_s: float) -> None:
+        """Reports one run."""
         running = (samples.report_running(unit, percent=percent),)
         report = samples.make_report(running=running)
         self.board.apply_report(worker, report, at_s, at_s)
 
     def evict(self, at_s: float = 2.5) -> int:
+        """Returns how many units would be stopped."""
         worker = self.board.workers["w1"]
         return len(
             upkeep.choose_evictions(
@@ -80,9 +83,11 @@
     """When a worker is emptied."""
 
     def setUp(self) -> None:
+        """Builds the board."""
         self.board: board_lib.Board = samples.make_board("w1", "w2", "w3", "w4")
 
     def choose(self, *tickets: upkeep.Ticket, now_s: float = 0.0) -> int:
+        """Returns the number or shares that are chosen."""
         chosen = upkeep.choose_reservations(self.board, tickets, now_s, now_s)
         return len(chosen)
 
