Serve metrics as text, bound the log by kind of event, test the adapter

Cause: on-call engineers have only logs and metrics; a flood of one event could fill the log's queue, and closing waited for a reader that stood still. Change: counters and histograms on the metrics address (prometheus-client); a budget of lines for each kind of event with a line that counts what was left out; tests of bounds, settings, malformed rows, bodies, statuses and the store's client over HTTP.

--- a/src/fireflywell/daemon_parts.py
+++ b/src/fireflywell/daemon_parts.py
@@ -17,6 +17,7 @@
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
 from fireflywell.telemetry import metrics as metrics_lib
+from fireflywell.telemetry import statsd_metrics
 
 
 class DaemonSettings(Protocol):
@@ -73,7 +74,7 @@
     """Returns the metrics sender named in the settings."""
     if settings is None:
         return metrics_lib.NullMetrics()
-    return metrics_lib.StatsdMetrics(
+    return statsd_metrics.StatsdMetrics(
         settings.address, settings.port, f"fireflywell.{prefix}", clock
     )
 
@@ -98,7 +99,7 @@
 ) -> tuple[supervisor_lib.Child, ...]:
     """Returns the task that sends metrics, if they are sent."""
     match metrics:
-        case metrics_lib.StatsdMetrics() as sender:
+        case statsd_metrics.StatsdMetrics() as sender:
             restart = policies.RestartWithBackoff()
             return (supervisor_lib.Child("metrics", sender.run, restart),)
     return ()
--- a/src/fireflywell/node/job_desk.py
+++ b/src/fireflywell/node/job_desk.py
@@ -13,6 +13,7 @@
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.telemetry import logs
+from fireflywell.telemetry import metrics as metrics_lib
 
 # A store call that failed is sent again until this share of the caller's
 # deadline has passed, but not for longer than the limit: the store may refuse
@@ -67,11 +68,15 @@
 class JobDesk:
     """Callers' changes and questions, answered from the store."""
 
-    __slots__ = ("_clock", "_services", "_store")
+    __slots__ = ("_clock", "_metrics", "_services", "_store")
 
     def __init__(
-        self, store: row_store.RowStore, clock: clock_lib.Clock
+        self,
+        store: row_store.RowStore,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
     ) -> None:
+        self._metrics = metrics
         self._store = store
         self._clock = clock
         # Service that holds a job, by job.
@@ -109,8 +114,10 @@
             else:
                 # A conflict means that the job is stored already.
                 self._remember(job_id, policy.service)
+                self._metrics.count("node.jobs.accepted")
                 return Accepted()
             if self._clock.monotonic() + _RETRY_DELAY > deadline:
+                self._metrics.count("node.jobs.not_accepted")
                 return OutcomeOpen() if is_maybe_stored else NotStored()
             await self._clock.sleep(_RETRY_DELAY)
 
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -29,6 +29,7 @@
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
 from fireflywell.telemetry import logs
+from fireflywell.telemetry import metrics as metrics_lib
 
 # Workers renew their entries all the time; changes are taken in steps.
 _INSTANCES_PAUSE = datetime.timedelta(milliseconds=200)
@@ -55,6 +56,8 @@
         fleet: The platform's interface for VMs.
         make_callers_api: Builds the callers' interface.
         make_readiness_api: Builds the load balancer's interface.
+        metrics: Receives samples.
+        metrics_api: Serves the samples, if the settings say where.
     """
 
     store: row_store.RowStore
@@ -68,6 +71,8 @@
         asgi.Application,
     ]
     make_readiness_api: Callable[[Callable[[], bool]], asgi.Application]
+    metrics: metrics_lib.Metrics
+    metrics_api: asgi.Application
 
 
 class InstanceRegistry:
@@ -127,6 +132,7 @@
         "_is_draining",
         "_keeper",
         "_listeners",
+        "_metrics_listener",
         "_operator_follower",
         "_owners",
         "_owners_tree",
@@ -168,10 +174,11 @@
             self._heartbeat,
             self._list_services,
             self._start_owner,
+            boundary.metrics,
         )
         self._upkeep = upkeep_book.UpkeepBook()
         self._waves = fleet_duty.WaveBook(boundary.decode_wave, store)
-        self._desk = job_desk.JobDesk(store, clock)
+        self._desk = job_desk.JobDesk(store, clock, boundary.metrics)
         self._owners: dict[str, service_owner.ServiceOwner] = {}
         self._owners_tree = supervisor_lib.Supervisor("owners", clock, rng)
         self._operator_follower = self._follow(
@@ -190,6 +197,11 @@
                 boundary.make_readiness_api(self._check_ready),
             ),
         )
+        self._metrics_listener = (
+            _make_listener(settings.metrics_address, boundary.metrics_api)
+            if settings.metrics_address
+            else None
+        )
 
     async def run(self, stop: anyio.Event) -> None:
         """Serves until `stop` is set and requests in progress are answered."""
@@ -240,8 +252,12 @@
                 "owners", self._owners_tree.run_until_cancelled, restart
             ),
         )
+        extra: tuple[supervisor_lib.Child, ...] = ()
+        if self._metrics_listener is not None:
+            run = self._metrics_listener.run
+            extra = (supervisor_lib.Child("metrics", run, restart),)
         return supervisor_lib.Supervisor(
-            self._settings.name, self._clock, self._random, children
+            self._settings.name, self._clock, self._random, children + extra
         )
 
     def _apply_operator_rows(self, rows: tuple[row_store.Row, ...]) -> None:
@@ -336,6 +352,7 @@
             self._registry.list_instances,
             self._boundary.make_client,
             self._upkeep,
+            self._boundary.metrics,
         )
         self._owners[tenure.service] = owner
 
--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -20,6 +20,7 @@
 from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import tables
 from fireflywell.telemetry import logs
+from fireflywell.telemetry import metrics as metrics_lib
 
 # The duty of moving and maintaining VMs, owned like a service.
 FLEET_DUTY = "~fleet"
@@ -130,6 +131,7 @@
         "_directory",
         "_heartbeat",
         "_list_services",
+        "_metrics",
         "_name",
         "_owned",
         "_rows",
@@ -147,7 +149,9 @@
         heartbeat: heartbeat_lib.Heartbeat,
         list_services: Callable[[], tuple[str, ...]],
         run_owner: Callable[[Tenure], Awaitable[Callable[[], None]]],
+        metrics: metrics_lib.Metrics,
     ) -> None:
+        self._metrics = metrics
         self._name = name
         self._store = store
         self._clock = clock
@@ -292,6 +296,7 @@
                     is_first=known is None,
                     is_handover=known is not None and not previous,
                 )
+                self._metrics.count("node.takeovers")
                 logs.log_event(
                     "ownership.claimed",
                     service=service,
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -29,6 +29,7 @@
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
 from fireflywell.telemetry import logs
+from fireflywell.telemetry import metrics as metrics_lib
 
 # Events that follow each other this closely are planned together.
 _PLAN_DELAY = datetime.timedelta(milliseconds=6)
@@ -84,6 +85,7 @@
         "_loader",
         "_make_client",
         "_meter",
+        "_metrics",
         "_need",
         "_plan_wake",
         "_random",
@@ -111,7 +113,9 @@
         list_instances: ListInstances,
         make_client: MakeClient,
         book: upkeep_book.UpkeepBook,
+        metrics: metrics_lib.Metrics,
     ) -> None:
+        self._metrics = metrics
         self._upkeep = book
         self._upkeep_wake = anyio.Event()
         self._sync_wake = anyio.Event()
@@ -278,6 +282,7 @@
             self._clock,
             self._note_change,
             self._loader.fetch_unknown,
+            self._metrics,
         )
         running = _RunningSession(session)
         self._sessions[instance.instance_id] = running
@@ -344,7 +349,7 @@
             self._give_stops()
             self._board.open_due_steps(self._read_unix_ms())
             if self._board.has_waiting and self._heartbeat.is_valid:
-                self._give_starts(self._board.plan(self._now_s()))
+                self._plan()
             self._writer.wake()
             await self._clock.sleep(_PLAN_DELAY)
 
@@ -437,6 +442,14 @@
             dataclasses.replace(ticket, phase=upkeep.Phase.READY),
         )
 
+    def _plan(self) -> None:
+        started = self._clock.monotonic()
+        runs = self._board.plan(started.total_seconds())
+        self._metrics.record_duration(
+            "node.plan", self._clock.monotonic() - started
+        )
+        self._give_starts(runs)
+
     def _give_starts(self, runs: list[jobs_lib.Run]) -> None:
         for run in runs:
             self._sessions[run.worker_id].session.give(
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -21,6 +21,7 @@
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
 from fireflywell.telemetry import logs
+from fireflywell.telemetry import metrics as metrics_lib
 
 # How long a report waits for an end; also the pace of reports on load.
 _REPORT_WAIT = datetime.timedelta(milliseconds=900)
@@ -98,6 +99,7 @@
         "_heartbeat",
         "_lapse_s",
         "_lease",
+        "_metrics",
         "_noted",
         "_on_change",
         "_received",
@@ -121,7 +123,9 @@
         clock: clock_lib.Clock,
         on_change: Callable[[], None],
         fetch_jobs: Callable[[frozenset[str]], Awaitable[None]],
+        metrics: metrics_lib.Metrics,
     ) -> None:
+        self._metrics = metrics
         self._fetch_jobs = fetch_jobs
         self._worker = worker
         self._client = client
@@ -321,6 +325,13 @@
         now_s = self._now_s()
         match outcome:
             case orders.Accepted():
+                self._metrics.count("node.runs.started")
+                self._metrics.record_duration(
+                    "node.runs.wait",
+                    datetime.timedelta(
+                        seconds=now_s - run.unit.step.job.arrived_s
+                    ),
+                )
                 self._board.confirm_start(run, now_s)
             case orders.Refused(reason=reason):
                 self._log_refusal(run, reason)
@@ -450,6 +461,7 @@
         self._on_change()
 
     def _log_refusal(self, run: jobs_lib.Run, reason: str) -> None:
+        self._metrics.count("node.runs.refused")
         logs.log_event(
             "run.refused",
             job=run.unit.step.job.job_id,
@@ -460,6 +472,9 @@
         )
 
     def _log_ends(self, report: orders.WorkerReport) -> None:
+        for end in report.ended:
+            if end.number > self._noted:
+                self._metrics.count(f"node.runs.ended.{end.kind}")
         logs.log_event(
             "run.ended",
             worker=self._worker.worker_id,
--- a/src/fireflywell/platform/main.py
+++ b/src/fireflywell/platform/main.py
@@ -28,6 +28,7 @@
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import workers
 from fireflywell.telemetry import logs
+from fireflywell.telemetry import text_metrics
 
 _DEFAULT_SETTINGS = "/etc/fireflywell/local.toml"
 
@@ -108,7 +109,8 @@
     clock: clock_lib.Clock,
 ) -> node_process.Boundary:
     """Builds the translation for a node with these settings."""
-    store = platform_store.PlatformStore(connections.store, clock)
+    metrics = text_metrics.TextMetrics()
+    store = platform_store.PlatformStore(connections.store, clock, metrics)
 
     def make_client(instance: workers.WorkerInstance) -> orders.WorkerClient:
         return worker_calls.HttpWorkerClient(
@@ -129,6 +131,8 @@
         fleet=machines.MachinesClient(connections.fleet, settings.name),
         make_callers_api=make_callers_api,
         make_readiness_api=job_api.ReadinessApi,
+        metrics=metrics,
+        metrics_api=metrics,
     )
 
 
--- a/src/fireflywell/platform/store.py
+++ b/src/fireflywell/platform/store.py
@@ -10,6 +10,7 @@
 from fireflywell import errors
 from fireflywell import http_client
 from fireflywell.coordination import row_store
+from fireflywell.telemetry import metrics as metrics_lib
 
 # A call takes about 4 to 10 ms; a slow store takes up to 60 times as long.
 _CALL_TIMEOUT = datetime.timedelta(milliseconds=1500)
@@ -21,12 +22,16 @@
 class PlatformStore:
     """Rows of the platform's store, reached over HTTP."""
 
-    __slots__ = ("_client", "_clock", "_offset_s")
+    __slots__ = ("_client", "_clock", "_metrics", "_offset_s")
 
     def __init__(
-        self, client: http_client.HttpClient, clock: clock_lib.Clock
+        self,
+        client: http_client.HttpClient,
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
     ) -> None:
         self._client = client
+        self._metrics = metrics
         self._clock = clock
         self._offset_s: float | None = None
 
@@ -41,9 +46,10 @@
     ) -> row_store.Committed | row_store.Conflict:
         """Applies a transaction; see `RowStore.transact`."""
         body = json.dumps(_encode_transaction(transaction)).encode()
-        response = await self._client.call(
+        response = await self._call(
             "POST", "/rows-tx", body, timeout or _CALL_TIMEOUT
         )
+        self._metrics.record_duration("node.store.transact", response.elapsed)
         if response.status == 412:
             answer = self._parse(response)
             rows = tuple(_decode_row(item) for item in answer.get("rows", ()))
@@ -88,11 +94,24 @@
         query: dict[str, str],
         timeout: datetime.timedelta = _CALL_TIMEOUT,
     ) -> Any:
-        response = await self._client.call(
+        response = await self._call(
             "GET", f"{path}?{urllib.parse.urlencode(query)}", b"", timeout
         )
         return self._read_answer(response)
 
+    async def _call(
+        self, method: str, path: str, body: bytes, timeout: datetime.timedelta
+    ) -> http_client.Response:
+        self._metrics.count("node.store.calls")
+        try:
+            return await self._client.call(method, path, body, timeout)
+        except errors.PlatformUnavailableError:
+            self._metrics.count("node.store.unreachable")
+            raise
+        except errors.AnswerLostError:
+            self._metrics.count("node.store.answers_lost")
+            raise
+
     def _read_answer(self, response: http_client.Response) -> Any:
         if response.status == 200:
             return self._parse(response)
@@ -102,6 +121,7 @@
                 "rows again"
             )
         if response.status in (429, 503):
+            self._metrics.count("node.store.refused")
             raise errors.PlatformUnavailableError(
                 f"the store refused a call with status {response.status}"
             )
--- a/src/fireflywell/telemetry/logs.py
+++ b/src/fireflywell/telemetry/logs.py
@@ -1,5 +1,6 @@
 """Log lines by eliot, written by a thread so that no task waits for a disk."""
 
+import datetime
 import json
 import queue
 import threading
@@ -8,8 +9,29 @@
 
 import eliot
 
+from fireflywell import clock as clock_lib
+
 _QUEUE_LINES = 20_000
 
+# Lines that one kind of event may write in each second. Each kind has its own
+# budget, so that a flood of one doesn't hide refusals or changes of belief.
+LINES_PER_SECOND = 150
+_WINDOW = datetime.timedelta(seconds=1)
+
+# A reader that stands still must not keep a process from ending.
+_CLOSE_TIMEOUT_S = 1.0
+
+
+class _EventBudget:
+    """Lines of one kind of event in the current second."""
+
+    __slots__ = ("count", "left_out", "since")
+
+    def __init__(self, since: datetime.timedelta) -> None:
+        self.since = since
+        self.count = 0
+        self.left_out = 0
+
 
 class QueuedLogWriter:
     """Eliot destination that hands lines to a writer thread.
@@ -18,10 +40,21 @@
     must not stall requests or grow memory.
     """
 
-    __slots__ = ("_dropped", "_output", "_queue", "_thread")
+    __slots__ = (
+        "_budgets",
+        "_clock",
+        "_dropped",
+        "_output",
+        "_queue",
+        "_thread",
+    )
 
-    def __init__(self, output: TextIO) -> None:
+    def __init__(
+        self, output: TextIO, clock: clock_lib.Clock | None = None
+    ) -> None:
         self._output = output
+        self._clock = clock or clock_lib.SystemClock()
+        self._budgets: dict[str, _EventBudget] = {}
         self._dropped = 0
         self._queue: queue.Queue[dict[str, Any] | None] = queue.Queue(
             _QUEUE_LINES
@@ -34,7 +67,34 @@
         return self._dropped
 
     def __call__(self, message: dict[str, Any]) -> None:
-        """Queues one message; drops it if the queue is full."""
+        """Queues one message; drops it beyond its budget or a full queue."""
+        event = str(message.get("message_type", ""))
+        now = self._clock.monotonic()
+        budget = self._budgets.get(event)
+        if budget is None:
+            budget = self._budgets[event] = _EventBudget(now)
+        if now - budget.since >= _WINDOW:
+            self._report_left_out(event, budget)
+            budget.since = now
+            budget.count = 0
+        budget.count += 1
+        if budget.count > LINES_PER_SECOND:
+            budget.left_out += 1
+            return
+        self._put(message)
+
+    def _report_left_out(self, event: str, budget: _EventBudget) -> None:
+        if budget.left_out:
+            self._put(
+                {
+                    "message_type": "log.left_out",
+                    "event": event,
+                    "count": budget.left_out,
+                }
+            )
+            budget.left_out = 0
+
+    def _put(self, message: dict[str, Any]) -> None:
         try:
             self._queue.put_nowait(message)
         except queue.Full:
@@ -48,8 +108,13 @@
     def close(self) -> None:
         """Writes what is queued and ends the thread."""
         eliot.remove_destination(self)
-        self._queue.put(None)
-        self._thread.join()
+        for event, budget in self._budgets.items():
+            self._report_left_out(event, budget)
+        try:
+            self._queue.put(None, timeout=_CLOSE_TIMEOUT_S)
+        except queue.Full:
+            return
+        self._thread.join(_CLOSE_TIMEOUT_S)
 
     def _write_lines(self) -> None:
         while True:
--- /dev/null
+++ b/src/fireflywell/telemetry/statsd_metrics.py
@@ -0,0 +1,60 @@
+"""Counters, gauges and timers sent by statsd over UDP."""
+
+import datetime
+
+import statsd
+
+from fireflywell import clock as clock_lib
+
+_FLUSH_INTERVAL = datetime.timedelta(milliseconds=250)
+# One datagram holds about 40 samples; more are sent before the interval ends.
+_FLUSH_SAMPLES = 200
+
+
+class StatsdMetrics:
+    """Collects samples and sends them in batches from `run`."""
+
+    __slots__ = ("_clock", "_pipeline", "_samples")
+
+    def __init__(
+        self, host: str, port: int, prefix: str, clock: clock_lib.Clock
+    ) -> None:
+        client = statsd.StatsClient(host, port, prefix=prefix)
+        self._pipeline = client.pipeline()
+        self._clock = clock
+        self._samples = 0
+
+    def count(self, name: str, amount: int = 1) -> None:
+        """Adds `amount` to a counter."""
+        self._pipeline.incr(name, amount)
+        self._note_sample()
+
+    def record_gauge(self, name: str, value: float) -> None:
+        """Sets a gauge."""
+        self._pipeline.gauge(name, value)
+        self._note_sample()
+
+    def record_duration(self, name: str, duration: datetime.timedelta) -> None:
+        """Adds one sample to a timer."""
+        self._pipeline.timing(name, duration)
+        self._note_sample()
+
+    def flush(self) -> None:
+        """Sends the collected samples."""
+        if self._samples:
+            self._pipeline.send()
+            self._samples = 0
+
+    async def run(self) -> None:
+        """Sends samples at a fixed interval until cancelled."""
+        try:
+            while True:
+                await self._clock.sleep(_FLUSH_INTERVAL)
+                self.flush()
+        finally:
+            self.flush()
+
+    def _note_sample(self) -> None:
+        self._samples += 1
+        if self._samples >= _FLUSH_SAMPLES:
+            self.flush()
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -25,6 +25,7 @@
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.standins import row_store as store_standin
 from fireflywell.standins import unit_worker
+from fireflywell.telemetry import metrics as metrics_lib
 
 SERVICE = "desk"
 _NUMBERS = itertools.count(1)
@@ -154,7 +155,9 @@
         self.store = store_standin.MemoryRowStore(self.clock)
         self.fleet = FakeFleet()
         self.workers: dict[str, unit_worker.UnitWorker] = {}
-        self.desk = job_desk.JobDesk(self.store, self.clock)
+        self.desk = job_desk.JobDesk(
+            self.store, self.clock, metrics_lib.NullMetrics()
+        )
         self.store.put(
             row_store.RowKey(tables.OPERATOR, "", "config"),
             encode_configuration(),
@@ -199,6 +202,8 @@
             fleet=self.fleet,
             make_callers_api=_make_empty_api,
             make_readiness_api=lambda _: _refuse,
+            metrics=metrics_lib.NullMetrics(),
+            metrics_api=_refuse,
         )
         return node_process.NodeProcess(
             settings, boundary, self.clock, random.Random(1)
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,314 @@
+"""Translation at the platform's boundary, malformed input included."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+
+from fireflywell import asgi
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell import http_client
+from fireflywell.coordination import row_store
+from fireflywell.node import directory as directory_lib
+from fireflywell.node import job_desk
+from fireflywell.platform import configuration
+from fireflywell.platform import instances
+from fireflywell.platform import job_api
+from fireflywell.platform import job_requests
+from fireflywell.platform import settings
+from fireflywell.platform import store
+from fireflywell.standins import row_store as store_standin
+from fireflywell.telemetry import metrics as metrics_lib
+from tests import node_world
+
+_SETTINGS = """
+node_name = "front-a-1"
+zone = "a"
+something_new = [1, 2]
+[listen_addresses]
+front = "10.1.0.9:8624"
+ready_address = "10.1.0.9:8622"
+[bounds]
+lease_duration_ms = 3000
+[platform]
+address = "10.200.1.7:8621"
+"""
+
+
+class SettingsTest(unittest.TestCase):
+    """The platform's settings file."""
+
+    def load(self, text: str) -> object:
+        """Reads settings from a text."""
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / "local.toml"
+            path.write_text(text)
+            return settings.load_settings(path)
+
+    def test_unknown_keys_are_ignored(self) -> None:
+        """Fails if a new field of the platform stops the process."""
+        self.load(_SETTINGS)
+
+    def test_mistakes_name_the_key(self) -> None:
+        """Fails if an operator can't see what to correct."""
+        cases = (
+            ('zone = "a"', "", "zone must be a text"),
+            ('zone = "a"', "zone = 3", "zone must be a text"),
+            ("= 3000", '= "x"', "lease_duration_ms must be a number"),
+            ("= 3000", "= -1", "isn't negative"),
+            ("[platform]", "[platforms]", "platform must be a table"),
+        )
+        for old, new, message in cases:
+            with (
+                self.subTest(message=message, new=new),
+                self.assertRaisesRegex(errors.SettingsError, message),
+            ):
+                self.load(_SETTINGS.replace(old, new))
+
+
+class RowTest(unittest.TestCase):
+    """Rows that others write."""
+
+    def test_malformed_instances_name_no_worker(self) -> None:
+        """Fails if an entry of another writer is used or ends the process."""
+        good = json.loads(
+            node_world.encode_instance(node_world.make_instance("w1"))
+        )
+        instances.decode_instance("w1", json.dumps(good).encode())
+        broken = (
+            b"\xff\x00",
+            b"[]",
+            b"3",
+            json.dumps({**good, "state": "resting"}).encode(),
+            json.dumps({**good, "address": "nowhere"}).encode(),
+            json.dumps({**good, "address": 3}).encode(),
+            json.dumps({**good, "service": 3}).encode(),
+            json.dumps({**good, "capacity": None}).encode(),
+            json.dumps({k: good[k] for k in good if k != "state"}).encode(),
+        )
+        for data in broken:
+            with (
+                self.subTest(data=data),
+                self.assertRaises(errors.CorruptRowError),
+            ):
+                instances.decode_instance("w1", data)
+
+    def test_configuration_never_goes_back(self) -> None:
+        """Fails if an older or unreadable row replaces the configuration."""
+        holder = directory_lib.ConfigurationHolder(
+            configuration.decode_configuration
+        )
+        place = row_store.RowKey("op", "", "config")
+        for number, data in enumerate(
+            (
+                node_world.encode_configuration(7),
+                node_world.encode_configuration(5),
+                b"{}",
+                b"\xff",
+            )
+        ):
+            holder.apply_rows((row_store.Row(place, data, number + 1),))
+        assert holder.current is not None
+        self.assertEqual(holder.current.version, 7)
+
+    def test_longest_prefix_selects_the_queue(self) -> None:
+        """Fails if a job goes to a queue whose prefix is shorter."""
+        document = json.loads(node_world.encode_configuration())
+        inner = {
+            **document["routes"][0],
+            "name": "inner",
+            "path_prefix": "/quotes/inner/",
+        }
+        document["routes"].append(inner)
+        current = configuration.decode_configuration(
+            json.dumps(document).encode()
+        )
+        route = current.find_route("quotes.example", "/quotes/inner/1")
+        assert route is not None
+        self.assertEqual(route.policy.queue, "inner")
+        self.assertIsNone(current.find_route("other", "/quotes/1"))
+
+
+class JobRequestTest(unittest.TestCase):
+    """Bodies of submissions."""
+
+    def test_malformed_jobs_are_refused_with_a_reason(self) -> None:
+        """Fails if a body that isn't a job is stored or ends the process."""
+        cases = (
+            b"",
+            b"[]",
+            b"{}",
+            b'{"steps":[]}',
+            b'{"steps":[{"count":0}]}',
+            b'{"steps":[3]}',
+            b'{"steps":[{"count":"x"}]}',
+            b'{"steps":[{"count":1,"after":[0]}]}',
+            b'{"steps":[{"count":1}],"specification":3}',
+            json.dumps(
+                {"steps": [{"count": 1}], "specification": "x" * 4001}
+            ).encode(),
+        )
+        for body in cases:
+            with (
+                self.subTest(body=body[:40]),
+                self.assertRaises(errors.MalformedRequestError),
+            ):
+                job_requests.decode_job(body)
+
+
+class _StoreApi:
+    """The platform's store over HTTP, in front of the one in memory."""
+
+    def __init__(self, memory: store_standin.MemoryRowStore) -> None:
+        self._memory = memory
+
+    async def __call__(
+        self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
+    ) -> None:
+        del scope
+        body = await asgi.read_body(receive, 1 << 20)
+        document = json.loads(body)
+
+        def locate(item: dict[str, str]) -> row_store.RowKey:
+            return row_store.RowKey(item["table"], item["part"], item["key"])
+
+        result = await self._memory.transact(
+            row_store.Transaction(
+                tuple(
+                    row_store.Expected(locate(x), x["row_version"])
+                    for x in document["expected"]
+                ),
+                tuple(
+                    row_store.Put(locate(x), x["value"].encode())
+                    for x in document["puts"]
+                ),
+            )
+        )
+        match result:
+            case row_store.Committed(version=version):
+                answer = {"row_version": version, "now_ms": 5000}
+                await asgi.send_json(send, 200, answer)
+            case row_store.Conflict():
+                await asgi.send_json(send, 412, {"rows": [], "now_ms": 5000})
+
+
+class HttpTest(unittest.TestCase):
+    """The store's client over a real connection."""
+
+    def run_calls(self, *transactions: row_store.Transaction) -> list[object]:
+        """Sends transactions one after another; returns their results."""
+        results: list[object] = []
+
+        async def run() -> None:
+            clock = clock_lib.SystemClock()
+            memory = store_standin.MemoryRowStore(clock)
+            listener = asgi.Listener(_StoreApi(memory), "127.0.78.1", 18931)
+            client = http_client.HttpClient("127.0.78.1:18931", clock, 2)
+            target = store.PlatformStore(
+                client, clock, metrics_lib.NullMetrics()
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(listener.run)
+                await listener.wait_until_started()
+                for transaction in transactions:
+                    results.append(await target.transact(transaction))
+                await client.close()
+                listener.stop()
+
+        anyio.run(run)
+        return results
+
+    def test_second_submission_of_a_job_is_a_conflict(self) -> None:
+        """Fails if the condition that a row is new isn't sent."""
+        place = row_store.RowKey("jobs01", "desk", node_world.JOB_ID)
+        put = row_store.Transaction(
+            (row_store.Expected(place, 0),), (row_store.Put(place, b"x"),)
+        )
+        first, second = self.run_calls(put, put)
+        self.assertIsInstance(first, row_store.Committed)
+        self.assertIsInstance(second, row_store.Conflict)
+
+    def test_unreachable_address_changes_nothing(self) -> None:
+        """Fails if a call that was never sent counts as perhaps done."""
+
+        async def run() -> None:
+            client = http_client.HttpClient(
+                "127.0.78.2:18932", clock_lib.SystemClock(), 1
+            )
+            target = store.PlatformStore(
+                client, clock_lib.SystemClock(), metrics_lib.NullMetrics()
+            )
+            with self.assertRaises(errors.PlatformUnavailableError):
+                await target.read("jobs01", "desk")
+
+        anyio.run(run)
+
+
+class JobApiTest(unittest.TestCase):
+    """Callers' requests without a connection."""
+
+    def ask(
+        self, method: str, path: str, body: bytes = b"", host: str = ""
+    ) -> int:
+        """Returns the status of one request."""
+        statuses: list[int] = []
+
+        async def run() -> None:
+            world = node_world.NodeWorld()
+            holder = directory_lib.ConfigurationHolder(
+                configuration.decode_configuration
+            )
+            place = row_store.RowKey("op", "", "config")
+            data = node_world.encode_configuration()
+            holder.apply_rows((row_store.Row(place, data, 1),))
+            api = job_api.JobApi(
+                job_desk.JobDesk(
+                    world.store, world.clock, metrics_lib.NullMetrics()
+                ),
+                holder,
+                world.clock,
+            )
+            scope = {
+                "method": method,
+                "path": path,
+                "headers": [(b"host", (host or "quotes.example").encode())],
+            }
+
+            async def receive() -> asgi.Message:
+                return {"type": "http.request", "body": body}
+
+            async def send(message: asgi.Message) -> None:
+                if message["type"] == "http.response.start":
+                    statuses.append(message["status"])
+
+            await api(scope, receive, send)
+
+        anyio.run(run)
+        return statuses[0]
+
+    def test_statuses_are_true(self) -> None:
+        """Fails if a caller is told something else than what happened."""
+        path = f"/quotes/{node_world.JOB_ID}"
+        job = b'{"specification":"x","steps":[{"count":1,"cpu":500}]}'
+        cases = (
+            ("POST", path, job, "", 200),
+            ("POST", path, b"no job", "", 400),
+            ("POST", "/quotes/not-an-id", job, "", 400),
+            ("POST", path + "/more", job, "", 400),
+            ("POST", "/none/1", job, "", 404),
+            ("POST", path, job, "other.example", 404),
+            ("GET", path, b"", "", 410),
+            ("DELETE", path, b"", "", 410),
+            ("GET", "/quotes/", b"", "", 200),
+            ("PUT", path, b"", "", 405),
+        )
+        for method, where, body, host, status in cases:
+            with self.subTest(method=method, path=where, status=status):
+                self.assertEqual(self.ask(method, where, body, host), status)
+
+
+if __name__ == "__main__":
+    unittest.main()
