Ask the advice service before units of its queues start

Cause: a queue may have a policy that only the advice service knows; a start without its ticket is refused, so such jobs would never run. Change: one call at a time asks for the workers of the ready steps; placement uses approved workers only, and a refused ticket is asked for again.

--- /dev/null
+++ b/src/fireflywell/node/advice_desk.py
@@ -0,0 +1,121 @@
+"""Asks the advice service which workers may run the steps of a queue."""
+
+from collections.abc import Callable
+import dataclasses
+from typing import Protocol
+
+import anyio
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.scheduling import board as board_lib
+from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.telemetry import logs
+
+# The service takes at most this many workers in a call.
+_WORKERS_PER_CALL = 100
+
+# Tickets are renewed while this share of their validity is left.
+_RENEW_SHARE = 0.3
+
+_INTERVAL_S = 0.05
+_RETRY_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Approval:
+    """A worker that may run a step.
+
+    Attributes:
+        worker_id: The worker.
+        ticket: What a start must carry.
+    """
+
+    worker_id: str
+    ticket: str
+
+
+class AdviceClient(Protocol):
+    """Calls to the advice service.
+
+    Raises `PlatformError` if it doesn't answer or has too many calls.
+    """
+
+    async def advise(
+        self, step: str, workers: tuple[str, ...]
+    ) -> tuple[Approval, ...]:
+        """Returns the workers of a list that may run a step."""
+
+
+class AdviceDesk:
+    """Keeps tickets for the ready steps of one board, one call at a time."""
+
+    __slots__ = ("_board", "_client", "_clock", "_wake_planner")
+
+    def __init__(
+        self,
+        board: board_lib.Board,
+        client: AdviceClient,
+        clock: clock_lib.Clock,
+        wake_planner: Callable[[], None],
+    ) -> None:
+        self._board = board
+        self._client = client
+        self._clock = clock
+        self._wake_planner = wake_planner
+
+    async def run(self) -> None:
+        """Asks for tickets until cancelled."""
+        while True:
+            step = self._find_due_step()
+            if step is None:
+                await anyio.sleep(_INTERVAL_S)
+                continue
+            try:
+                await self._ask(step)
+            except errors.PlatformError as error:
+                logs.log_event(
+                    "advice.failed",
+                    job=step.job.job_id,
+                    step=step.key,
+                    error=str(error),
+                )
+                await anyio.sleep(_RETRY_S)
+
+    def _find_due_step(self) -> jobs_lib.StepRun | None:
+        now_s = self._clock.monotonic().total_seconds()
+        for step in self._board.iterate_open_steps():
+            advice = step.job.policy.advice
+            if advice is None:
+                continue
+            margin_s = advice.validity_s * _RENEW_SHARE
+            if now_s >= step.tickets_until_s - margin_s:
+                return step
+        return None
+
+    async def _ask(self, step: jobs_lib.StepRun) -> None:
+        advice = step.job.policy.advice
+        assert advice is not None
+        now_s = self._clock.monotonic().total_seconds()
+        workers = [
+            worker.worker_id
+            for worker in self._board.workers.values()
+            if worker.accepts_runs(now_s)
+        ]
+        if not workers:
+            step.tickets_until_s = now_s + _RETRY_S
+            return
+        approved = await self._client.advise(
+            step.key, tuple(workers[:_WORKERS_PER_CALL])
+        )
+        # Counted from before the call, so that it never seems valid too long.
+        step.tickets_until_s = now_s + advice.validity_s
+        step.tickets = {item.worker_id: item.ticket for item in approved}
+        logs.log_event(
+            "advice.received",
+            job=step.job.job_id,
+            step=step.key,
+            asked=len(workers),
+            approved=len(approved),
+        )
+        self._wake_planner()
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -12,6 +12,7 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import row_store
+from fireflywell.node import advice_desk
 from fireflywell.node import configuration as configuration_lib
 from fireflywell.node import directory as directory_lib
 from fireflywell.node import fleet_duty
@@ -54,6 +55,7 @@
         decode_wave: Reads an operator's request for maintenance.
         make_client: Connects to a worker.
         fleet: The platform's interface for VMs.
+        advice: The service that decides on eligible workers.
         make_callers_api: Builds the callers' interface.
         make_readiness_api: Builds the load balancer's interface.
         metrics: Receives samples.
@@ -66,6 +68,7 @@
     decode_wave: Callable[[bytes], upkeep.Wave]
     make_client: Callable[[workers_lib.WorkerInstance], orders.WorkerClient]
     fleet: fleet_duty.FleetClient
+    advice: advice_desk.AdviceClient
     make_callers_api: Callable[
         [job_desk.JobDesk, directory_lib.ConfigurationHolder],
         asgi.Application,
@@ -353,6 +356,7 @@
             self._boundary.make_client,
             self._upkeep,
             self._boundary.metrics,
+            self._boundary.advice,
         )
         self._owners[tenure.service] = owner
 
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -10,6 +10,7 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import row_store
+from fireflywell.node import advice_desk
 from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import job_loader
 from fireflywell.node import ownership
@@ -77,6 +78,7 @@
     """Runs a service for the length of one tenure."""
 
     __slots__ = (
+        "_advice",
         "_board",
         "_clock",
         "_heartbeat",
@@ -114,6 +116,7 @@
         make_client: MakeClient,
         book: upkeep_book.UpkeepBook,
         metrics: metrics_lib.Metrics,
+        advice: advice_desk.AdviceClient,
     ) -> None:
         self._metrics = metrics
         self._upkeep = book
@@ -156,6 +159,9 @@
             self._wake_planner,
             self._meter.note_arrival,
         )
+        self._advice = advice_desk.AdviceDesk(
+            self._board, advice, clock, self._wake_planner
+        )
         self._tree = self._build_tree()
 
     @property
@@ -209,6 +215,7 @@
             supervisor_lib.Child("workers", self._sync_workers, restart),
             supervisor_lib.Child("planner", self._run_planner, restart),
             supervisor_lib.Child("upkeep", self._run_upkeep, restart),
+            supervisor_lib.Child("advice", self._advice.run, restart),
         )
         return supervisor_lib.Supervisor(
             f"service {self.service}", self._clock, self._random, children
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -319,6 +319,7 @@
             self._compute_lease_end(),
             self._token,
             unit.checkpoint,
+            unit.step.tickets.get(self._worker.worker_id, ""),
         )
         self._extend_lapse()
         outcome = await self._send_start(order)
--- a/src/fireflywell/platform/main.py
+++ b/src/fireflywell/platform/main.py
@@ -17,6 +17,7 @@
 from fireflywell.node import job_desk
 from fireflywell.node import node_process
 from fireflywell.node import settings as node_settings
+from fireflywell.platform import advice
 from fireflywell.platform import configuration
 from fireflywell.platform import instances
 from fireflywell.platform import job_api
@@ -41,13 +42,13 @@
 _NO_ADDRESS = "127.0.0.1:9"
 
 # Settings that a reload changes in a running process.
-_RELOADABLE = ("store_address", "machines_address")
+_RELOADABLE = ("store_address", "machines_address", "advice_address")
 
 
 class Connections:
     """Clients of the platform's services, which a reload may retarget."""
 
-    __slots__ = ("_clock", "fleet", "store")
+    __slots__ = ("_clock", "advice", "fleet", "store")
 
     def __init__(
         self, settings: node_settings.NodeSettings, clock: clock_lib.Clock
@@ -60,10 +61,15 @@
             settings.machines_address or _NO_ADDRESS, clock, _FLEET_CONNECTIONS
         )
 
+        self.advice = http_client.HttpClient(
+            settings.advice_address or _NO_ADDRESS, clock, _FLEET_CONNECTIONS
+        )
+
     def apply(self, settings: node_settings.NodeSettings) -> None:
         """Uses the addresses of changed settings."""
         self.store.retarget(settings.store_address)
         self.fleet.retarget(settings.machines_address or _NO_ADDRESS)
+        self.advice.retarget(settings.advice_address or _NO_ADDRESS)
 
 
 class SettingsReloader:
@@ -128,6 +134,7 @@
         decode_instance=instances.decode_instance,
         decode_wave=waves.decode_wave,
         make_client=make_client,
+        advice=advice.HttpAdviceClient(connections.advice),
         fleet=machines.MachinesClient(connections.fleet, settings.name),
         make_callers_api=make_callers_api,
         make_readiness_api=job_api.ReadinessApi,
--- a/src/fireflywell/scheduling/board.py
+++ b/src/fireflywell/scheduling/board.py
@@ -178,6 +178,8 @@
         for step in candidates:
             if step.since_s is None:
                 step.since_s = now_s
+            if step.job.policy.advice and now_s >= step.tickets_until_s:
+                step.tickets = {}
             demand = 0 if step.spec.is_filling else step.spec.demand.cpu_millis
             is_serving = step.spec.is_long_running
             if demand > largest and not is_serving:
@@ -208,6 +210,12 @@
             now_s: Monotonic time.
         """
         worker = self.workers.get(run.worker_id)
+        if reason is orders.Refusal.NO_TICKET:
+            # The worker's life or the ticket is over; others may be valid.
+            run.unit.step.tickets.pop(run.worker_id, None)
+            run.unit.step.tickets_until_s = 0.0
+            self._drop_run(run)
+            return
         if reason is orders.Refusal.OLD_RUN:
             # An earlier sending of the order may have been carried out; the
             # next report says how it went.
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -121,6 +121,8 @@
         "position",
         "since_s",
         "spec",
+        "tickets",
+        "tickets_until_s",
         "units",
         "waiting",
     )
@@ -136,6 +138,10 @@
         self.observed_s: float | None = None
         # When the step was first found ready, in monotonic seconds.
         self.since_s: float | None = None
+        # Permissions of the advice service by worker, and the monotonic time
+        # until which they are valid.
+        self.tickets: dict[str, str] = {}
+        self.tickets_until_s = 0.0
         self.units = [Unit(self, index) for index in range(spec.count)]
         self.waiting: list[Unit] = list(reversed(self.units))
 
--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -272,6 +272,8 @@
             continue
         if held.is_held_for_other(worker, step):
             continue
+        if step.job.policy.advice and worker.worker_id not in step.tickets:
+            continue
         if not budget.fits(worker, step):
             continue
         cost = budget.measure_leftover(worker, step) * worker.slow_factor
@@ -312,6 +314,8 @@
         label = step.spec.required_label
         if label and label not in worker.instance.labels:
             continue
+        if step.job.policy.advice and worker.worker_id not in step.tickets:
+            continue
         if not _could_ever_fit(step, worker):
             continue
         if worker.is_floating and step.spec.is_long_running:
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -11,6 +11,7 @@
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
 from fireflywell.coordination import row_store
+from fireflywell.node import advice_desk
 from fireflywell.node import directory as directory_lib
 from fireflywell.node import job_desk
 from fireflywell.node import node_process
@@ -147,6 +148,25 @@
         return None
 
 
+class FakeAdvice:
+    """An advice service that approves some workers."""
+
+    def __init__(self) -> None:
+        self.approved: set[str] = set()
+        self.calls: list[str] = []
+
+    async def advise(
+        self, step: str, workers: tuple[str, ...]
+    ) -> tuple[advice_desk.Approval, ...]:
+        """Approves the workers that the test chose."""
+        self.calls.append(step)
+        return tuple(
+            advice_desk.Approval(name, f"ticket-{name}")
+            for name in workers
+            if name in self.approved
+        )
+
+
 class NodeWorld:
     """A store, workers and a place to run nodes."""
 
@@ -154,6 +174,7 @@
         self.clock = clock_lib.SystemClock()
         self.store = store_standin.MemoryRowStore(self.clock)
         self.fleet = FakeFleet()
+        self.advice = FakeAdvice()
         self.workers: dict[str, unit_worker.UnitWorker] = {}
         self.desk = job_desk.JobDesk(
             self.store, self.clock, metrics_lib.NullMetrics()
@@ -200,6 +221,7 @@
             decode_wave=waves.decode_wave,
             make_client=self._connect,
             fleet=self.fleet,
+            advice=self.advice,
             make_callers_api=_make_empty_api,
             make_readiness_api=lambda _: _refuse,
             metrics=metrics_lib.NullMetrics(),
--- a/tests/test_node_takeover.py
+++ b/tests/test_node_takeover.py
@@ -1,6 +1,7 @@
 """Owners of services: jobs from acceptance to their end, across takeovers."""
 
 import contextlib
+import dataclasses
 import datetime
 import unittest
 
@@ -10,6 +11,7 @@
 from fireflywell.node import job_desk
 from fireflywell.node import tables
 from fireflywell.node import worker_session
+from fireflywell.scheduling import model
 from tests import node_world
 
 
@@ -129,6 +131,31 @@
         anyio.run(run)
 
 
+class AdviceTest(NodeCase):
+    """Queues whose policy allows only some workers."""
+
+    def test_units_start_where_the_service_approves(self) -> None:
+        """Fails if a unit is started without a ticket, or never."""
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1", "w2", "w3")
+            world.advice.approved = {"w2"}
+            advice = model.AdvicePolicy(0.01, 0.0, 1.0)
+            policy = dataclasses.replace(node_world.POLICY, advice=advice)
+            async with self.run_node(world, "node-a"):
+                await world.desk.submit(
+                    node_world.JOB_ID,
+                    policy,
+                    node_world.make_request(node_world.make_step(2)),
+                    datetime.timedelta(seconds=1),
+                )
+                await world.wait_for_state("completed")
+            self.assertEqual(len(world.workers["w2"].starts), 2)
+            self.assertEqual(len(world.list_starts()), 2)
+
+        anyio.run(run)
+
+
 class TakeoverTest(NodeCase):
     """A successor after an owner was lost."""
 
