Take lives that are over off the roster; evict nothing right after a takeover

Change: lives that are over leave the roster, those out of reach once the wait has passed; a new owner evicts nothing until stops of an earlier one have ended.

--- a/src/fireflywell/node/roster.py
+++ b/src/fireflywell/node/roster.py
@@ -91,21 +91,29 @@
             service=self._tenure.service,
             out_of_reach=sorted(self._unsettled),
         )
+        # Those out of reach are over by now; a successor needn't wait again.
+        self._unsettled = {}
         self._board.is_inheritance_settled = True
         self._on_settled()
 
     async def store_lives(self, lives: dict[str, int]) -> bool:
-        """Stores the workers in use if there are new ones.
+        """Stores the workers in use if they have changed.
+
+        A life that is over is taken off the list, so that a successor doesn't
+        wait for it.
 
         Args:
-            lives: Start of the life by worker.
+            lives: Start of the life by worker, for all that may have runs.
 
         Returns:
             Whether orders may be given to all of them.
         """
-        if all(self._lives.get(key) == born for key, born in lives.items()):
-            return True
         wanted = {**self._unsettled, **lives}
+        if wanted == self._lives:
+            return True
+        has_new = any(
+            self._lives.get(key) != born for key, born in lives.items()
+        )
         value = msgpack.packb([wanted, self._unsettled_until_s])
         place = tables.locate_roster(self._tenure.service)
         try:
@@ -119,7 +127,7 @@
                 )
             )
         except errors.PlatformError:
-            return False
+            return not has_new
         match result:
             case row_store.Committed(version=version):
                 self._version = version
@@ -128,4 +136,4 @@
             case row_store.Conflict() as conflict:
                 # An earlier write of this owner whose answer was lost.
                 self._version = conflict.find_version(place)
-                return False
+                return not has_new
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -49,6 +49,9 @@
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=200)
 
+# Time for a first report of each worker after a takeover.
+_EVICTION_MARGIN = datetime.timedelta(seconds=2)
+
 # Added to the longest lease that an earlier owner can have given.
 _ORPHAN_MARGIN = datetime.timedelta(milliseconds=500)
 
@@ -81,6 +84,7 @@
         "_advice",
         "_board",
         "_clock",
+        "_evicts_from_s",
         "_heartbeat",
         "_is_over",
         "_list_instances",
@@ -131,6 +135,11 @@
         self._list_instances = list_instances
         self._make_client = make_client
         self._is_over = False
+        # An earlier owner may have stopped runs that are still listed as at
+        # work; they must have ended before this owner stops others.
+        self._evicts_from_s = (
+            clock.monotonic() + settings.bounds.stop + _EVICTION_MARGIN
+        ).total_seconds()
         self._meter = capacity.DemandMeter()
         # The number of wanted VMs as it was last stored.
         self._need: int | None = None
@@ -247,7 +256,11 @@
                 item.instance_id: item
                 for item in self._list_instances(self.service)
             }
-            lives = {key: item.born_unix_ms for key, item in listed.items()}
+            lives = {
+                key: running.session.worker.instance.born_unix_ms
+                for key, running in self._sessions.items()
+            }
+            lives |= {key: item.born_unix_ms for key, item in listed.items()}
             if await self._roster.store_lives(lives):
                 self._start_sessions(listed)
             self._end_sessions(listed)
@@ -372,6 +385,8 @@
                 self._board, tickets, self._store.now_s(), self._now_s()
             ):
                 self._reserve(worker)
+            if self._now_s() < self._evicts_from_s:
+                continue
             for running in tuple(self._sessions.values()):
                 if running.reserved_since_s is not None:
                     await self._empty_worker(running)
--- a/tests/test_node_takeover.py
+++ b/tests/test_node_takeover.py
@@ -204,6 +204,53 @@
 
         anyio.run(run)
 
+    def test_successor_does_not_wait_for_lives_that_are_over(self) -> None:
+        """Fails if VMs that moved away delay all work after a takeover.
+
+        After all nodes of trouble-2 of Atlas had lost power, jobs waited for
+        9 s for workers that had been gone for long.
+        """
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1", "w2")
+            async with self.run_node(world, "node-a"):
+                await world.submit(node_world.make_step(2))
+                await world.wait_for_state("completed")
+                world.workers["w2"].crash()
+                place = row_store.RowKey(tables.INSTANCES, "", "w2")
+                world.store.remove(place)
+                roster = tables.locate_roster(node_world.SERVICE)
+                with anyio.fail_after(6):
+                    while b"w2" in _read(world, roster):
+                        await anyio.sleep(0.05)
+            other = "00000000000000b2"
+            await world.submit(node_world.make_step(1), job_id=other)
+            started_at = world.clock.monotonic()
+            async with self.run_node(world, "node-b"):
+                await world.wait_for_state("completed", other)
+            elapsed = world.clock.monotonic() - started_at
+            self.assertLess(elapsed, datetime.timedelta(seconds=3))
+
+        anyio.run(run)
+
+    def test_lives_out_of_reach_are_waited_for_once(self) -> None:
+        """Fails if each further owner waits for the same lost workers."""
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1", "w2")
+            async with self.run_node(world, "node-a"):
+                await world.submit(node_world.make_step(2))
+                await world.wait_for_state("completed")
+            world.workers["w2"].crash()
+            world.store.remove(row_store.RowKey(tables.INSTANCES, "", "w2"))
+            roster = tables.locate_roster(node_world.SERVICE)
+            async with self.run_node(world, "node-b"):
+                with anyio.fail_after(12):
+                    while b"w2" in _read(world, roster):
+                        await anyio.sleep(0.05)
+
+        anyio.run(run)
+
     def test_job_accepted_while_nobody_owns_its_service_runs(self) -> None:
         """Fails if an accepted job is lost between two owners."""
 
@@ -256,6 +303,11 @@
         anyio.run(run)
 
 
+def _read(world: node_world.NodeWorld, place: row_store.RowKey) -> bytes:
+    row = world.store.get(place)
+    return row.value if row else b""
+
+
 def _is_owned_by(world: node_world.NodeWorld, name: str) -> bool:
     row = world.store.get(tables.locate_owner(node_world.SERVICE))
     return row is not None and name.encode() in row.value
