--- a/src/fireflywell/telemetry/logs.py
+++ b/src/fireflywell/telemetry/logs.py
@@ -131,7 +131,7 @@
 
     Args:
         event: Dotted event name such as `routing.decision`; all names are
-            listed in docs/operations.md.
+            listed in docs/OPERATIONS.md.
         **fields: Values of the line, of types that JSON can hold.
     """
     eliot.log_message(message_type=event, **fields)
--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -9,7 +9,7 @@
 from fireflywell.entry import settings as entry_settings
 from tests import bundle_samples
 
-_PAGE = (bundle_samples.ROOT / "docs" / "operations.md").read_text()
+_PAGE = (bundle_samples.ROOT / "docs" / "OPERATIONS.md").read_text()
 _SOURCES = bundle_samples.ROOT / "src" / "fireflywell"
 _EVENT = re.compile(r'log_event\(\s*"([a-z_.]+)"')
 _METRIC = re.compile(
