--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -16,13 +16,14 @@
 import subprocess
 import sys
 import tempfile
-import time
 
 import nose2
 from nose2 import events
 from nose2 import result as nose2_result
 from tools import local_system
 
+from fireflywell import clock as clock_lib
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TESTS = ROOT / "tests"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -148,7 +149,8 @@
 
 def run_group(group: Group) -> GroupResult:
     """Runs the tests of a group in a process of its own."""
-    started = time.monotonic()
+    clock = clock_lib.SystemClock()
+    started = clock.monotonic()
     offset = {local_system.PORT_OFFSET_VARIABLE: str(group.port_offset)}
     with tempfile.NamedTemporaryFile("r", suffix=".json") as report:
         process = subprocess.run(
@@ -168,7 +170,7 @@
             check=False,
         )
         text = report.read()
-    seconds = time.monotonic() - started
+    seconds = (clock.monotonic() - started).total_seconds()
     if not text:
         # The process ended before it could report.
         failed = frozenset(
