Ask for advice at set times, so that a node never spins without workers

Cause: when no worker took runs, the advice desk set the step's tickets to expire in 250 ms and then found the step due again at once, because it renews tickets when 30% of their validity (here 300 ms) is left. The loop had no await, so the whole node stood still. Ruled out: cancellation in anyio, occupied ports.

Change: a step holds the time at which the service is asked next. The step that has been due for longest comes first, so a step whose calls fail no longer starves the others, and of more than 100 workers the emptiest are asked about.

--- a/src/fireflywell/node/advice_desk.py
+++ b/src/fireflywell/node/advice_desk.py
@@ -84,38 +84,43 @@
 
     def _find_due_step(self) -> jobs_lib.StepRun | None:
         now_s = self._clock.monotonic().total_seconds()
+        due: list[jobs_lib.StepRun] = []
         for step in self._board.iterate_open_steps():
-            advice = step.job.policy.advice
-            if advice is None:
+            if step.job.policy.advice is None:
                 continue
-            margin_s = advice.validity_s * _RENEW_SHARE
-            if now_s >= step.tickets_until_s - margin_s:
-                return step
-        return None
+            if now_s >= step.advice_due_s:
+                due.append(step)
+        # The one that has waited longest, so that no step starves the others.
+        return min(due, key=lambda step: step.advice_due_s, default=None)
 
     async def _ask(self, step: jobs_lib.StepRun) -> None:
         advice = step.job.policy.advice
         assert advice is not None
         now_s = self._clock.monotonic().total_seconds()
+        # A call that fails or that has nobody to ask about is made again later,
+        # and other steps come first meanwhile.
+        step.advice_due_s = now_s + _RETRY_S
         workers = [
-            worker.worker_id
+            worker
             for worker in self._board.workers.values()
             if worker.accepts_runs(now_s)
         ]
         if not workers:
-            step.tickets_until_s = now_s + _RETRY_S
             return
-        approved = await self._client.advise(
-            step.key, tuple(workers[:_WORKERS_PER_CALL])
-        )
+        workers.sort(key=lambda worker: -worker.free_cpu)
+        asked = tuple(w.worker_id for w in workers[:_WORKERS_PER_CALL])
+        approved = await self._client.advise(step.key, asked)
         # Counted from before the call, so that it never seems valid too long.
         step.tickets_until_s = now_s + advice.validity_s
+        step.advice_due_s = now_s + max(
+            _RETRY_S, advice.validity_s * (1 - _RENEW_SHARE)
+        )
         step.tickets = {item.worker_id: item.ticket for item in approved}
         logs.log_event(
             "advice.received",
             job=step.job.job_id,
             step=step.key,
-            asked=len(workers),
+            asked=len(asked),
             approved=len(approved),
         )
         self._wake_planner()
--- a/src/fireflywell/scheduling/board.py
+++ b/src/fireflywell/scheduling/board.py
@@ -213,7 +213,7 @@
         if reason is orders.Refusal.NO_TICKET:
             # The worker's life or the ticket is over; others may be valid.
             run.unit.step.tickets.pop(run.worker_id, None)
-            run.unit.step.tickets_until_s = 0.0
+            run.unit.step.advice_due_s = 0.0
             self._drop_run(run)
             return
         if reason is orders.Refusal.OLD_RUN:
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -114,6 +114,7 @@
     """One step in one occurrence of a job."""
 
     __slots__ = (
+        "advice_due_s",
         "done",
         "job",
         "observed_s",
@@ -142,6 +143,8 @@
         # until which they are valid.
         self.tickets: dict[str, str] = {}
         self.tickets_until_s = 0.0
+        # When the advice service is to be asked next, in monotonic seconds.
+        self.advice_due_s = 0.0
         self.units = [Unit(self, index) for index in range(spec.count)]
         self.waiting: list[Unit] = list(reversed(self.units))
 
--- /dev/null
+++ b/tests/test_node_advice.py
@@ -0,0 +1,110 @@
+"""When the advice service is asked, and about which steps."""
+
+import dataclasses
+import datetime
+import unittest
+
+import anyio
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.node import advice_desk
+from fireflywell.scheduling import board as board_lib
+from fireflywell.scheduling import model
+from tests import node_world
+from tests import scheduling_samples as samples
+
+# More clock readings than a desk that waits between its steps can take.
+_READINGS = 500
+
+
+class _CountingClock(clock_lib.SystemClock):
+    """Fails after many readings, so that a busy loop ends."""
+
+    def __init__(self) -> None:
+        self.readings = 0
+
+    def monotonic(self) -> datetime.timedelta:
+        """Returns the time.
+
+        Raises:
+            AssertionError: The clock was read too often.
+        """
+        self.readings += 1
+        if self.readings > _READINGS:
+            raise AssertionError("the desk never lets other tasks run")
+        return super().monotonic()
+
+
+class _Advice(node_world.FakeAdvice):
+    """Refuses to answer for some steps."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.failing: set[str] = set()
+
+    async def advise(
+        self, step: str, workers: tuple[str, ...]
+    ) -> tuple[advice_desk.Approval, ...]:
+        """Fails for the steps that the test chose."""
+        if step in self.failing:
+            self.calls.append(step)
+            raise errors.PlatformUnavailableError("32 calls are waiting")
+        return await super().advise(step, workers)
+
+
+class AdviceDeskTest(unittest.TestCase):
+    """One desk for a board."""
+
+    def make_board(self, *names: str, jobs: int = 1) -> board_lib.Board:
+        """Returns a board with jobs whose queue needs advice."""
+        board = samples.make_board(*names)
+        policy = dataclasses.replace(
+            node_world.POLICY, advice=model.AdvicePolicy(0.01, 0.0, 2.0)
+        )
+        for number in range(jobs):
+            job = samples.make_job(
+                f"{number:016x}", node_world.make_step(1), policy=policy
+            )
+            board.add_job(job)
+        return board
+
+    def run_desk(
+        self,
+        board: board_lib.Board,
+        client: _Advice,
+        seconds: float,
+    ) -> None:
+        """Runs a desk for a while."""
+
+        async def run() -> None:
+            desk = advice_desk.AdviceDesk(
+                board, client, _CountingClock(), lambda: None
+            )
+            with anyio.move_on_after(seconds):
+                await desk.run()
+
+        anyio.run(run)
+
+    def test_other_tasks_run_while_no_worker_takes_runs(self) -> None:
+        """Fails if the node stands still until a worker is there.
+
+        The retry came before tickets of this validity run out, so the step was
+        due again at once and no other task ran.
+        """
+        client = _Advice()
+        self.run_desk(self.make_board(), client, 0.4)
+        self.assertEqual(client.calls, [])
+
+    def test_failing_step_does_not_starve_the_others(self) -> None:
+        """Fails if steps wait for one whose calls fail."""
+        board = self.make_board("w1", jobs=3)
+        client = _Advice()
+        client.approved = {"w1"}
+        client.failing = {step.key for step in board.iterate_open_steps()[:1]}
+        self.run_desk(board, client, 1.0)
+        self.assertEqual(len(set(client.calls)), 3)
+
+
+if __name__ == "__main__":
+    unittest.main()
