Soak real node processes under random faults; keep ends of reborn workers

The soak found two faults of the node in its first 50 seeds: - Seeds 15 and 20: a worker that comes back under its id numbers its ends from 1 again. The first call to it carried the number of the former life's last noted end, so it forgot its own ends and their units ran twice. - Seed 1: a SIGHUP while the modules were loading, or after the handler was removed at the end, ended the process. Changes of the settings file without a signal weren't followed at all.

Change: a worker that was out of reach is asked without forgetting anything. New: the emulator of the users' platform over HTTP, links that are silent one way or delay, and the soak.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -229,8 +229,11 @@
         if not is_first and not is_out_of_reach and self._may_renew():
             lease_until = self._compute_lease_end()
             self._extend_lapse()
+        # A worker may come back under its id with ends that are numbered from
+        # 1 again; it must not forget those that nobody has noted.
+        noted = 0 if is_out_of_reach else self._noted
         return await self._client.renew(
-            orders.RenewOrder(self._token, self._noted, lease_until, wait)
+            orders.RenewOrder(self._token, noted, lease_until, wait)
         )
 
     async def _take_report(
--- a/src/fireflywell/platform/main.py
+++ b/src/fireflywell/platform/main.py
@@ -1,6 +1,7 @@
 """Entry point of the node process on the users' platform."""
 
 import dataclasses
+import datetime
 import os
 import pathlib
 import random
@@ -41,10 +42,21 @@
 # Stands for a service that the settings don't name; calls to it fail.
 _NO_ADDRESS = "127.0.0.1:9"
 
+_WATCH_INTERVAL = datetime.timedelta(seconds=1)
+
 # Settings that a reload changes in a running process.
 _RELOADABLE = ("store_address", "machines_address", "advice_address")
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Stamp:
+    """Tells one state of a file from another."""
+
+    modified_ns: int
+    size_bytes: int
+    inode: int
+
+
 class Connections:
     """Clients of the platform's services, which a reload may retarget."""
 
@@ -73,9 +85,9 @@
 
 
 class SettingsReloader:
-    """Reads the settings file again on SIGHUP."""
+    """Reads the settings file again on SIGHUP or when it has changed."""
 
-    __slots__ = ("_connections", "_path", "_settings")
+    __slots__ = ("_connections", "_path", "_settings", "_stamp")
 
     def __init__(
         self,
@@ -86,9 +98,18 @@
         self._path = path
         self._settings = settings
         self._connections = connections
+        self._stamp = _read_stamp(path)
+
+    async def watch(self, clock: clock_lib.Clock) -> None:
+        """Applies changes of the file that no signal announces."""
+        while True:
+            await clock.sleep(_WATCH_INTERVAL)
+            if _read_stamp(self._path) != self._stamp:
+                self.reload()
 
     def reload(self) -> None:
         """Applies a changed file; a mistake leaves the old settings."""
+        self._stamp = _read_stamp(self._path)
         try:
             fresh = platform_settings.load_settings(self._path)
         except errors.SettingsError as error:
@@ -109,6 +130,15 @@
         )
 
 
+def _read_stamp(path: pathlib.Path) -> _Stamp | None:
+    try:
+        found = path.stat()
+    except OSError:
+        # The file is being replaced; the settings stay as they are.
+        return None
+    return _Stamp(found.st_mtime_ns, found.st_size, found.st_ino)
+
+
 def make_boundary(
     settings: node_settings.NodeSettings,
     connections: Connections,
@@ -162,10 +192,9 @@
         node = node_process.NodeProcess(
             settings, make_boundary(settings, connections, clock), clock, rng
         )
-        await node.run(stop)
+        async with anyio.create_task_group() as group:
+            group.start_soon(reloader.watch, clock)
+            await node.run(stop)
+            group.cancel_scope.cancel()
 
     return process.run_process(run, None, reloader.reload)
-
-
-if __name__ == "__main__":
-    sys.exit(main())
--- a/src/fireflywell/process.py
+++ b/src/fireflywell/process.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import pathlib
 import signal
 import sys
@@ -74,9 +76,12 @@
 async def _watch_signals(
     stop: anyio.Event, reload: Callable[[], None] | None
 ) -> None:
-    with anyio.open_signal_receiver(
-        signal.SIGTERM, signal.SIGINT, signal.SIGHUP
-    ) as signals:
+    with (
+        _ignore_late_reload(),
+        anyio.open_signal_receiver(
+            signal.SIGTERM, signal.SIGINT, signal.SIGHUP
+        ) as signals,
+    ):
         async for number in signals:
             if number == signal.SIGHUP:
                 logs.log_event("process.reload_asked", signal=number.name)
@@ -85,3 +90,12 @@
                 continue
             logs.log_event("process.stopping", signal=number.name)
             stop.set()
+
+
+@contextlib.contextmanager
+def _ignore_late_reload() -> Iterator[None]:
+    """Keeps a SIGHUP after the block from ending the process."""
+    try:
+        yield
+    finally:
+        signal.signal(signal.SIGHUP, signal.SIG_IGN)
--- /dev/null
+++ b/src/fireflywell/standins/emulator_values.py
@@ -0,0 +1,217 @@
+"""Settings of the emulator, the faults it makes and what it has seen."""
+
+import dataclasses
+from typing import Any
+
+import cattrs
+
+from fireflywell import errors
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerSettings:
+    """One worker.
+
+    Attributes:
+        name: Name of its machine; each life of the worker has an id of its
+            own.
+        service: Service that it belongs to.
+        address: Host and port on which the emulator serves it.
+        listed_address: Host and port in its entry, such as a proxy's.
+        rack: Rack.
+    """
+
+    name: str
+    service: str
+    address: str
+    listed_address: str
+    rack: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EmulatorSettings:
+    """Settings of the emulator process.
+
+    Attributes:
+        store_address: Host and port of the row store and the list of VMs.
+        control_address: Host and port for faults and records.
+        services: Services; each has a queue of the same name.
+        workers: Workers.
+        unit_s: How long a unit of a job runs.
+    """
+
+    store_address: str
+    control_address: str
+    services: tuple[str, ...]
+    workers: tuple[WorkerSettings, ...]
+    unit_s: float = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreDown:
+    """The store refuses all calls."""
+
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreSlow:
+    """Each call to the store takes longer."""
+
+    seconds: float
+    delay_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswersLost:
+    """The next transactions are carried out and not answered."""
+
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HistoryLost:
+    """The store forgets all changes so far."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerCrash:
+    """A worker ends without a word; a new life comes after a while.
+
+    Attributes:
+        worker: Name of its machine.
+        seconds: Time until the new life.
+        keeps_id: Whether the new life has the id of the former one.
+    """
+
+    worker: str
+    seconds: float
+    keeps_id: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerDrain:
+    """A worker says that it leaves, ends, and comes back as a new life."""
+
+    worker: str
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkerFails:
+    """All units on a worker fail."""
+
+    worker: str
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartsUnanswered:
+    """A worker carries out its next starts without an answer."""
+
+    worker: str
+    count: int
+
+
+Fault = (
+    StoreDown
+    | StoreSlow
+    | AnswersLost
+    | HistoryLost
+    | WorkerCrash
+    | WorkerDrain
+    | WorkerFails
+    | StartsUnanswered
+)
+
+_KINDS: dict[str, type[Fault]] = {
+    kind.__name__: kind
+    for kind in (
+        StoreDown,
+        StoreSlow,
+        AnswersLost,
+        HistoryLost,
+        WorkerCrash,
+        WorkerDrain,
+        WorkerFails,
+        StartsUnanswered,
+    )
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StartSeen:
+    """A start that a worker carried out; times are monotonic seconds."""
+
+    life: str
+    unit: str
+    run: int
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndSeen:
+    """An end of a run.
+
+    Attributes:
+        life: Life of the worker.
+        unit: Name of the unit.
+        run: Number of the run.
+        kind: How it ended; `crashed` if the worker ended.
+        at_s: Monotonic time.
+        is_noted: Whether an owner has taken note of it.
+    """
+
+    life: str
+    unit: str
+    run: int
+    kind: str
+    at_s: float
+    is_noted: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Records:
+    """All that the workers have seen so far.
+
+    Attributes:
+        starts: Starts, by worker.
+        ends: Ends, by worker.
+        active: Units that run now, once for each run.
+    """
+
+    starts: tuple[StartSeen, ...]
+    ends: tuple[EndSeen, ...]
+    active: tuple[str, ...]
+
+
+def encode_fault(fault: Fault) -> dict[str, Any]:
+    """Returns the document that asks for a fault."""
+    return {"kind": type(fault).__name__, "fields": cattrs.unstructure(fault)}
+
+
+def decode_fault(document: dict[str, Any]) -> Fault:
+    """Reads a fault.
+
+    Raises:
+        MalformedRequestError: It isn't one that the emulator makes.
+    """
+    try:
+        kind = _KINDS[document["kind"]]
+        fault: Fault = cattrs.structure(document["fields"], kind)
+    except Exception as error:
+        raise errors.MalformedRequestError(
+            f"not a fault: {error!r}; use one of {', '.join(_KINDS)}"
+        ) from error
+    return fault
+
+
+def encode_records(records: Records) -> dict[str, Any]:
+    """Returns the document that holds records."""
+    document: dict[str, Any] = cattrs.unstructure(records)
+    return document
+
+
+def decode_records(document: dict[str, Any]) -> Records:
+    """Reads records."""
+    return cattrs.structure(document, Records)
--- a/src/fireflywell/standins/link_proxy.py
+++ b/src/fireflywell/standins/link_proxy.py
@@ -1,5 +1,6 @@
-"""Stand-in for a network link between two processes that can be cut."""
+"""Stand-in for a network link between two processes that can misbehave."""
 
+import dataclasses
 import functools
 import random
 
@@ -19,17 +20,50 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Open:
+    """The link carries everything at once."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silent:
+    """Connections stay open and carry nothing, as in a partition.
+
+    Attributes:
+        to_target: Whether nothing reaches the target.
+        to_caller: Whether nothing comes back.
+    """
+
+    to_target: bool = True
+    to_caller: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delayed:
+    """Each piece of data arrives later, in order.
+
+    Attributes:
+        seconds: Delay in each direction.
+    """
+
+    seconds: float
+
+
+LinkState = Open | Silent | Delayed
+
+
 class LinkProxy:
     """Relays connections to one target.
 
-    While the link is cut, connections stay open and carry nothing, as in a
-    partition. Healing closes them, so that both sides connect anew.
+    Once a silent link is open again, its connections are closed, so that both
+    sides connect anew.
     """
 
     __slots__ = (
         "_changed",
-        "_is_cut",
+        "_scopes",
         "_settings",
+        "_state",
         "_supervisor",
     )
 
@@ -40,7 +74,8 @@
         rng: random.Random,
     ) -> None:
         self._settings = settings
-        self._is_cut = False
+        self._state: LinkState = Open()
+        self._scopes: set[anyio.CancelScope] = set()
         self._changed = anyio.Event()
         self._supervisor = supervisor_lib.Supervisor(
             f"link {settings.name}",
@@ -60,10 +95,22 @@
 
     def set_cut(self, is_cut: bool) -> None:
         """Cuts or heals the link."""
-        if is_cut != self._is_cut:
-            self._is_cut = is_cut
-            self._changed.set()
-            self._changed = anyio.Event()
+        self.set_state(Silent() if is_cut else Open())
+
+    def set_state(self, state: LinkState) -> None:
+        """Changes what the link does; a healed one closes its connections."""
+        if state == self._state:
+            return
+        if isinstance(self._state, Silent):
+            self.reset_connections()
+        self._state = state
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def reset_connections(self) -> None:
+        """Breaks off all connections."""
+        for scope in self._scopes:
+            scope.cancel()
 
     async def run(self) -> None:
         """Relays until cancelled."""
@@ -87,8 +134,7 @@
 
     async def _relay_connection(self, near: anyio.abc.SocketStream) -> None:
         async with near:
-            while self._is_cut:
-                await self._changed.wait()
+            await self._wait_while_silent(is_to_target=True)
             try:
                 far = await anyio.connect_tcp(
                     self._settings.target_address, self._settings.target_port
@@ -97,28 +143,37 @@
                 return
             async with far, anyio.create_task_group() as group:
                 scope = group.cancel_scope
-                group.start_soon(self._relay, near, far, scope)
-                group.start_soon(self._relay, far, near, scope)
-                group.start_soon(self._end_when_healed, scope)
+                self._scopes.add(scope)
+                try:
+                    group.start_soon(self._relay, near, far, scope, True)
+                    await self._relay(far, near, scope, False)
+                finally:
+                    self._scopes.discard(scope)
 
     async def _relay(
         self,
         source: anyio.abc.SocketStream,
         target: anyio.abc.SocketStream,
         scope: anyio.CancelScope,
+        is_to_target: bool,
     ) -> None:
         try:
             while True:
                 data = await source.receive()
-                while self._is_cut:
-                    await self._changed.wait()
+                match self._state:
+                    case Delayed(seconds=seconds):
+                        await anyio.sleep(seconds)
+                    case Silent():
+                        await self._wait_while_silent(is_to_target)
+                    case Open():
+                        pass
                 await target.send(data)
         except _STREAM_ERRORS:
             scope.cancel()
 
-    async def _end_when_healed(self, scope: anyio.CancelScope) -> None:
-        while not self._is_cut:
-            await self._changed.wait()
-        while self._is_cut:
+    async def _wait_while_silent(self, is_to_target: bool) -> None:
+        while isinstance(self._state, Silent):
+            state = self._state
+            if not (state.to_target if is_to_target else state.to_caller):
+                return
             await self._changed.wait()
-        scope.cancel()
--- a/src/fireflywell/standins/row_store.py
+++ b/src/fireflywell/standins/row_store.py
@@ -3,12 +3,14 @@
 import datetime
 
 import anyio
-import anyio.lowlevel
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import row_store
 
+# Changes that are kept for those who follow a table.
+_HISTORY_ROWS = 4000
+
 
 class MemoryRowStore:
     """A `RowStore` in this process.
@@ -18,6 +20,7 @@
         lose_answers: How many of the next transactions are carried out
             without an answer.
         calls: Number of calls so far.
+        delay_s: Time that each call takes.
     """
 
     __slots__ = (
@@ -28,6 +31,7 @@
         "_rows",
         "_version",
         "calls",
+        "delay_s",
         "is_down",
         "lose_answers",
     )
@@ -42,6 +46,7 @@
         self.is_down = False
         self.lose_answers = 0
         self.calls = 0
+        self.delay_s = 0.0
 
     def now_s(self) -> float:
         """Returns the store's steady clock, in seconds."""
@@ -160,11 +165,14 @@
             if self._rows.pop(place, None) is not None:
                 gone = row_store.Row(place, b"", self._version, True)
                 self._history.append(gone)
+        if len(self._history) > 2 * _HISTORY_ROWS:
+            self._oldest = self._history[-_HISTORY_ROWS].version
+            del self._history[:-_HISTORY_ROWS]
         changed, self._changed = self._changed, anyio.Event()
         changed.set()
 
     async def _begin_call(self) -> None:
         self.calls += 1
-        await anyio.lowlevel.checkpoint()
+        await anyio.sleep(self.delay_s)
         if self.is_down:
             raise errors.PlatformUnavailableError("the store is down")
--- a/src/fireflywell/standins/unit_worker.py
+++ b/src/fireflywell/standins/unit_worker.py
@@ -11,6 +11,10 @@
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import workers
 
+# Units of a job whose specification begins so never end by themselves.
+ENDLESS_PREFIX = "endless"
+_ENDLESS_S = 1e9
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartRecord:
@@ -22,6 +26,25 @@
     at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EndRecord:
+    """An end of a run.
+
+    Attributes:
+        unit: Name of the unit.
+        run: Number of the run.
+        kind: How it ended.
+        number: Position in the worker's list of ends.
+        at_s: Monotonic time.
+    """
+
+    unit: str
+    run: int
+    kind: orders.EndKind
+    number: int
+    at_s: float
+
+
 class _ActiveRun:
     __slots__ = ("ends_at_s", "unit", "number")
 
@@ -42,6 +65,7 @@
             answer.
         fails: Whether every unit fails.
         starts: Starts that were carried out, in order.
+        ends: Ends of runs, in order.
         noted: Highest number of ends that may be forgotten.
     """
 
@@ -55,6 +79,7 @@
         "_highest",
         "_lease_until_ms",
         "_token",
+        "ends",
         "fails",
         "instance",
         "is_silent",
@@ -76,6 +101,7 @@
         self.lose_answers = 0
         self.fails = False
         self.starts: list[StartRecord] = []
+        self.ends: list[EndRecord] = []
         self.noted = 0
         self._clock = clock
         self._born = clock.monotonic()
@@ -109,7 +135,9 @@
         if order.run <= self._highest.get(order.unit, 0):
             return orders.Refused(orders.Refusal.OLD_RUN)
         now_s = self._now_s()
-        run_s = self.run_s if self.run_s is not None else 1e9
+        run_s = self.run_s
+        if run_s is None or order.specification.startswith(ENDLESS_PREFIX):
+            run_s = _ENDLESS_S
         self._highest[order.unit] = order.run
         self._active[key] = _ActiveRun(order.unit, order.run, now_s + run_s)
         self.starts.append(
@@ -130,7 +158,9 @@
         known = self._highest.get(order.unit, 0)
         self._highest[order.unit] = max(known, order.run)
         if (order.unit, order.run) in self._active:
-            self._end(order.unit, order.run, orders.EndKind.STOPPED)
+            self._end(
+                order.unit, order.run, orders.EndKind.STOPPED, self._now_s()
+            )
         return orders.Accepted(self._read_clock_ms())
 
     async def pace(self, order: orders.PaceOrder) -> orders.OrderOutcome:
@@ -173,9 +203,34 @@
 
     def crash(self) -> None:
         """Ends all runs without a trace."""
+        for run in self._active.values():
+            self.ends.append(
+                EndRecord(
+                    run.unit,
+                    run.number,
+                    orders.EndKind.BROKEN,
+                    0,
+                    self._now_s(),
+                )
+            )
         self._active.clear()
         self.is_silent = True
 
+    def restart(self) -> None:
+        """Begins another life under the same id; it knows nothing of before."""
+        self.crash()
+        self.is_silent = False
+        self.instance = dataclasses.replace(
+            self.instance, born_unix_ms=self.instance.born_unix_ms + 1
+        )
+        self.noted = 0
+        self._born = self._clock.monotonic()
+        self._ended = []
+        self._highest = {}
+        self._count = 0
+        self._token = 0
+        self._lease_until_ms = 0
+
     async def _receive(self) -> None:
         await anyio.lowlevel.checkpoint()
         if self.is_silent:
@@ -194,24 +249,27 @@
 
     def _end_due(self) -> None:
         now_s = self._now_s()
-        is_over = self._lease_until_ms <= self._read_clock_ms()
+        lapse_s = self._born.total_seconds() + (self._lease_until_ms - 1) / 1000
         for run in tuple(self._active.values()):
-            if run.ends_at_s <= now_s:
+            if run.ends_at_s <= min(now_s, lapse_s):
                 kind = (
                     orders.EndKind.FAILED
                     if self.fails
                     else (orders.EndKind.DONE)
                 )
-                self._end(run.unit, run.number, kind)
-            elif is_over:
-                self._end(run.unit, run.number, orders.EndKind.LAPSED)
+                self._end(run.unit, run.number, kind, run.ends_at_s)
+            elif lapse_s <= now_s:
+                self._end(run.unit, run.number, orders.EndKind.LAPSED, lapse_s)
 
-    def _end(self, unit: str, number: int, kind: orders.EndKind) -> None:
+    def _end(
+        self, unit: str, number: int, kind: orders.EndKind, at_s: float
+    ) -> None:
         self._active.pop((unit, number), None)
         self._count += 1
         self._ended.append(
             orders.EndReport(self._count, unit, number, kind, "")
         )
+        self.ends.append(EndRecord(unit, number, kind, self._count, at_s))
         self._signal()
 
     def _signal(self) -> None:
--- a/tests/test_node_takeover.py
+++ b/tests/test_node_takeover.py
@@ -302,6 +302,38 @@
 
         anyio.run(run)
 
+    def test_ends_of_a_worker_that_came_back_are_not_forgotten(self) -> None:
+        """Fails if a unit runs twice after its worker was restarted.
+
+        Soak seeds 15 and 20: the first call to the new life carried the number
+        of the former life's last end, so the new life forgot its own ends.
+        """
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1", run_s=0.05)
+            async with self.run_node(world, "node-a"):
+                await world.submit(node_world.make_step(8))
+                await world.wait_for_state("completed")
+                worker = world.workers["w1"]
+                with anyio.fail_after(3):
+                    while worker.noted < 8:
+                        await anyio.sleep(0.02)
+                worker.is_silent = True
+                await anyio.sleep(2.5)
+                worker.restart()
+                before = len(worker.starts)
+                # Ends that come one after the other are in several reports.
+                step = node_world.make_step(demand=model.Demand(100, 10))
+                others = [f"{number:016x}" for number in range(12)]
+                for job_id in others:
+                    await world.submit(step, job_id=job_id)
+                    await anyio.sleep(0.015)
+                for job_id in others:
+                    await world.wait_for_state("completed", job_id)
+            self.assertEqual(len(worker.starts) - before, len(others))
+
+        anyio.run(run)
+
 
 def _read(world: node_world.NodeWorld, place: row_store.RowKey) -> bytes:
     row = world.store.get(place)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,101 @@
+"""The soak: a short seeded run, and checks that find what they look for."""
+
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+from tools import soak
+from tools import soak_checks
+from tools import soak_clients
+from tools import soak_plan
+
+from fireflywell.standins import emulator_values as values
+
+_ID = "00000000000000a1"
+_UNIT = f"{_ID}.0.0.0"
+
+
+def _make_job(**fields: object) -> soak_clients.JobRecord:
+    job = soak_clients.JobRecord(_ID, "quotes", 1, False, accepted_s=1.0)
+    job.state = "completed"
+    for name, value in fields.items():
+        setattr(job, name, value)
+    return job
+
+
+def _start(run: int, at_s: float, life: str = "w1") -> values.StartSeen:
+    return values.StartSeen(life, _UNIT, run, at_s)
+
+
+def _end(
+    run: int, at_s: float, kind: str = "done", is_noted: bool = True
+) -> values.EndSeen:
+    return values.EndSeen("w1", _UNIT, run, kind, at_s, is_noted)
+
+
+class ShortSoakTest(unittest.TestCase):
+    """Real processes under a few faults."""
+
+    def test_promises_hold_under_random_faults(self) -> None:
+        """Fails if a seeded series of faults breaks a promise."""
+        shape = soak_plan.Shape(nodes=3, fault_s=6.0, clients=2)
+        with tempfile.TemporaryDirectory() as name:
+            outcome = anyio.run(soak.run_soak, 20, shape, pathlib.Path(name))
+        self.assertEqual(outcome.findings, ())
+        self.assertGreater(outcome.accepted, 0)
+
+
+class CheckTest(unittest.TestCase):
+    """Checks on made-up records."""
+
+    def find(
+        self,
+        job: soak_clients.JobRecord,
+        starts: tuple[values.StartSeen, ...] = (),
+        ends: tuple[values.EndSeen, ...] = (),
+    ) -> str:
+        """Returns the findings as one text."""
+        records = values.Records(starts, ends, ())
+        return "; ".join(soak_checks.find_broken_promises([job], records))
+
+    def test_runs_at_the_same_time_are_found(self) -> None:
+        """Fails if two runs of a unit at once go unnoticed."""
+        starts = (_start(1, 2.0), _start(2, 3.0, "w2"))
+        found = self.find(_make_job(), starts, (_end(1, 3.5, "lapsed"),))
+        self.assertIn("runs twice", found)
+
+    def test_start_after_a_noted_end_is_found(self) -> None:
+        """Fails if a unit that was done and starts again goes unnoticed."""
+        starts = (_start(1, 2.0), _start(2, 3.0, "w2"))
+        self.assertIn(
+            "after it was done", self.find(_make_job(), starts, (_end(1, 2.5),))
+        )
+        lost = (_end(1, 2.5, is_noted=False),)
+        self.assertEqual(self.find(_make_job(), starts, lost), "")
+
+    def test_start_of_a_refused_job_is_found(self) -> None:
+        """Fails if a refusal that isn't true goes unnoticed."""
+        job = _make_job(accepted_s=None)
+        self.assertIn("refused", self.find(job, (_start(1, 2.0),)))
+
+    def test_start_long_after_a_cancellation_is_found(self) -> None:
+        """Fails if units of a cancelled job may start for ever."""
+        job = _make_job(cancel_sent_s=1.5, cancelled_s=2.0, state="cancelled")
+        self.assertEqual(self.find(job, (_start(1, 4.0),)), "")
+        self.assertIn("cancelled", self.find(job, (_start(1, 12.0),)))
+
+    def test_unfinished_work_is_listed(self) -> None:
+        """Fails if a lost job passes for one that is done."""
+        records = values.Records((), (), ())
+        for job in (
+            _make_job(state="queued"),
+            _make_job(is_long_running=True, state="running"),
+        ):
+            with self.subTest(job=job):
+                listed = soak_checks.list_unfinished([job], records)
+                self.assertEqual(len(listed), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/local_processes.py
+++ b/tools/local_processes.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import dataclasses
 import datetime
 import fcntl
@@ -12,6 +13,7 @@
 import subprocess
 import sys
 import tempfile
+import types
 from typing import Any
 from typing import TextIO
 
@@ -32,6 +34,8 @@
     "standin": "fireflywell.standins.main",
     "load": "fireflywell.loadtool.main",
     "operator": "fireflywell.cli.main",
+    "node": "fireflywell.platform",
+    "emulator": "fireflywell.standins.emulator",
 }
 # Generous: a loaded machine may need long to start a process.
 WAIT_SECONDS = 60.0
@@ -58,11 +62,20 @@
     __slots__ = ("_log_path", "_name", "_process")
 
     def __init__(
-        self, name: str, program: str, arguments: list[str], log: pathlib.Path
+        self,
+        name: str,
+        program: str,
+        arguments: list[str],
+        log: pathlib.Path,
+        variables: Mapping[str, str] = types.MappingProxyType({}),
     ) -> None:
         self._name = name
         self._log_path = log
-        environment = dict(os.environ, PYTHONPATH=str(ROOT / "src"))
+        environment = {
+            **os.environ,
+            "PYTHONPATH": str(ROOT / "src"),
+            **variables,
+        }
         command = [sys.executable, "-m", PROGRAMS[program], *arguments]
         with log.open("ab") as output:
             self._process = subprocess.Popen(
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,188 @@
+"""Runs real processes under random faults and checks the promises.
+
+    python -m tools.soak SEED [SEED ...]
+    python -m tools.soak --fresh 10
+    python -m tools.soak --known
+
+Prints one line for each seed and keeps the logs of those that failed.
+"""
+
+import dataclasses
+import pathlib
+import random
+import shutil
+import sys
+import tempfile
+
+import anyio
+import click
+from tools import soak_checks
+from tools import soak_clients
+from tools import soak_plan
+from tools import soak_seeds
+from tools import soak_system
+
+from fireflywell import clock as clock_lib
+
+# After the last fault has healed, what was accepted is worked off within this
+# time: a lease of an owner, one of its workers, and the work itself. A machine
+# at a quarter of its speed needs several times as long to start processes.
+_SETTLE_S = 60.0
+_POLL_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Outcome:
+    """Result of one soak.
+
+    Attributes:
+        seed: The seed.
+        jobs: Jobs that clients submitted.
+        accepted: Jobs that were accepted.
+        starts: Starts that workers carried out.
+        settle_s: Time from the last fault until all was worked off.
+        findings: What broke a promise.
+    """
+
+    seed: int
+    jobs: int
+    accepted: int
+    starts: int
+    settle_s: float
+    findings: tuple[str, ...]
+
+
+def choose_subnet(seed: int) -> str:
+    """Returns the first three parts of the addresses of a soak."""
+    return f"127.{100 + seed % 100}.{seed // 100 % 250}"
+
+
+async def run_soak(
+    seed: int, shape: soak_plan.Shape, directory: pathlib.Path
+) -> Outcome:
+    """Runs one soak; its logs are in the directory."""
+    clock = clock_lib.SuspendAwareClock()
+    system = soak_system.SoakSystem(
+        directory, choose_subnet(seed), shape, clock
+    )
+    try:
+        async with anyio.create_task_group() as links:
+            links.start_soon(system.run_links)
+            system.start_emulator()
+            for number in range(shape.nodes):
+                system.start_node(number)
+            await system.wait_until_ready()
+            outcome = await _drive(seed, shape, system, clock)
+            links.cancel_scope.cancel()
+        return outcome
+    finally:
+        system.end()
+
+
+async def _drive(
+    seed: int,
+    shape: soak_plan.Shape,
+    system: soak_system.SoakSystem,
+    clock: clock_lib.Clock,
+) -> Outcome:
+    rng = random.Random(seed)
+    caller = soak_clients.Caller(system.callers_addresses, clock, rng)
+    clients = [
+        soak_clients.Client(caller, shape.services, random.Random(seed + n))
+        for n in range(shape.clients)
+    ]
+    async with anyio.create_task_group() as traffic:
+        for client in clients:
+            traffic.start_soon(client.run)
+        async with anyio.create_task_group() as faults:
+            passed_s = 0.0
+            for planned in soak_plan.plan_faults(seed, shape):
+                await anyio.sleep(planned.at_s - passed_s)
+                passed_s = planned.at_s
+                faults.start_soon(system.make_fault, planned.fault)
+        traffic.cancel_scope.cancel()
+    healed_at = clock.monotonic()
+    jobs = [job for client in clients for job in client.jobs]
+    unfinished = await _settle(caller, jobs, system)
+    settle_s = (clock.monotonic() - healed_at).total_seconds()
+    records = await system.read_records()
+    findings = soak_checks.find_broken_promises(jobs, records) + unfinished
+    findings += await system.stop_nodes()
+    findings += system.find_tracebacks()
+    await caller.close()
+    return Outcome(
+        seed,
+        len(jobs),
+        sum(job.accepted_s is not None for job in jobs),
+        len(records.starts),
+        settle_s,
+        tuple(findings),
+    )
+
+
+async def _settle(
+    caller: soak_clients.Caller,
+    jobs: list[soak_clients.JobRecord],
+    system: soak_system.SoakSystem,
+) -> list[str]:
+    unfinished = ["nothing was read"]
+    with anyio.move_on_after(_SETTLE_S):
+        while unfinished:
+            await anyio.sleep(_POLL_S)
+            for job in jobs:
+                is_open = job.accepted_s is not None and not (
+                    job.is_long_running or job.cancel_sent_s
+                )
+                if is_open and job.state != "completed":
+                    await caller.show(job)
+            unfinished = soak_checks.list_unfinished(
+                jobs, await system.read_records()
+            )
+    return unfinished
+
+
+def run_seed(seed: int, shape: soak_plan.Shape) -> Outcome:
+    """Runs one soak and keeps its logs if it failed."""
+    directory = pathlib.Path(tempfile.mkdtemp(prefix=f"fireflywell-{seed}-"))
+    outcome = anyio.run(run_soak, seed, shape, directory)
+    print(
+        f"seed {seed}: {outcome.jobs} jobs, {outcome.accepted} accepted, "
+        f"{outcome.starts} starts, settled in {outcome.settle_s:.1f} s, "
+        f"{len(outcome.findings)} findings",
+        flush=True,
+    )
+    for finding in outcome.findings:
+        print(f"  {finding}")
+    if outcome.findings:
+        print(f"  logs: {directory}", flush=True)
+    else:
+        shutil.rmtree(directory)
+    return outcome
+
+
+@click.command()
+@click.argument("seeds", nargs=-1, type=int)
+@click.option("--fresh", default=0, help="Number of further, random seeds.")
+@click.option("--known", is_flag=True, help="Also the seeds that once failed.")
+@click.option("--nodes", default=4, help="Number of node processes.")
+@click.option("--seconds", default=14.0, help="Time in which faults begin.")
+def main(
+    seeds: tuple[int, ...],
+    fresh: int,
+    known: bool,
+    nodes: int,
+    seconds: float,
+) -> None:
+    """Runs soaks one after the other."""
+    chosen = [*seeds, *(random.randrange(10**6) for _ in range(fresh))]
+    if known:
+        chosen += [item.seed for item in soak_seeds.KNOWN_SEEDS]
+    shape = soak_plan.Shape(nodes=nodes, fault_s=seconds)
+    outcomes = [run_seed(seed, shape) for seed in chosen]
+    failed = [item.seed for item in outcomes if item.findings]
+    print(f"{len(outcomes) - len(failed)} passed, {len(failed)} failed")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/soak_plan.py
@@ -0,0 +1,179 @@
+"""Which faults a soak makes, and when, chosen from its seed."""
+
+import dataclasses
+import random
+
+from fireflywell.standins import emulator_values
+from fireflywell.standins import link_proxy
+
+# Traffic and faults begin this long after the processes.
+FIRST_FAULT_S = 1.0
+
+# Several faults overlap: their mean distance is shorter than they last.
+_MEAN_GAP_S = 0.9
+_LONGEST_FAULT_S = 4.0
+_LONGEST_DELAY_S = 0.4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KillNode:
+    """A node is killed and starts again."""
+
+    node: int
+    down_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PauseNode:
+    """A node stands still for a while."""
+
+    node: int
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TermNode:
+    """A node is asked to stop and starts again."""
+
+    node: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReloadNode:
+    """A node is told that its settings have changed."""
+
+    node: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KillAllNodes:
+    """All nodes are killed at once and start again."""
+
+    down_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkFault:
+    """A link misbehaves for a while.
+
+    Attributes:
+        link: Name of the link.
+        state: What it does.
+        seconds: For how long.
+    """
+
+    link: str
+    state: link_proxy.LinkState
+    seconds: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResetLink:
+    """All connections of a link are broken off."""
+
+    link: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformFault:
+    """The emulator makes a fault."""
+
+    fault: emulator_values.Fault
+
+
+Fault = (
+    KillNode
+    | PauseNode
+    | TermNode
+    | ReloadNode
+    | KillAllNodes
+    | LinkFault
+    | ResetLink
+    | PlatformFault
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Planned:
+    """A fault and the time since the start of traffic."""
+
+    at_s: float
+    fault: Fault
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shape:
+    """Size of a soak.
+
+    Attributes:
+        nodes: Number of node processes.
+        services: Names of the services.
+        workers: Names of the workers.
+        fault_s: Time in which faults begin.
+        clients: Number of clients that submit jobs.
+    """
+
+    nodes: int = 4
+    services: tuple[str, ...] = ("quotes", "reviews")
+    workers: tuple[str, ...] = ("w1", "w2", "w3", "w4", "w5", "w6")
+    fault_s: float = 14.0
+    clients: int = 4
+
+    @property
+    def links(self) -> tuple[str, ...]:
+        """Names of the links: each node to the store, all to each worker."""
+        nodes = tuple(f"node-{number}" for number in range(self.nodes))
+        return (*nodes, *self.workers)
+
+
+def plan_faults(seed: int, shape: Shape) -> list[Planned]:
+    """Returns the faults of a soak; the same for the same seed and shape."""
+    rng = random.Random(seed)
+    planned: list[Planned] = []
+    at_s = FIRST_FAULT_S
+    while at_s < shape.fault_s:
+        planned.append(Planned(at_s, _choose_fault(rng, shape)))
+        at_s += rng.expovariate(1 / _MEAN_GAP_S)
+    return planned
+
+
+def _choose_fault(rng: random.Random, shape: Shape) -> Fault:
+    node = rng.randrange(shape.nodes)
+    link = rng.choice(shape.links)
+    worker = rng.choice(shape.workers)
+    seconds = round(rng.uniform(0.3, _LONGEST_FAULT_S), 2)
+    delay_s = round(rng.uniform(0.02, _LONGEST_DELAY_S), 3)
+    count = rng.randint(1, 4)
+    keeps_id = rng.random() < 0.5
+    states: tuple[link_proxy.LinkState, ...] = (
+        link_proxy.Silent(),
+        link_proxy.Silent(to_target=False),
+        link_proxy.Silent(to_caller=False),
+        link_proxy.Delayed(delay_s),
+    )
+    state = rng.choice(states)
+    choices: tuple[tuple[float, Fault], ...] = (
+        (3.0, KillNode(node, seconds / 2)),
+        (2.0, PauseNode(node, seconds)),
+        (2.0, TermNode(node)),
+        (1.0, ReloadNode(node)),
+        (0.4, KillAllNodes(seconds / 2)),
+        (5.0, LinkFault(link, state, seconds)),
+        (2.0, ResetLink(link)),
+        (1.0, PlatformFault(emulator_values.StoreDown(seconds))),
+        (1.0, PlatformFault(emulator_values.StoreSlow(seconds, delay_s))),
+        (2.0, PlatformFault(emulator_values.AnswersLost(count))),
+        (1.0, PlatformFault(emulator_values.HistoryLost())),
+        (
+            2.0,
+            PlatformFault(
+                emulator_values.WorkerCrash(worker, seconds, keeps_id)
+            ),
+        ),
+        (1.0, PlatformFault(emulator_values.WorkerDrain(worker, seconds))),
+        (1.0, PlatformFault(emulator_values.WorkerFails(worker, seconds))),
+        (2.0, PlatformFault(emulator_values.StartsUnanswered(worker, count))),
+    )
+    weights = [weight for weight, _ in choices]
+    (chosen,) = rng.choices(choices, weights)
+    return chosen[1]
--- /dev/null
+++ b/tools/soak_seeds.py
@@ -0,0 +1,22 @@
+"""Seeds of soaks that failed once, kept as regression cases."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownSeed:
+    """A seed and the fault of the code that it found."""
+
+    seed: int
+    cause: str
+
+
+KNOWN_SEEDS = (
+    KnownSeed(1, "SIGHUP while the modules were loading ended the process"),
+    KnownSeed(
+        15, "a worker that came back under its id forgot ends nobody had noted"
+    ),
+    KnownSeed(
+        20, "a worker that came back under its id forgot ends nobody had noted"
+    ),
+)
--- /dev/null
+++ b/tools/soak_system.py
@@ -0,0 +1,295 @@
+"""Processes of a soak: an emulator, nodes and the links between them."""
+
+import json
+import pathlib
+import random
+import signal
+
+import anyio
+import anyio.to_thread
+from tools import local_processes
+from tools import soak_plan
+
+from fireflywell import clock as clock_lib
+from fireflywell.standins import emulator_values
+from fireflywell.standins import link_proxy
+from fireflywell.standins import settings as standin_settings
+
+_STORE_PORT = 18621
+_CONTROL_PORT = 18620
+_CALLERS_PORT = 18624
+_READY_PORT = 18622
+_METRICS_PORT = 18623
+_WORKER_PORT = 18700
+
+_NODE_SETTINGS = """
+node_name = "node-{number}"
+zone = "a"
+[listen_addresses]
+front = "{address}:18624"
+ready_address = "{address}:18622"
+control = "{address}:18623"
+[bounds]
+lease_duration_ms = 3000
+max_hold_ms = 6000
+stop_timeout_ms = 900
+grace_period_s = 6
+[platform]
+address = "{store}"
+[cloud_api]
+address = "{machines}"
+"""
+
+
+class SoakSystem:
+    """Starts, faults and ends the processes of one soak.
+
+    Each soak has loopback addresses of its own, so that several can run at
+    the same time.
+    """
+
+    __slots__ = (
+        "_all",
+        "_clock",
+        "_directory",
+        "_nodes",
+        "_proxies",
+        "_shape",
+        "_subnet",
+    )
+
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        subnet: str,
+        shape: soak_plan.Shape,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._directory = directory
+        self._subnet = subnet
+        self._shape = shape
+        self._clock = clock
+        self._all: list[local_processes.ManagedProcess] = []
+        self._nodes: dict[int, local_processes.ManagedProcess] = {}
+        self._proxies = {
+            link.name: link
+            for link in (
+                *(self._make_store_link(n) for n in range(shape.nodes)),
+                *(self._make_worker_link(n) for n in range(self._worker_count)),
+            )
+        }
+
+    @property
+    def callers_addresses(self) -> tuple[str, ...]:
+        """Where the nodes serve callers."""
+        return tuple(
+            f"{self._locate_node(number)}:{_CALLERS_PORT}"
+            for number in range(self._shape.nodes)
+        )
+
+    @property
+    def _worker_count(self) -> int:
+        return len(self._shape.workers)
+
+    async def run_links(self) -> None:
+        """Relays all connections until cancelled."""
+        async with anyio.create_task_group() as group:
+            for proxy in self._proxies.values():
+                group.start_soon(proxy.run)
+
+    def start_emulator(self) -> None:
+        """Starts the platform."""
+        services = self._shape.services
+        lines = [
+            f'store_address = "{self._subnet}.1:{_STORE_PORT}"',
+            f'control_address = "{self._subnet}.1:{_CONTROL_PORT}"',
+            f"services = {json.dumps(services)}",
+        ]
+        for number, name in enumerate(self._shape.workers):
+            lines += [
+                "[[workers]]",
+                f'name = "{name}"',
+                f'service = "{services[number % len(services)]}"',
+                f'address = "{self._subnet}.{100 + number}:{_WORKER_PORT}"',
+                "listed_address = "
+                f'"{self._subnet}.{150 + number}:{_WORKER_PORT}"',
+                f'rack = "r1-{number % 3}"',
+            ]
+        path = self._directory / "emulator.toml"
+        path.write_text("\n".join(lines) + "\n")
+        self._all.append(
+            local_processes.ManagedProcess(
+                "emulator",
+                "emulator",
+                [str(path)],
+                self._directory / "emulator.log",
+            )
+        )
+
+    def start_node(self, number: int) -> None:
+        """Starts a node or starts it again."""
+        path = self._directory / f"node-{number}.toml"
+        path.write_text(
+            _NODE_SETTINGS.format(
+                number=number,
+                address=self._locate_node(number),
+                store=f"{self._subnet}.{50 + number}:{_STORE_PORT}",
+                machines=f"{self._subnet}.1:{_STORE_PORT}",
+            )
+        )
+        process = local_processes.ManagedProcess(
+            f"node-{number}",
+            "node",
+            [],
+            self._directory / f"node-{number}.log",
+            {"FIREFLYWELL_CONFIG": str(path)},
+        )
+        self._all.append(process)
+        self._nodes[number] = process
+
+    async def make_fault(self, fault: soak_plan.Fault) -> None:
+        """Makes a fault and heals it again."""
+        match fault:
+            case soak_plan.KillNode(node=node, down_s=down_s):
+                await self._kill((node,), down_s)
+            case soak_plan.KillAllNodes(down_s=down_s):
+                await self._kill(tuple(range(self._shape.nodes)), down_s)
+            case soak_plan.PauseNode(node=node, seconds=seconds):
+                process = self._nodes[node]
+                _signal(process, signal.SIGSTOP)
+                await anyio.sleep(seconds)
+                _signal(process, signal.SIGCONT)
+            case soak_plan.TermNode(node=node):
+                process = self._nodes[node]
+                _signal(process, signal.SIGTERM)
+                await self._wait_for_end(process)
+                self._start_again(node, process)
+            case soak_plan.ReloadNode(node=node):
+                _signal(self._nodes[node], signal.SIGHUP)
+            case soak_plan.LinkFault(link=name, state=state, seconds=seconds):
+                proxy = self._proxies[name]
+                proxy.set_state(state)
+                await anyio.sleep(seconds)
+                proxy.set_state(link_proxy.Open())
+            case soak_plan.ResetLink(link=name):
+                self._proxies[name].reset_connections()
+            case soak_plan.PlatformFault(fault=platform_fault):
+                await self._call_control(
+                    "POST", emulator_values.encode_fault(platform_fault)
+                )
+
+    async def read_records(self) -> emulator_values.Records:
+        """Returns what the workers have seen."""
+        document = await self._call_control("GET")
+        return emulator_values.decode_records(document)
+
+    async def wait_until_ready(self) -> None:
+        """Waits until the emulator and all nodes answer.
+
+        Raises:
+            StepError: One of them doesn't.
+        """
+        urls = [f"http://{self._subnet}.1:{_CONTROL_PORT}/"]
+        urls += [
+            f"http://{self._locate_node(number)}:{_READY_PORT}/readiness"
+            for number in range(self._shape.nodes)
+        ]
+        for url in urls:
+            await anyio.to_thread.run_sync(
+                local_processes.wait_until,
+                lambda url=url: _answers(url),
+                f"{url} answers",
+            )
+
+    async def stop_nodes(self) -> list[str]:
+        """Asks all nodes to stop; returns what went wrong."""
+        for process in self._nodes.values():
+            _signal(process, signal.SIGTERM)
+        findings = []
+        for process in self._nodes.values():
+            code = await self._wait_for_end(process)
+            if code != 0:
+                findings.append(f"{process.name} ended with code {code}")
+        return findings
+
+    def end(self) -> None:
+        """Kills what still runs."""
+        for process in self._all:
+            process.end()
+
+    def find_tracebacks(self) -> list[str]:
+        """Returns the logs that hold a traceback of Python."""
+        return [
+            f"{path.name} holds a traceback"
+            for path in sorted(self._directory.glob("*.log"))
+            if "Traceback" in path.read_text(errors="replace")
+        ]
+
+    async def _kill(self, nodes: tuple[int, ...], down_s: float) -> None:
+        killed = {node: self._nodes[node] for node in nodes}
+        for process in killed.values():
+            process.end()
+        await anyio.sleep(down_s)
+        for node, process in killed.items():
+            self._start_again(node, process)
+
+    def _start_again(
+        self, node: int, ended: local_processes.ManagedProcess
+    ) -> None:
+        # Another fault may have started it already.
+        if self._nodes[node] is ended:
+            self.start_node(node)
+
+    async def _wait_for_end(
+        self, process: local_processes.ManagedProcess
+    ) -> int:
+        while process.exit_code is None:
+            await anyio.sleep(0.05)
+        return process.exit_code
+
+    async def _call_control(
+        self, method: str, document: object = None
+    ) -> dict[str, object]:
+        url = f"http://{self._subnet}.1:{_CONTROL_PORT}/"
+        answer = await anyio.to_thread.run_sync(
+            local_processes.send_json, method, url, document
+        )
+        assert isinstance(answer, dict)
+        return answer
+
+    def _locate_node(self, number: int) -> str:
+        return f"{self._subnet}.{20 + number}"
+
+    def _make_store_link(self, number: int) -> link_proxy.LinkProxy:
+        return self._make_link(f"node-{number}", 50 + number, 1, _STORE_PORT)
+
+    def _make_worker_link(self, number: int) -> link_proxy.LinkProxy:
+        name = self._shape.workers[number]
+        return self._make_link(name, 150 + number, 100 + number, _WORKER_PORT)
+
+    def _make_link(
+        self, name: str, near: int, far: int, port: int
+    ) -> link_proxy.LinkProxy:
+        return link_proxy.LinkProxy(
+            standin_settings.LinkSettings(
+                name,
+                f"{self._subnet}.{near}",
+                port,
+                f"{self._subnet}.{far}",
+                port,
+            ),
+            self._clock,
+            random.Random(),
+        )
+
+
+def _signal(
+    process: local_processes.ManagedProcess, number: signal.Signals
+) -> None:
+    if process.exit_code is None:
+        process.send_signal(number)
+
+
+def _answers(url: str) -> bool:
+    answer = local_processes.send_request("GET", url)
+    return answer is not None and answer.status == 200
