Follow workers and tickets only on nodes with a duty

Change: tickets and needs have a table of their own; a gate runs its follower and that of the workers' entries only while the node has a duty.

--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import datetime
+import functools
 import random
 import uuid
 
@@ -15,6 +16,7 @@
 from fireflywell.node import advice_desk
 from fireflywell.node import configuration as configuration_lib
 from fireflywell.node import directory as directory_lib
+from fireflywell.node import duty_gate
 from fireflywell.node import fleet_duty
 from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import job_desk
@@ -34,7 +36,7 @@
 
 # Workers renew their entries all the time; changes are taken in steps.
 _INSTANCES_PAUSE = datetime.timedelta(milliseconds=200)
-_OWNERS_PAUSE = datetime.timedelta(milliseconds=80)
+_UPKEEP_PAUSE = datetime.timedelta(milliseconds=80)
 
 # Requests that are still being answered at a stop get this share of the
 # grace period.
@@ -99,6 +101,10 @@
             item for item in self._instances.values() if item.service == service
         )
 
+    def clear(self) -> None:
+        """Forgets all workers; nobody follows their entries any more."""
+        self._instances = {}
+
     def replace_all(self, rows: tuple[row_store.Row, ...]) -> None:
         """Takes a full read into account."""
         self._instances = {}
@@ -131,6 +137,7 @@
         "_configuration",
         "_desk",
         "_directory",
+        "_gate",
         "_heartbeat",
         "_is_draining",
         "_keeper",
@@ -179,6 +186,7 @@
             self._start_owner,
             boundary.metrics,
         )
+        self._gate = duty_gate.DutyGate()
         self._upkeep = upkeep_book.UpkeepBook()
         self._waves = fleet_duty.WaveBook(boundary.decode_wave, store)
         self._desk = job_desk.JobDesk(store, clock, boundary.metrics)
@@ -232,9 +240,15 @@
         owners = self._follow(
             tables.OWNERS,
             self._keeper.list_partitions,
-            self._apply_owner_rows,
-            self._apply_owner_rows,
-            _OWNERS_PAUSE,
+            self._keeper.apply_rows,
+            self._keeper.apply_rows,
+        )
+        upkeep_rows = self._follow(
+            tables.UPKEEP,
+            lambda: (ownership.FLEET_DUTY,),
+            self._upkeep.apply_rows,
+            self._upkeep.apply_rows,
+            _UPKEEP_PAUSE,
         )
         callers, readiness = self._listeners
         children = (
@@ -247,7 +261,24 @@
             supervisor_lib.Child(
                 "configuration", self._operator_follower.run, restart
             ),
-            supervisor_lib.Child("instances", instances.run, restart),
+            supervisor_lib.Child(
+                "instances",
+                functools.partial(
+                    self._gate.run_while_open,
+                    instances.run,
+                    self._registry.clear,
+                ),
+                restart,
+            ),
+            supervisor_lib.Child(
+                "upkeep-rows",
+                functools.partial(
+                    self._gate.run_while_open,
+                    upkeep_rows.run,
+                    self._upkeep.clear,
+                ),
+                restart,
+            ),
             supervisor_lib.Child("owner-rows", owners.run, restart),
             supervisor_lib.Child("heartbeat", self._heartbeat.run, restart),
             supervisor_lib.Child("ownership", self._keeper.run, restart),
@@ -279,10 +310,6 @@
         for owner in self._owners.values():
             owner.wake_sync()
 
-    def _apply_owner_rows(self, rows: tuple[row_store.Row, ...]) -> None:
-        self._keeper.apply_rows(rows)
-        self._upkeep.apply_rows(rows)
-
     def _follow(
         self,
         table: str,
@@ -360,10 +387,13 @@
         )
         self._owners[tenure.service] = owner
 
+        self._gate.begin_duty()
+
         async def run() -> None:
             try:
                 await owner.run()
             finally:
+                self._gate.end_duty()
                 if self._owners.get(tenure.service) is owner:
                     del self._owners[tenure.service]
                     self._keeper.forget(tenure.service)
@@ -389,8 +419,16 @@
             self._clock,
             self._random,
         )
+        self._gate.begin_duty()
+
+        async def run() -> None:
+            try:
+                await duty.run()
+            finally:
+                self._gate.end_duty()
+
         self._owners_tree.start_child(
-            supervisor_lib.Child("fleet", duty.run, policies.LetEnd())
+            supervisor_lib.Child("fleet", run, policies.LetEnd())
         )
         return duty.stop
 
--- a/src/fireflywell/node/tables.py
+++ b/src/fireflywell/node/tables.py
@@ -13,6 +13,9 @@
 ROSTERS = "rosters"
 QUEUES = "queues"
 
+# Tickets and needs of VMs change often, and only nodes with a duty read them.
+UPKEEP = "upkeep"
+
 # Written by others; the node only reads them.
 OPERATOR = "op"
 INSTANCES = "servers"
--- a/src/fireflywell/node/upkeep_book.py
+++ b/src/fireflywell/node/upkeep_book.py
@@ -52,6 +52,12 @@
         """Returns how many VMs each service could use."""
         return {service: need for service, (need, _) in self._needs.items()}
 
+    def clear(self) -> None:
+        """Forgets all rows; nobody follows them any more."""
+        self._tickets = {}
+        self._needs = {}
+        self.floating = frozenset()
+
     def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
         """Takes rows of the fleet's partition into account."""
         self._apply_tickets(rows)
@@ -107,17 +113,17 @@
 
 def locate_ticket(partition: str, machine: str) -> row_store.RowKey:
     """Returns the place of a VM's ticket."""
-    return row_store.RowKey(tables.OWNERS, partition, _PREFIX + machine)
+    return row_store.RowKey(tables.UPKEEP, partition, _PREFIX + machine)
 
 
 def locate_need(partition: str, service: str) -> row_store.RowKey:
     """Returns the place of the number of VMs that a service could use."""
-    return row_store.RowKey(tables.OWNERS, partition, _NEED_PREFIX + service)
+    return row_store.RowKey(tables.UPKEEP, partition, _NEED_PREFIX + service)
 
 
 def locate_floating(partition: str) -> row_store.RowKey:
     """Returns the place of the list of VMs that belong to the spare pool."""
-    return row_store.RowKey(tables.OWNERS, partition, _FLOATING_KEY)
+    return row_store.RowKey(tables.UPKEEP, partition, _FLOATING_KEY)
 
 
 def encode_ticket(ticket: upkeep.Ticket) -> bytes:
