Tell a job's story from the logs of all nodes

Cause: an engineer who has an id must search the logs of every node, merge them by time and pick the job out of lists of other jobs' runs.

--- a/src/fireflywell/cli/main.py
+++ b/src/fireflywell/cli/main.py
@@ -10,6 +10,7 @@
 from fireflywell.cli import running
 from fireflywell.cli import settings as cli_settings
 from fireflywell.cli import status_command
+from fireflywell.cli import story_command
 from fireflywell.cli import vm_commands
 
 
@@ -41,6 +42,7 @@
       fireflywell --config ops.toml status
       fireflywell --config ops.toml vm list
       fireflywell --config ops.toml job list
+      fireflywell story fe63dc5dcc1c6a69 node-*.log
     """  # noqa: D301
     context.obj = cli_settings.load_context(config, as_json)
 
@@ -51,6 +53,7 @@
 main.add_command(job_commands.job)
 main.add_command(status_command.status)
 main.add_command(vm_commands.vm)
+main.add_command(story_command.story)
 
 
 if __name__ == "__main__":
