--- a/src/fireflywell/node/fleet_duty.py
+++ b/src/fireflywell/node/fleet_duty.py
@@ -20,6 +20,7 @@
 from fireflywell.node import ownership
 from fireflywell.node import tables
 from fireflywell.node import upkeep_book
+from fireflywell.node import wave_book
 from fireflywell.scheduling import capacity
 from fireflywell.scheduling import upkeep
 from fireflywell.supervision import policies
@@ -59,48 +60,6 @@
         """Moves a VM to another pool; returns why not, or None."""
 
 
-class WaveBook:
-    """Operators' requests for maintenance, as last read."""
-
-    __slots__ = ("_decode", "_seen_at_s", "_store", "waves")
-
-    def __init__(
-        self,
-        decode: Callable[[bytes], upkeep.Wave],
-        store: row_store.RowStore,
-    ) -> None:
-        self._decode = decode
-        self._store = store
-        self._seen_at_s: dict[int, float] = {}
-        self.waves: dict[int, upkeep.Wave] = {}
-
-    def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
-        """Takes rows of the operator's table into account."""
-        for row in rows:
-            if not row.place.key.startswith("wave/") or row.is_removed:
-                continue
-            try:
-                wave = self._decode(row.value)
-            except errors.CorruptRowError as error:
-                logs.log_event("wave.unreadable", error=str(error))
-                continue
-            if self.waves.get(wave.number) == wave:
-                continue
-            self.waves[wave.number] = wave
-            self._seen_at_s.setdefault(wave.number, self._store.now_s())
-            logs.log_event(
-                "wave.observed",
-                wave=wave.number,
-                machines=len(wave.machines),
-                duration_s=wave.duration_s,
-                max_count=wave.max_count,
-            )
-
-    def compute_deadline_s(self, wave: upkeep.Wave) -> float:
-        """Returns when a wave must be complete, on the store's clock."""
-        return self._seen_at_s[wave.number] + wave.duration_s
-
-
 class FleetDuty:
     """Carries out maintenance waves for the length of one tenure."""
 
@@ -133,7 +92,7 @@
         store: row_store.RowStore,
         client: FleetClient,
         book: upkeep_book.UpkeepBook,
-        waves: WaveBook,
+        waves: wave_book.WaveBook,
         heartbeat: heartbeat_lib.Heartbeat,
         list_pools: Callable[[], tuple[str, ...]],
         find_spare_pool: Callable[[], str],
--- /dev/null
+++ b/src/fireflywell/node/instance_registry.py
@@ -0,0 +1,56 @@
+"""Workers as they list themselves in the store."""
+
+from collections.abc import Callable
+
+from fireflywell import errors
+from fireflywell.coordination import row_store
+from fireflywell.scheduling import workers as workers_lib
+from fireflywell.telemetry import logs
+
+
+class InstanceRegistry:
+    """The listed workers, of which malformed entries name none."""
+
+    __slots__ = ("_decode", "_instances", "_reported")
+
+    def __init__(
+        self, decode: Callable[[str, bytes], workers_lib.WorkerInstance]
+    ) -> None:
+        self._decode = decode
+        self._instances: dict[str, workers_lib.WorkerInstance] = {}
+        # Entries that can't be read are logged once.
+        self._reported: set[str] = set()
+
+    def list_instances(
+        self, service: str
+    ) -> tuple[workers_lib.WorkerInstance, ...]:
+        """Returns the workers of a service."""
+        return tuple(
+            item for item in self._instances.values() if item.service == service
+        )
+
+    def clear(self) -> None:
+        """Forgets all workers; nobody follows their entries any more."""
+        self._instances = {}
+
+    def replace_all(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Takes a full read into account."""
+        self._instances = {}
+        self.apply_rows(rows)
+
+    def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Takes changed rows into account."""
+        for row in rows:
+            instance_id = row.place.key
+            if row.is_removed:
+                self._instances.pop(instance_id, None)
+                continue
+            try:
+                self._instances[instance_id] = self._decode(
+                    instance_id, row.value
+                )
+            except errors.CorruptRowError as error:
+                self._instances.pop(instance_id, None)
+                if instance_id not in self._reported:
+                    self._reported.add(instance_id)
+                    logs.log_event("instance.unreadable", error=str(error))
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -11,7 +11,6 @@
 
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
-from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import advice_desk
 from fireflywell.node import configuration as configuration_lib
@@ -19,6 +18,7 @@
 from fireflywell.node import duty_gate
 from fireflywell.node import fleet_duty
 from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import instance_registry
 from fireflywell.node import job_desk
 from fireflywell.node import ownership
 from fireflywell.node import service_owner
@@ -26,6 +26,7 @@
 from fireflywell.node import table_follower
 from fireflywell.node import tables
 from fireflywell.node import upkeep_book
+from fireflywell.node import wave_book
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import upkeep
 from fireflywell.scheduling import workers as workers_lib
@@ -80,54 +81,6 @@
     metrics_api: asgi.Application
 
 
-class InstanceRegistry:
-    """Workers as they list themselves in the store."""
-
-    __slots__ = ("_decode", "_instances", "_reported")
-
-    def __init__(
-        self, decode: Callable[[str, bytes], workers_lib.WorkerInstance]
-    ) -> None:
-        self._decode = decode
-        self._instances: dict[str, workers_lib.WorkerInstance] = {}
-        # Entries that can't be read are logged once.
-        self._reported: set[str] = set()
-
-    def list_instances(
-        self, service: str
-    ) -> tuple[workers_lib.WorkerInstance, ...]:
-        """Returns the workers of a service."""
-        return tuple(
-            item for item in self._instances.values() if item.service == service
-        )
-
-    def clear(self) -> None:
-        """Forgets all workers; nobody follows their entries any more."""
-        self._instances = {}
-
-    def replace_all(self, rows: tuple[row_store.Row, ...]) -> None:
-        """Takes a full read into account."""
-        self._instances = {}
-        self.apply_rows(rows)
-
-    def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
-        """Takes changed rows into account."""
-        for row in rows:
-            instance_id = row.place.key
-            if row.is_removed:
-                self._instances.pop(instance_id, None)
-                continue
-            try:
-                self._instances[instance_id] = self._decode(
-                    instance_id, row.value
-                )
-            except errors.CorruptRowError as error:
-                self._instances.pop(instance_id, None)
-                if instance_id not in self._reported:
-                    self._reported.add(instance_id)
-                    logs.log_event("instance.unreadable", error=str(error))
-
-
 class NodeProcess:
     """One machine's process: the root of its supervisor tree."""
 
@@ -168,7 +121,9 @@
         self._configuration = directory_lib.ConfigurationHolder(
             boundary.decode_configuration
         )
-        self._registry = InstanceRegistry(boundary.decode_instance)
+        self._registry = instance_registry.InstanceRegistry(
+            boundary.decode_instance
+        )
         self._directory = directory_lib.NodeDirectory(
             clock, settings.bounds.lease
         )
@@ -188,7 +143,7 @@
         )
         self._gate = duty_gate.DutyGate()
         self._upkeep = upkeep_book.UpkeepBook()
-        self._waves = fleet_duty.WaveBook(boundary.decode_wave, store)
+        self._waves = wave_book.WaveBook(boundary.decode_wave, store)
         self._desk = job_desk.JobDesk(store, clock, boundary.metrics)
         self._owners: dict[str, service_owner.ServiceOwner] = {}
         self._owners_tree = supervisor_lib.Supervisor("owners", clock, rng)
@@ -261,23 +216,11 @@
             supervisor_lib.Child(
                 "configuration", self._operator_follower.run, restart
             ),
-            supervisor_lib.Child(
-                "instances",
-                functools.partial(
-                    self._gate.run_while_open,
-                    instances.run,
-                    self._registry.clear,
-                ),
-                restart,
+            self._make_gated_child(
+                "instances", instances, self._registry.clear
             ),
-            supervisor_lib.Child(
-                "upkeep-rows",
-                functools.partial(
-                    self._gate.run_while_open,
-                    upkeep_rows.run,
-                    self._upkeep.clear,
-                ),
-                restart,
+            self._make_gated_child(
+                "upkeep-rows", upkeep_rows, self._upkeep.clear
             ),
             supervisor_lib.Child("owner-rows", owners.run, restart),
             supervisor_lib.Child("heartbeat", self._heartbeat.run, restart),
@@ -294,6 +237,18 @@
             self._settings.name, self._clock, self._random, children + extra
         )
 
+    def _make_gated_child(
+        self,
+        name: str,
+        follower: table_follower.TableFollower,
+        on_close: Callable[[], None],
+    ) -> supervisor_lib.Child:
+        """Returns the task of a follower that only a node with duties needs."""
+        run = functools.partial(
+            self._gate.run_while_open, follower.run, on_close
+        )
+        return supervisor_lib.Child(name, run, policies.RestartWithBackoff())
+
     def _apply_operator_rows(self, rows: tuple[row_store.Row, ...]) -> None:
         self._configuration.apply_rows(rows)
         self._waves.apply_rows(rows)
--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -9,16 +9,15 @@
 from collections.abc import Callable
 import dataclasses
 import datetime
-import zlib
 
 import anyio
-import msgpack
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import directory as directory_lib
 from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import owner_records
 from fireflywell.node import tables
 from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
@@ -42,23 +41,6 @@
 _SHORTEST_TENURE = datetime.timedelta(seconds=5)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class OwnerRecord:
-    """Row that names the owner of a service.
-
-    Attributes:
-        node: Name of the owner, empty after a release.
-        incarnation: Process of the owner.
-        token: Rises with each owner.
-        successor: Node that is to claim a released service; may be empty.
-    """
-
-    node: str
-    incarnation: str
-    token: int
-    successor: str = ""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Tenure:
     """Proof of ownership of a service.
@@ -85,51 +67,6 @@
         )
 
 
-def choose_owners(
-    services: tuple[str, ...], owned: dict[str, int], nodes: tuple[str, ...]
-) -> dict[str, str]:
-    """Spreads services without an owner over nodes.
-
-    Args:
-        services: Services without an owner.
-        owned: Number of services that each node owns.
-        nodes: Nodes that can take a service.
-
-    Returns:
-        The node for each service; the same on all nodes with the same view.
-    """
-    counts = {node: owned.get(node, 0) for node in nodes}
-    chosen: dict[str, str] = {}
-    for service in sorted(services):
-        if not counts:
-            break
-        node = min(
-            counts,
-            key=lambda name: (counts[name], _mix(service, name), name),
-        )
-        counts[node] += 1
-        chosen[service] = node
-    return chosen
-
-
-def choose_release(
-    own: tuple[str, ...], owned: dict[str, int], nodes: tuple[str, ...]
-) -> str | None:
-    """Returns a service to give up because another node has far fewer.
-
-    Args:
-        own: Services that this node owns.
-        owned: Number of services that each node owns.
-        nodes: Nodes that have been up for long enough.
-    """
-    if not own or not nodes:
-        return None
-    fewest = min(owned.get(node, 0) for node in nodes)
-    if len(own) - fewest < 2:
-        return None
-    return max(own)
-
-
 class OwnershipKeeper:
     """Claims services for this node and runs what owns them."""
 
@@ -169,7 +106,7 @@
         self._heartbeat = heartbeat
         self._list_services = list_services
         self._run_owner = run_owner
-        self._rows: dict[str, tuple[OwnerRecord, int]] = {}
+        self._rows: dict[str, tuple[owner_records.OwnerRecord, int]] = {}
         self._unowned_since: dict[str, datetime.timedelta] = {}
         # How to stop the owner of each service that this node owns.
         self._owned: dict[str, Callable[[], None]] = {}
@@ -241,7 +178,7 @@
         if known is not None and known[1] >= row.version:
             return
         try:
-            record = decode_owner(row.value)
+            record = owner_records.decode_owner(row.value)
         except Exception as error:
             logs.log_event(
                 "ownership.unreadable", service=service, error=repr(error)
@@ -291,7 +228,9 @@
             if service not in unowned:
                 del self._unowned_since[service]
         nodes = tuple(n.name for n in self._directory.list_live())
-        chosen = choose_owners(unowned, self._count_owned(), nodes)
+        chosen = owner_records.choose_owners(
+            unowned, self._count_owned(), nodes
+        )
         for service in unowned:
             since = self._unowned_since.setdefault(service, now)
             is_due = now - since > _ANY_NODE_AFTER
@@ -311,11 +250,15 @@
         version = known[1] if known else 0
         token = known[0].token + 1 if known else 1
         previous = known[0].node if known else ""
-        record = OwnerRecord(self._name, self._heartbeat.incarnation, token)
+        record = owner_records.OwnerRecord(
+            self._name, self._heartbeat.incarnation, token
+        )
         result = await self._store.transact(
             row_store.Transaction(
                 expected=(row_store.Expected(place, version),),
-                puts=(row_store.Put(place, _encode_owner(record)),),
+                puts=(
+                    row_store.Put(place, owner_records.encode_owner(record)),
+                ),
             )
         )
         match result:
@@ -359,7 +302,9 @@
             for node in self._directory.list_live()
             if self._directory.measure_age(node.name) > _REBALANCE_AFTER
         )
-        service = choose_release(movable, self._count_owned(), settled)
+        service = owner_records.choose_release(
+            movable, self._count_owned(), settled
+        )
         if service is not None:
             await self.release(service, "rebalance")
 
@@ -379,9 +324,11 @@
             if node.name != self._name
         )
         counts = self._count_owned()
-        successor = choose_owners((service,), counts, others).get(service, "")
+        successor = owner_records.choose_owners((service,), counts, others).get(
+            service, ""
+        )
         place = tables.locate_owner(service)
-        released = OwnerRecord("", "", record.token, successor)
+        released = owner_records.OwnerRecord("", "", record.token, successor)
         logs.log_event(
             "ownership.released",
             service=service,
@@ -390,7 +337,7 @@
         )
         self._releasing[service] = row_store.Transaction(
             expected=(row_store.Expected(place, version),),
-            puts=(row_store.Put(place, _encode_owner(released)),),
+            puts=(row_store.Put(place, owner_records.encode_owner(released)),),
         )
         await self._store_release(service)
 
@@ -412,25 +359,3 @@
             case row_store.Conflict(rows=rows):
                 # An earlier attempt whose answer was lost, or a successor.
                 self.apply_rows(rows)
-
-
-def decode_owner(value: bytes) -> OwnerRecord:
-    """Reads the row that names a service's owner."""
-    return OwnerRecord(*msgpack.unpackb(value))
-
-
-def _encode_owner(record: OwnerRecord) -> bytes:
-    return bytes(
-        msgpack.packb(
-            [
-                record.node,
-                record.incarnation,
-                record.token,
-                record.successor,
-            ]
-        )
-    )
-
-
-def _mix(service: str, node: str) -> int:
-    return zlib.crc32(f"{service}/{node}".encode())
--- a/src/fireflywell/scheduling/capacity.py
+++ b/src/fireflywell/scheduling/capacity.py
@@ -17,6 +17,14 @@
 # for a peak.
 _ARRIVAL_WINDOW_S = 1.5
 
+# A VM serves this long after it was asked for: a move, its entry, a connection.
+# Demand that rises is met as it will be then.
+_ARRIVAL_LEAD_S = 2.2
+_HIGHEST_GROWTH = 2.0
+
+# With fewer arrivals in half a window, a trend says more of single jobs.
+_ARRIVALS_FOR_TREND = 12
+
 # Share of a pool's own processors that demand may use before VMs are asked.
 _COMFORT_SHARE = 0.85
 
@@ -63,7 +71,10 @@
         arrivals = self._arrivals
         while arrivals and now_s - arrivals[0].at_s > _ARRIVAL_WINDOW_S:
             arrivals.popleft()
-        rate = sum(a.core_seconds for a in arrivals) / _ARRIVAL_WINDOW_S
+        rate = max(
+            sum(a.core_seconds for a in arrivals) / _ARRIVAL_WINDOW_S,
+            self._forecast(now_s),
+        )
         backlog = 0.0
         for job in board.jobs.values():
             if job.is_long_running:
@@ -82,6 +93,18 @@
             return 0
         return math.ceil(excess / vm_cores)
 
+    def _forecast(self, now_s: float) -> float:
+        """Returns the rate to expect once a VM ordered now has arrived."""
+        half_s = _ARRIVAL_WINDOW_S / 2
+        recent = [a for a in self._arrivals if now_s - a.at_s <= half_s]
+        if len(recent) < _ARRIVALS_FOR_TREND:
+            return 0.0
+        later = sum(a.core_seconds for a in recent) / half_s
+        total = sum(a.core_seconds for a in self._arrivals)
+        earlier = total / half_s - later
+        growth = max(0.0, later - earlier) / half_s
+        return min(later + growth * _ARRIVAL_LEAD_S, later * _HIGHEST_GROWTH)
+
 
 def _measure_own_cores(board: board_lib.Board) -> tuple[float, float]:
     """Returns the cores of a pool's own VMs for short units, and of one VM."""
--- a/tests/test_node_ownership.py
+++ b/tests/test_node_ownership.py
@@ -10,6 +10,7 @@
 from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import directory as directory_lib
+from fireflywell.node import owner_records
 from fireflywell.node import ownership
 from fireflywell.node import tables
 from fireflywell.standins import row_store as store_standin
@@ -77,11 +78,11 @@
             keeper.apply_rows(tuple(self.store.list_table(tables.OWNERS)))
             await keeper.check()
 
-    def find_owner(self) -> ownership.OwnerRecord:
+    def find_owner(self) -> owner_records.OwnerRecord:
         """Returns the row that names the service's owner."""
         row = self.store.get(tables.locate_owner(_SERVICE))
         assert row is not None
-        return ownership.decode_owner(row.value)
+        return owner_records.decode_owner(row.value)
 
 
 class HandoverTest(unittest.TestCase):
@@ -150,7 +151,7 @@
 
     def test_service_goes_to_the_node_with_the_fewest(self) -> None:
         """Fails if handovers pile services up on one node."""
-        chosen = ownership.choose_owners(
+        chosen = owner_records.choose_owners(
             ("x", "y"), {"a": 2, "b": 0, "c": 0}, ("a", "b", "c")
         )
         self.assertEqual(sorted(chosen.values()), ["b", "c"])
