--- a/src/fireflywell/infrastructure/transport.py
+++ b/src/fireflywell/infrastructure/transport.py
@@ -16,7 +16,10 @@
 
 _CONCURRENT_CALLS = 32
 _INITIAL_BACKOFF = datetime.timedelta(milliseconds=100)
-_MAXIMUM_BACKOFF = datetime.timedelta(seconds=10)
+
+# A store that is back must be noticed before its callers give up; one call each
+# half second and process is a small part of what the store can take.
+_MAXIMUM_BACKOFF = datetime.timedelta(milliseconds=500)
 _MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024
 
 
