--- a/tests/test_node_ownership.py
+++ b/tests/test_node_ownership.py
@@ -38,24 +38,15 @@
         self.store = store_standin.MemoryRowStore(self.clock)
         # Owners that were started and stopped, in order.
         self.events: list[str] = []
-        self.keepers = {name: self._make_keeper(name, names) for name in names}
+        self._beats = 0
+        self._names = names
+        self._directories: list[directory_lib.NodeDirectory] = []
+        self.keepers = {name: self._make_keeper(name) for name in names}
 
-    def _make_keeper(
-        self, name: str, names: tuple[str, ...]
-    ) -> ownership.OwnershipKeeper:
+    def _make_keeper(self, name: str) -> ownership.OwnershipKeeper:
         directory = directory_lib.NodeDirectory(self.clock, _LEASE)
-        directory.observe(
-            tuple(
-                row_store.Row(
-                    directory_lib.locate_node(other),
-                    directory_lib.encode_node(
-                        directory_lib.NodeRecord(other, other, other, 1, False)
-                    ),
-                    1,
-                )
-                for other in names
-            )
-        )
+        self._directories.append(directory)
+        self._renew_all()
 
         async def run_owner(tenure: ownership.Tenure) -> Callable[[], None]:
             self.events.append(f"{name} starts {tenure.service}")
@@ -72,6 +63,29 @@
             metrics_lib.NullMetrics(),
         )
 
+    def pass_time(self, seconds: float) -> None:
+        """Moves the clock on while all nodes renew their rows."""
+        self.clock.advance(datetime.timedelta(seconds=seconds))
+        self._renew_all()
+
+    def _renew_all(self) -> None:
+        self._beats += 1
+        for directory in self._directories:
+            directory.observe(
+                tuple(
+                    row_store.Row(
+                        directory_lib.locate_node(name),
+                        directory_lib.encode_node(
+                            directory_lib.NodeRecord(
+                                name, name, name, self._beats, False
+                            )
+                        ),
+                        self._beats,
+                    )
+                    for name in self._names
+                )
+            )
+
     async def check_all(self) -> None:
         """Lets each node see all rows and make one check."""
         for keeper in self.keepers.values():
@@ -136,14 +150,18 @@
 
         async def run() -> int:
             await world.check_all()
-            await world.keepers["a"].release_all()
+            # Both nodes have been up for long enough to be given services.
+            world.pass_time(4.5)
+            await world.keepers["b"].release_all()
             await world.check_all()
             count = len(world.events)
-            world.clock.advance(datetime.timedelta(seconds=1))
-            await world.check_all()
+            for _ in range(4):
+                world.pass_time(1.0)
+                await world.check_all()
             return len(world.events) - count
 
         self.assertEqual(anyio.run(run), 0)
+        self.assertEqual(world.events[-1][0], "a")
 
 
 class ChoiceTest(unittest.TestCase):
