Log what tells a late configuration from an unknown route

Cause: job.refused held the path of an unknown route but neither its host nor the age of the configuration, and shared its budget of lines with all other refusals.

Change: no decision differs. route.unknown, an event with its own budget, names host, path, version, time since adoption and time since the version was last known to be the newest; configuration.adopted adds the size, the time to read it and the age of the former version; store.lost and store.history_lost add the age of what is known of the table. The gauge node.configuration.version is new.

--- a/src/fireflywell/node/directory.py
+++ b/src/fireflywell/node/directory.py
@@ -12,6 +12,7 @@
 from fireflywell.node import configuration as configuration_lib
 from fireflywell.node import tables
 from fireflywell.telemetry import logs
+from fireflywell.telemetry import metrics as metrics_lib
 
 _CONFIGURATION_KEY = "config"
 
@@ -19,13 +20,28 @@
 class ConfigurationHolder:
     """The newest configuration; never an older one than before."""
 
-    __slots__ = ("_current", "_decode", "_listeners")
+    __slots__ = (
+        "_adopted_at",
+        "_clock",
+        "_confirmed_at",
+        "_current",
+        "_decode",
+        "_listeners",
+        "_metrics",
+    )
 
     def __init__(
-        self, decode: Callable[[bytes], configuration_lib.Configuration]
+        self,
+        decode: Callable[[bytes], configuration_lib.Configuration],
+        clock: clock_lib.Clock,
+        metrics: metrics_lib.Metrics,
     ) -> None:
         self._decode = decode
+        self._clock = clock
+        self._metrics = metrics
         self._current: configuration_lib.Configuration | None = None
+        self._adopted_at: datetime.timedelta | None = None
+        self._confirmed_at: datetime.timedelta | None = None
         self._listeners: list[Callable[[], None]] = []
 
     @property
@@ -33,10 +49,24 @@
         """The configuration in force, or None before the first one."""
         return self._current
 
+    @property
+    def age(self) -> datetime.timedelta | None:
+        """Time since the configuration in force was adopted."""
+        return self._measure_since(self._adopted_at)
+
+    @property
+    def confirmed_age(self) -> datetime.timedelta | None:
+        """Time since the configuration was last known to be the newest."""
+        return self._measure_since(self._confirmed_at)
+
     def subscribe(self, listener: Callable[[], None]) -> None:
         """Calls `listener` after each change."""
         self._listeners.append(listener)
 
+    def note_confirmed(self, at: datetime.timedelta) -> None:
+        """Notes that no newer configuration was stored before that time."""
+        self._confirmed_at = at
+
     def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
         """Adopts the configuration among rows of the operator's table."""
         for row in rows:
@@ -44,6 +74,7 @@
                 self._adopt(row)
 
     def _adopt(self, row: row_store.Row) -> None:
+        started = self._clock.monotonic()
         try:
             fresh = self._decode(row.value)
         except errors.CorruptRowError as error:
@@ -51,17 +82,30 @@
             return
         if self._current and fresh.version <= self._current.version:
             return
+        now = self._clock.monotonic()
         logs.log_event(
             "configuration.adopted",
             version=fresh.version,
             previous=self._current.version if self._current else None,
+            previous_age_s=logs.round_seconds(self.age),
+            confirmed_s=logs.round_seconds(self.confirmed_age),
+            row_version=row.version,
+            size_bytes=len(row.value),
+            decode_s=logs.round_seconds(now - started),
             routes=len(fresh.routes),
             services=len(fresh.services),
         )
+        self._metrics.record_gauge("node.configuration.version", fresh.version)
         self._current = fresh
+        self._adopted_at = now
         for listener in self._listeners:
             listener()
 
+    def _measure_since(
+        self, at: datetime.timedelta | None
+    ) -> datetime.timedelta | None:
+        return None if at is None else self._clock.monotonic() - at
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NodeRecord:
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -119,7 +119,7 @@
         self._random = rng
         self._is_draining = False
         self._configuration = directory_lib.ConfigurationHolder(
-            boundary.decode_configuration
+            boundary.decode_configuration, clock, boundary.metrics
         )
         self._registry = instance_registry.InstanceRegistry(
             boundary.decode_instance
@@ -152,6 +152,7 @@
             lambda: ("",),
             self._apply_operator_rows,
             self._apply_operator_rows,
+            on_confirmed=self._configuration.note_confirmed,
         )
         self._listeners = (
             _make_listener(
@@ -272,6 +273,7 @@
         on_snapshot: Callable[[tuple[row_store.Row, ...]], None],
         on_changes: Callable[[tuple[row_store.Row, ...]], None],
         pause: datetime.timedelta = datetime.timedelta(milliseconds=20),
+        on_confirmed: Callable[[datetime.timedelta], None] | None = None,
     ) -> table_follower.TableFollower:
         return table_follower.TableFollower(
             self._boundary.store,
@@ -281,6 +283,7 @@
             on_snapshot,
             on_changes,
             pause,
+            on_confirmed,
         )
 
     async def _drain(self) -> None:
--- a/src/fireflywell/node/table_follower.py
+++ b/src/fireflywell/node/table_follower.py
@@ -26,14 +26,15 @@
 
     __slots__ = (
         "_clock",
+        "_confirmed_at",
         "_failures",
         "_load",
         "_on_changes",
+        "_on_confirmed",
         "_on_snapshot",
         "_pause",
         "_store",
         "_table",
-        "confirmed_at",
     )
 
     def __init__(
@@ -45,6 +46,7 @@
         on_snapshot: Callable[[tuple[row_store.Row, ...]], None],
         on_changes: Callable[[tuple[row_store.Row, ...]], None],
         pause: datetime.timedelta = datetime.timedelta(milliseconds=20),
+        on_confirmed: Callable[[datetime.timedelta], None] | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -55,8 +57,9 @@
         # Collects changes that follow each other closely into one call.
         self._pause = pause
         self._failures = 0
+        self._on_confirmed = on_confirmed
         # When the receiver was last known to be up to date.
-        self.confirmed_at: datetime.timedelta | None = None
+        self._confirmed_at: datetime.timedelta | None = None
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
@@ -68,11 +71,14 @@
                 version = await self._follow_once(version)
             except errors.HistoryLostError:
                 logs.log_event(
-                    "store.history_lost", table=self._table, after=version
+                    "store.history_lost",
+                    table=self._table,
+                    after=version,
+                    confirmed_s=self._measure_confirmed_age(),
                 )
                 version = None
             except errors.PlatformError as error:
-                self._note_failure(error)
+                self._note_failure(error, version)
                 await self._clock.sleep(_RETRY_DELAY)
             else:
                 self._note_success()
@@ -96,13 +102,26 @@
         page = await self._store.follow(self._table, version, _WAIT)
         if page.rows:
             self._on_changes(page.rows)
-        self.confirmed_at = sent_at
+        self._confirmed_at = sent_at
+        if self._on_confirmed is not None:
+            self._on_confirmed(sent_at)
         return max(version, page.version)
 
-    def _note_failure(self, error: Exception) -> None:
+    def _measure_confirmed_age(self) -> float | None:
+        if self._confirmed_at is None:
+            return None
+        return logs.round_seconds(self._clock.monotonic() - self._confirmed_at)
+
+    def _note_failure(self, error: Exception, version: int | None) -> None:
         self._failures += 1
         if self._failures == _FAILURES_TO_REPORT:
-            logs.log_event("store.lost", table=self._table, error=str(error))
+            logs.log_event(
+                "store.lost",
+                table=self._table,
+                after=version,
+                confirmed_s=self._measure_confirmed_age(),
+                error=str(error),
+            )
 
     def _note_success(self) -> None:
         if self._failures >= _FAILURES_TO_REPORT:
--- a/src/fireflywell/platform/job_api.py
+++ b/src/fireflywell/platform/job_api.py
@@ -68,7 +68,7 @@
         host = (asgi.find_header(headers, "host") or "").partition(":")[0]
         route = configuration.find_route(host, path)
         if route is None:
-            job_desk.log_refusal(path, "no such queue", 404, configuration)
+            self._log_unknown_route(host, path, configuration)
             await _send_error(send, 404, "no such queue")
             return
         job_id = path[len(route.prefix) :]
@@ -186,6 +186,24 @@
         configuration = self._configuration.current
         return configuration.version if configuration else None
 
+    def _log_unknown_route(
+        self,
+        host: str,
+        path: str,
+        configuration: configuration_lib.Configuration,
+    ) -> None:
+        # Apart from other refusals, so that a flood of those doesn't use up
+        # the lines that tell a late configuration from an unknown route.
+        logs.log_event(
+            "route.unknown",
+            host=host,
+            path=path,
+            status=404,
+            configuration=configuration.version,
+            adopted_s=logs.round_seconds(self._configuration.age),
+            confirmed_s=logs.round_seconds(self._configuration.confirmed_age),
+        )
+
     def _log_refusal(self, job_id: str, reason: str, status: int) -> None:
         job_desk.log_refusal(
             job_id, reason, status, self._configuration.current
--- a/src/fireflywell/telemetry/logs.py
+++ b/src/fireflywell/telemetry/logs.py
@@ -137,6 +137,11 @@
     eliot.log_message(message_type=event, **fields)
 
 
+def round_seconds(duration: datetime.timedelta | None) -> float | None:
+    """Returns a duration in seconds as log lines show it."""
+    return None if duration is None else round(duration.total_seconds(), 3)
+
+
 def log_child_failure(supervisor: str, child: str, error: Exception) -> None:
     """Writes the log line for a failed child of a supervisor."""
     log_event(
--- /dev/null
+++ b/tests/captured_log.py
@@ -0,0 +1,25 @@
+"""Log lines that a test causes."""
+
+from collections.abc import Iterator
+import contextlib
+from typing import Any
+
+import eliot
+
+
+@contextlib.contextmanager
+def capture_log() -> Iterator[list[dict[str, Any]]]:
+    """Yields a list that receives each log line of the block."""
+    lines: list[dict[str, Any]] = []
+    eliot.add_destinations(lines.append)
+    try:
+        yield lines
+    finally:
+        eliot.remove_destination(lines.append)
+
+
+def select_event(
+    lines: list[dict[str, Any]], event: str
+) -> list[dict[str, Any]]:
+    """Returns the lines of one kind of event."""
+    return [line for line in lines if line["message_type"] == event]
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -99,7 +99,9 @@
     def test_configuration_never_goes_back(self) -> None:
         """Fails if an older or unreadable row replaces the configuration."""
         holder = directory_lib.ConfigurationHolder(
-            configuration.decode_configuration
+            configuration.decode_configuration,
+            clock_lib.ManualClock(),
+            metrics_lib.NullMetrics(),
         )
         place = row_store.RowKey("op", "", "config")
         for number, data in enumerate(
@@ -259,7 +261,9 @@
         async def run() -> None:
             world = node_world.NodeWorld()
             holder = directory_lib.ConfigurationHolder(
-                configuration.decode_configuration
+                configuration.decode_configuration,
+                world.clock,
+                metrics_lib.NullMetrics(),
             )
             place = row_store.RowKey("op", "", "config")
             data = node_world.encode_configuration()
