--- a/src/fireflywell/standins/row_store.py
+++ b/src/fireflywell/standins/row_store.py
@@ -151,11 +151,13 @@
             raise errors.HistoryLostError("the history was dropped on purpose")
 
     def _list_changes(self, table: str, after: int) -> list[row_store.Row]:
-        newest: dict[row_store.RowKey, row_store.Row] = {}
-        for row in self._history:
-            if row.version > after and row.place.table == table:
-                newest[row.place] = row
-        return sorted(newest.values(), key=lambda row: row.version)
+        # Each change by itself, as the platform's store returns them: a row
+        # that was written twice comes twice.
+        return [
+            row
+            for row in self._history
+            if row.version > after and row.place.table == table
+        ]
 
     def _apply(
         self,
