Read the rows again when the missed changes are larger than the table

What callers saw: 404 for queues that a change had added up to 20 s before.

Cause: the store returns each change of a row by itself, and each change of the configuration is the whole of it, 0.35 MB with 1,750 routes. A node that is a few versions behind gets all of them in one answer. At 10 Mbit/s that exceeds the 2.5 s of the call; the answer is discarded and asked for again, larger by then, until the store has dropped its history.

Change: a follower names the largest backlog that it accepts, the size of the table as it was last read and 64 KiB. Beyond it the client stops at the announced or received size, and the follower reads the rows, which are one version of each. All followers have the same rule: entries of workers, owners, tickets and jobs.

--- a/src/fireflywell/coordination/row_store.py
+++ b/src/fireflywell/coordination/row_store.py
@@ -125,12 +125,27 @@
         """Returns the partitions of a table that hold rows."""
 
     async def follow(
-        self, table: str, after: int, wait: datetime.timedelta
+        self,
+        table: str,
+        after: int,
+        wait: datetime.timedelta,
+        limit_bytes: int | None = None,
     ) -> Page:
         """Returns the changes of a table after a version; waits for one.
 
+        Each change of a row is returned by itself, so a page can be much
+        larger than the table.
+
+        Args:
+            table: The table.
+            after: Version of the store after which changes are returned.
+            wait: How long to wait for a change.
+            limit_bytes: Largest total size of the rows' values, about; None
+                for any.
+
         Raises:
             HistoryLostError: The changes are no longer available.
+            BacklogTooLargeError: The changes are larger than the limit.
         """
 
     def now_s(self) -> float:
--- a/src/fireflywell/errors.py
+++ b/src/fireflywell/errors.py
@@ -40,6 +40,10 @@
     """The call was sent and its answer didn't arrive; it may have run."""
 
 
+class AnswerTooLargeError(PlatformError):
+    """The answer is larger than the caller of the platform accepts."""
+
+
 class PlatformRejectedError(PlatformError):
     """The platform answered that the call is invalid."""
 
@@ -56,6 +60,10 @@
     """The store no longer has the changes that a follower asked for."""
 
 
+class BacklogTooLargeError(FireflywellError):
+    """The changes that a follower asked for are larger than it accepts."""
+
+
 class TenureLostError(FireflywellError):
     """Another process owns the service now."""
 
--- a/src/fireflywell/http_client.py
+++ b/src/fireflywell/http_client.py
@@ -40,21 +40,38 @@
 class _ResponseCollector:
     """Receives the events of one response from the parser."""
 
-    __slots__ = ("body", "is_complete", "keeps_alive")
+    __slots__ = (
+        "_limit_bytes",
+        "body",
+        "is_complete",
+        "is_too_large",
+        "keeps_alive",
+    )
 
-    def __init__(self) -> None:
+    def __init__(self, limit_bytes: int | None) -> None:
+        self._limit_bytes = limit_bytes
         self.body = bytearray()
         self.is_complete = False
+        self.is_too_large = False
         self.keeps_alive = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Notes whether the server closes the connection."""
-        if name.lower() == b"connection" and value.lower() == b"close":
-            self.keeps_alive = False
+        """Notes whether the server closes the connection, and the size."""
+        match name.lower():
+            case b"connection" if value.lower() == b"close":
+                self.keeps_alive = False
+            case b"content-length":
+                # The parser has checked that it is a number.
+                self._check_size(int(value))
 
     def on_body(self, data: bytes) -> None:
         """Collects a part of the body."""
         self.body += data
+        self._check_size(len(self.body))
+
+    def _check_size(self, size_bytes: int) -> None:
+        if self._limit_bytes is not None and size_bytes > self._limit_bytes:
+            self.is_too_large = True
 
     def on_message_complete(self) -> None:
         """Notes the end of the response."""
@@ -83,22 +100,34 @@
         """
         return cls(await anyio.connect_tcp(host, port), clock)
 
-    async def exchange(self, request: bytes) -> tuple[Response, bool]:
+    async def exchange(
+        self, request: bytes, limit_bytes: int | None = None
+    ) -> tuple[Response, bool]:
         """Sends a request and reads its response.
 
+        Args:
+            request: The encoded request.
+            limit_bytes: Largest body that is read; None for any.
+
         Returns:
             The response, and whether the connection can be used again.
 
         Raises:
             AnswerLostError: The connection ended before the response did.
+            AnswerTooLargeError: The body is larger than the limit; the rest of
+                it is not read.
         """
         started = self._clock.monotonic()
-        collector = _ResponseCollector()
+        collector = _ResponseCollector(limit_bytes)
         parser = httptools.HttpResponseParser(collector)
         try:
             await self._stream.send(request)
             while not collector.is_complete:
                 parser.feed_data(await self._stream.receive(_RECEIVE_BYTES))
+                if collector.is_too_large:
+                    raise errors.AnswerTooLargeError(
+                        f"the answer has more than {limit_bytes} bytes"
+                    )
         except (
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
@@ -157,6 +186,7 @@
         body: bytes,
         timeout: datetime.timedelta,
         headers: str = "",
+        limit_bytes: int | None = None,
     ) -> Response:
         """Sends one call and returns its response.
 
@@ -166,10 +196,12 @@
             body: JSON body, empty for none.
             timeout: Limit for the whole call.
             headers: Further header lines, each ending with CR LF.
+            limit_bytes: Largest body of an answer; None for any.
 
         Raises:
             PlatformUnavailableError: The request was not sent.
             AnswerLostError: The request may have been carried out.
+            AnswerTooLargeError: The answer is larger than the limit.
         """
         head = f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n{headers}"
         if body:
@@ -181,7 +213,7 @@
             head += "Content-Length: 0\r\n"
         request = head.encode("latin-1") + b"\r\n" + body
         async with self._limiter:
-            return await self._send(request, timeout)
+            return await self._send(request, timeout, limit_bytes)
 
     def retarget(self, address: str) -> None:
         """Uses another address for the calls that follow."""
@@ -202,14 +234,19 @@
             await connection.close()
 
     async def _send(
-        self, request: bytes, timeout: datetime.timedelta
+        self,
+        request: bytes,
+        timeout: datetime.timedelta,
+        limit_bytes: int | None,
     ) -> Response:
         connection: Connection | None = None
         is_reusable = False
         try:
             with anyio.fail_after(timeout.total_seconds()):
                 connection = await self._take_connection()
-                response, is_reusable = await connection.exchange(request)
+                response, is_reusable = await connection.exchange(
+                    request, limit_bytes
+                )
                 return response
         except TimeoutError as error:
             # Other idle connections may be silent for the same reason.
--- a/src/fireflywell/node/table_follower.py
+++ b/src/fireflywell/node/table_follower.py
@@ -13,6 +13,10 @@
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=200)
 
+# Changes are followed while they are smaller than the table and this much; the
+# allowance covers small tables, of which many changes fit into one answer.
+_BACKLOG_ALLOWANCE_BYTES = 65_536
+
 # A lost dependency is reported after this many failures in a row.
 _FAILURES_TO_REPORT = 2
 
@@ -21,7 +25,10 @@
     """Keeps a receiver up to date with some partitions of one table.
 
     The receiver gets all rows after a (re)load and the changed rows after
-    that, each time together with the time of the read.
+    that. The store returns each change of a row by itself. A follower that is
+    behind therefore reads the rows anew as soon as the changes are larger than
+    the table: otherwise the answers grow with the delay and the delay with the
+    answers.
     """
 
     __slots__ = (
@@ -33,6 +40,7 @@
         "_on_confirmed",
         "_on_snapshot",
         "_pause",
+        "_snapshot_bytes",
         "_store",
         "_table",
     )
@@ -57,6 +65,7 @@
         # Collects changes that follow each other closely into one call.
         self._pause = pause
         self._failures = 0
+        self._snapshot_bytes = 0
         self._on_confirmed = on_confirmed
         # When the receiver was last known to be up to date.
         self._confirmed_at: datetime.timedelta | None = None
@@ -77,6 +86,15 @@
                     confirmed_s=self._measure_confirmed_age(),
                 )
                 version = None
+            except errors.BacklogTooLargeError as error:
+                logs.log_event(
+                    "store.backlog_skipped",
+                    table=self._table,
+                    after=version,
+                    confirmed_s=self._measure_confirmed_age(),
+                    reason=str(error),
+                )
+                version = None
             except errors.PlatformError as error:
                 self._note_failure(error, version)
                 await self._clock.sleep(_RETRY_DELAY)
@@ -85,6 +103,7 @@
                 await self._clock.sleep(self._pause)
 
     async def _load_snapshot(self) -> int:
+        started = self._clock.monotonic()
         rows: list[row_store.Row] = []
         version: int | None = None
         for partition in self._load():
@@ -94,19 +113,29 @@
         if version is None:
             page = await self._store.read(self._table, "")
             version = page.version
+        self._snapshot_bytes = sum(len(row.value) for row in rows)
         self._on_snapshot(tuple(rows))
+        self._note_confirmed(started)
         return version
 
     async def _follow_once(self, version: int) -> int:
         sent_at = self._clock.monotonic()
-        page = await self._store.follow(self._table, version, _WAIT)
+        page = await self._store.follow(
+            self._table,
+            version,
+            _WAIT,
+            self._snapshot_bytes + _BACKLOG_ALLOWANCE_BYTES,
+        )
         if page.rows:
             self._on_changes(page.rows)
-        self._confirmed_at = sent_at
-        if self._on_confirmed is not None:
-            self._on_confirmed(sent_at)
+        self._note_confirmed(sent_at)
         return max(version, page.version)
 
+    def _note_confirmed(self, at: datetime.timedelta) -> None:
+        self._confirmed_at = at
+        if self._on_confirmed is not None:
+            self._on_confirmed(at)
+
     def _measure_confirmed_age(self) -> float | None:
         if self._confirmed_at is None:
             return None
--- a/src/fireflywell/platform/store.py
+++ b/src/fireflywell/platform/store.py
@@ -17,6 +17,9 @@
 
 _PARTITIONS_PER_PAGE = 1000
 
+# What the store writes around the rows of a page.
+_ENVELOPE_BYTES = 1024
+
 # Rows that one transaction of the store may hold.
 MAXIMUM_ENTRIES = 100
 
@@ -94,12 +97,28 @@
                 return tuple(names)
 
     async def follow(
-        self, table: str, after: int, wait: datetime.timedelta
+        self,
+        table: str,
+        after: int,
+        wait: datetime.timedelta,
+        limit_bytes: int | None = None,
     ) -> row_store.Page:
         """Returns the changes of a table; see `RowStore.follow`."""
         wait_ms = int(wait.total_seconds() * 1000)
         query = {"table": table, "after": str(after), "wait_ms": str(wait_ms)}
-        answer = await self._get("/rows-feed", query, wait + _CALL_TIMEOUT)
+        if limit_bytes is not None:
+            # Values are sent in base64.
+            limit_bytes = limit_bytes * 4 // 3 + _ENVELOPE_BYTES
+        try:
+            answer = await self._get(
+                "/rows-feed", query, wait + _CALL_TIMEOUT, limit_bytes
+            )
+        except errors.AnswerTooLargeError as error:
+            self._metrics.count("node.store.backlogs")
+            raise errors.BacklogTooLargeError(
+                f"the changes of table {table} after {after}: {error}; read "
+                "the rows instead"
+            ) from error
         rows = tuple(_decode_row(item) for item in answer["rows"])
         return row_store.Page(rows, int(answer["row_version"]))
 
@@ -108,18 +127,30 @@
         path: str,
         query: dict[str, str],
         timeout: datetime.timedelta = _CALL_TIMEOUT,
+        limit_bytes: int | None = None,
     ) -> Any:
         response = await self._call(
-            "GET", f"{path}?{urllib.parse.urlencode(query)}", b"", timeout
+            "GET",
+            f"{path}?{urllib.parse.urlencode(query)}",
+            b"",
+            timeout,
+            limit_bytes,
         )
         return self._read_answer(response)
 
     async def _call(
-        self, method: str, path: str, body: bytes, timeout: datetime.timedelta
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        timeout: datetime.timedelta,
+        limit_bytes: int | None = None,
     ) -> http_client.Response:
         self._metrics.count("node.store.calls")
         try:
-            return await self._client.call(method, path, body, timeout)
+            return await self._client.call(
+                method, path, body, timeout, limit_bytes=limit_bytes
+            )
         except errors.PlatformUnavailableError:
             self._metrics.count("node.store.unreachable")
             raise
--- a/src/fireflywell/standins/row_store.py
+++ b/src/fireflywell/standins/row_store.py
@@ -134,7 +134,11 @@
         return tuple(sorted(names))
 
     async def follow(
-        self, table: str, after: int, wait: datetime.timedelta
+        self,
+        table: str,
+        after: int,
+        wait: datetime.timedelta,
+        limit_bytes: int | None = None,
     ) -> row_store.Page:
         """Returns the changes of a table; see `RowStore.follow`."""
         await self._begin_call()
@@ -144,6 +148,11 @@
                 await self._changed.wait()
         self._check_history(after)
         changes = self._list_changes(table, after)
+        size_bytes = sum(len(row.value) for row in changes)
+        if limit_bytes is not None and size_bytes > limit_bytes:
+            raise errors.BacklogTooLargeError(
+                f"the changes have {size_bytes} bytes, more than {limit_bytes}"
+            )
         return row_store.Page(tuple(changes), self._version)
 
     def _check_history(self, after: int) -> None:
--- /dev/null
+++ b/tests/test_http_client.py
@@ -0,0 +1,98 @@
+"""Answers that are large, over a real connection."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+import unittest
+
+import anyio
+import anyio.abc
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell import http_client
+
+_HOST = "127.0.78.3"
+_PORT = 18933
+_LIMIT_BYTES = 1000
+_TIMEOUT = datetime.timedelta(seconds=5)
+
+Respond = Callable[[anyio.abc.SocketStream], Awaitable[None]]
+
+
+class AnswersCase(unittest.TestCase):
+    """Base of tests against a server that sends prepared answers."""
+
+    def run_with_server(
+        self,
+        respond: Respond,
+        use: Callable[[http_client.HttpClient], Awaitable[None]],
+    ) -> int:
+        """Runs calls against a server; returns its number of connections."""
+        connections = 0
+
+        async def serve(stream: anyio.abc.SocketStream) -> None:
+            nonlocal connections
+            connections += 1
+            async with stream:
+                try:
+                    while await stream.receive():
+                        await respond(stream)
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    return
+
+        async def run() -> None:
+            client = http_client.HttpClient(
+                f"{_HOST}:{_PORT}", clock_lib.SystemClock(), 2
+            )
+            listener = await anyio.create_tcp_listener(
+                local_host=_HOST, local_port=_PORT
+            )
+            async with listener, anyio.create_task_group() as group:
+                group.start_soon(listener.serve, serve)
+                await use(client)
+                await client.close()
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+        return connections
+
+
+class LargeAnswerTest(AnswersCase):
+    """Answers beyond the size that a caller accepts."""
+
+    def check_refusal(self, head: bytes, body: bytes) -> None:
+        """Asks with and without a limit."""
+
+        async def respond(stream: anyio.abc.SocketStream) -> None:
+            await stream.send(head + body)
+
+        async def use(client: http_client.HttpClient) -> None:
+            with self.assertRaises(errors.AnswerTooLargeError):
+                await client.call(
+                    "GET", "/", b"", _TIMEOUT, limit_bytes=_LIMIT_BYTES
+                )
+            response = await client.call("GET", "/", b"", _TIMEOUT)
+            self.assertEqual(len(response.body), 2 * _LIMIT_BYTES)
+
+        self.assertEqual(self.run_with_server(respond, use), 2)
+
+    def test_announced_size_ends_the_call(self) -> None:
+        """Fails if an answer is read although its header says it is large.
+
+        Its connection still carries the rest and must not be used again.
+        """
+        size = 2 * _LIMIT_BYTES
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n"
+        self.check_refusal(head.encode(), b"x" * size)
+
+    def test_received_size_ends_the_call(self) -> None:
+        """Fails if an answer of unknown size is read without bound."""
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        size = 2 * _LIMIT_BYTES
+        body = f"{size:x}\r\n".encode() + b"x" * size + b"\r\n0\r\n\r\n"
+        self.check_refusal(head, body)
+
+
+if __name__ == "__main__":
+    unittest.main()
