Let a call go on while its answer arrives

Cause: the time limit of a call covered its whole answer. On a link of 10 Mbit/s that several reads share, the configuration or a service's jobs take longer than 1.5 s; the part that had arrived was discarded and asked for again, which kept the link busy.

Change: the time limit counts from the last part that arrived; a call that keeps arriving may take six limits. A silent connection is noticed as before.

--- a/src/fireflywell/http_client.py
+++ b/src/fireflywell/http_client.py
@@ -18,6 +18,9 @@
 
 _RECEIVE_BYTES = 65536
 
+# A call whose answer keeps arriving ends after this many of its time limits.
+_LONGEST_TRANSFER = 6
+
 # An idle connection is closed after this time, before most servers do.
 _IDLE_TIMEOUT = datetime.timedelta(seconds=8)
 
@@ -78,6 +81,30 @@
         self.is_complete = True
 
 
+class _SilenceLimit:
+    """Time limit of a call, which starts anew when a part of it arrives."""
+
+    __slots__ = ("_clock", "_first_deadline", "_scope", "_started", "_timeout")
+
+    def __init__(
+        self,
+        scope: anyio.CancelScope,
+        timeout: datetime.timedelta,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._scope = scope
+        self._first_deadline = scope.deadline
+        self._timeout = timeout
+        self._clock = clock
+        self._started = clock.monotonic()
+
+    def restart(self) -> None:
+        """Allows the call another time limit from now on."""
+        elapsed = self._clock.monotonic() - self._started
+        allowed = min(elapsed, self._timeout * (_LONGEST_TRANSFER - 1))
+        self._scope.deadline = self._first_deadline + allowed.total_seconds()
+
+
 class Connection:
     """One connection; it carries one call at a time."""
 
@@ -101,12 +128,16 @@
         return cls(await anyio.connect_tcp(host, port), clock)
 
     async def exchange(
-        self, request: bytes, limit_bytes: int | None = None
+        self,
+        request: bytes,
+        silence: _SilenceLimit,
+        limit_bytes: int | None = None,
     ) -> tuple[Response, bool]:
         """Sends a request and reads its response.
 
         Args:
             request: The encoded request.
+            silence: Ends the call if nothing arrives for too long.
             limit_bytes: Largest body that is read; None for any.
 
         Returns:
@@ -128,6 +159,7 @@
                     raise errors.AnswerTooLargeError(
                         f"the answer has more than {limit_bytes} bytes"
                     )
+                silence.restart()
         except (
             anyio.BrokenResourceError,
             anyio.ClosedResourceError,
@@ -194,7 +226,9 @@
             method: HTTP method.
             path: Path and query.
             body: JSON body, empty for none.
-            timeout: Limit for the whole call.
+            timeout: Longest time in which nothing of the answer arrives. An
+                answer that keeps arriving may take several times as long, so
+                that a large one on a slow link isn't begun again and again.
             headers: Further header lines, each ending with CR LF.
             limit_bytes: Largest body of an answer; None for any.
 
@@ -242,10 +276,12 @@
         connection: Connection | None = None
         is_reusable = False
         try:
-            with anyio.fail_after(timeout.total_seconds()):
+            with anyio.fail_after(timeout.total_seconds()) as scope:
                 connection = await self._take_connection()
                 response, is_reusable = await connection.exchange(
-                    request, limit_bytes
+                    request,
+                    _SilenceLimit(scope, timeout, self._clock),
+                    limit_bytes,
                 )
                 return response
         except TimeoutError as error:
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -94,5 +94,59 @@
         self.check_refusal(head, body)
 
 
+class SlowAnswerTest(AnswersCase):
+    """Answers that take longer than the time limit of the call."""
+
+    _SILENCE = datetime.timedelta(milliseconds=400)
+
+    def test_answer_that_keeps_arriving_is_read_to_its_end(self) -> None:
+        """Fails if a large answer on a slow link is discarded half way.
+
+        Asking again starts it anew, so that it never arrives.
+        """
+        pieces = 8
+
+        async def respond(stream: anyio.abc.SocketStream) -> None:
+            await stream.send(
+                f"HTTP/1.1 200 OK\r\nContent-Length: {pieces}\r\n\r\n".encode()
+            )
+            for _ in range(pieces):
+                await anyio.sleep(0.1)
+                await stream.send(b"x")
+
+        async def use(client: http_client.HttpClient) -> None:
+            response = await client.call("GET", "/", b"", self._SILENCE)
+            self.assertEqual(response.body, b"x" * pieces)
+
+        self.run_with_server(respond, use)
+
+    def check_lost(self, pieces: int, pause_s: float, longest_s: float) -> None:
+        """Checks that a call ends without an answer in time."""
+
+        async def respond(stream: anyio.abc.SocketStream) -> None:
+            await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 999\r\n\r\n")
+            for _ in range(pieces):
+                await anyio.sleep(pause_s)
+                await stream.send(b"x")
+            await anyio.sleep_forever()
+
+        async def use(client: http_client.HttpClient) -> None:
+            with (
+                anyio.fail_after(longest_s),
+                self.assertRaises(errors.AnswerLostError),
+            ):
+                await client.call("GET", "/", b"", self._SILENCE)
+
+        self.run_with_server(respond, use)
+
+    def test_silence_ends_the_call(self) -> None:
+        """Fails if a connection that fell silent holds its caller."""
+        self.check_lost(2, 0.1, 1.5)
+
+    def test_endless_answer_ends_the_call(self) -> None:
+        """Fails if an answer that never ends holds its caller."""
+        self.check_lost(200, 0.05, 8)
+
+
 if __name__ == "__main__":
     unittest.main()
