Answer counts of waiting jobs from what the owner stores

What callers saw: counts of waiting jobs without an answer or with 503, and, through the load that they caused, configurations that were late.

Cause: a node counted a queue's waiting jobs by reading all jobs and progress of the service unless the owner had stored a number for that queue within 1.8 s. The owner stored numbers only when they changed, and none for a queue without jobs, such as one that was just added. Each request read some 0.3 MB, and requests that came together each read it by themselves.

Reads of the configuration beside them exceeded their time limit.

Change: the owner stores the numbers of all its queues in one row every 0.9 s, changed or not; a fresh row answers for queues without jobs too. Without an owner a node counts at most once a second for all callers of a service. A read for a caller ends with 503 after 0.7 of its deadline, while it can still ask elsewhere.

--- a/src/fireflywell/node/job_desk.py
+++ b/src/fireflywell/node/job_desk.py
@@ -10,6 +10,7 @@
 from fireflywell.node import configuration as configuration_lib
 from fireflywell.node import group_commit
 from fireflywell.node import tables
+from fireflywell.node import waiting_counts
 from fireflywell.scheduling import job_rows
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
@@ -27,9 +28,6 @@
 # A row of the store holds at most this much.
 _LARGEST_ROW_BYTES = 65_536
 
-# A queue's stored figure is replaced by a count if it is older than this.
-_FIGURE_AGE_S = 1.8
-
 # Jobs whose service is remembered, to read their state in one call.
 _REMEMBERED_JOBS = 4096
 
@@ -82,7 +80,14 @@
 class JobDesk:
     """Callers' changes and questions, answered from the store."""
 
-    __slots__ = ("_clock", "_commits", "_metrics", "_services", "_store")
+    __slots__ = (
+        "_clock",
+        "_commits",
+        "_metrics",
+        "_services",
+        "_store",
+        "_waiting",
+    )
 
     def __init__(
         self,
@@ -94,6 +99,7 @@
         self._store = store
         self._clock = clock
         self._commits = group_commit.GroupCommit(store, clock)
+        self._waiting = waiting_counts.WaitingCounter(store, metrics)
         # Service that holds a job, by job.
         self._services: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
@@ -180,34 +186,7 @@
         Raises:
             PlatformError: The store doesn't answer.
         """
-        place = tables.locate_queue(policy.service, policy.queue)
-        row = await self._read_row(place)
-        if row is not None:
-            count, _, at_s = row.value.decode().partition(" ")
-            if self._store.now_s() - float(at_s) < _FIGURE_AGE_S:
-                return int(count)
-        return await self._count_rows(policy)
-
-    async def _count_rows(self, policy: model.QueuePolicy) -> int:
-        service = policy.service
-        jobs = await self._store.read(tables.name_jobs_table(service), service)
-        progress = await self._store.read(
-            tables.name_progress_table(service), service
-        )
-        started = {row.place.key for row in progress.rows}
-        cancelled = {
-            tables.split_cancel_key(row.place.key) for row in jobs.rows
-        }
-        count = 0
-        for row in jobs.rows:
-            job_id = row.place.key
-            if job_id in started or job_id in cancelled:
-                continue
-            if tables.split_cancel_key(job_id) is not None:
-                continue
-            submission = job_rows.decode_submission(row.value)
-            count += submission.policy.queue == policy.queue
-        return count
+        return await self._waiting.count(policy)
 
     async def _cancel_once(
         self, job_id: str, policy: model.QueuePolicy
--- a/src/fireflywell/node/progress_writer.py
+++ b/src/fireflywell/node/progress_writer.py
@@ -1,5 +1,6 @@
 """Stores the progress of a service's jobs in batches."""
 
+import collections
 from collections.abc import Callable
 import datetime
 import random
@@ -11,13 +12,14 @@
 from fireflywell.coordination import row_store
 from fireflywell.node import ownership
 from fireflywell.node import tables
+from fireflywell.node import waiting_counts
 from fireflywell.scheduling import board as board_lib
 from fireflywell.scheduling import job_rows
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.telemetry import logs
 
 # A transaction holds at most 100 entries: for each job a condition and a
-# row, besides the owner's condition and the queues' figures.
+# row, besides the owner's condition.
 _JOBS_PER_WRITE = 40
 
 # Progress that no caller waits for is collected for this long.
@@ -26,8 +28,8 @@
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=150)
 
-# How often the number of waiting jobs of each queue is stored.
-_FIGURES_INTERVAL = datetime.timedelta(milliseconds=900)
+# How often the numbers of waiting jobs are stored.
+_WAITING_COUNTS_INTERVAL = datetime.timedelta(milliseconds=900)
 
 # Final states are kept somewhat longer than they must be shown.
 _RETENTION_FACTOR = 1.5
@@ -46,7 +48,6 @@
         "_board",
         "_clock",
         "_ended_at_s",
-        "_figures",
         "_in_flight",
         "_is_lost",
         "_on_tenure_lost",
@@ -80,7 +81,6 @@
         # Jobs in the write that has no answer yet.
         self._in_flight: frozenset[str] = frozenset()
         self._is_lost = False
-        self._figures: dict[str, int] = {}
         # When each final state was stored, on the store's clock.
         self._ended_at_s: dict[str, float] = {}
 
@@ -95,7 +95,6 @@
 
     def check_tenure(self) -> None:
         """Checks soon whether another node owns the service."""
-        self._figures.clear()
         self._wake.set()
 
     async def wait_until_stored(
@@ -128,17 +127,24 @@
             while self._board.dirty:
                 await self._store_batch()
 
-    async def run_figures(self) -> None:
-        """Stores the number of waiting jobs of each queue."""
+    async def run_waiting_counts(self) -> None:
+        """Stores the numbers of waiting jobs, changed or not.
+
+        Their age tells other nodes whether the service has an owner that
+        would have seen newer jobs.
+        """
         while True:
-            await self._clock.sleep(_FIGURES_INTERVAL)
-            figures = dict.fromkeys(self._figures, 0)
-            for job in self._board.jobs.values():
-                waits = int(not job.has_started)
-                queue = job.policy.queue
-                figures[queue] = figures.get(queue, 0) + waits
-            if figures != self._figures:
-                await self._store_figures(figures)
+            await self._clock.sleep(_WAITING_COUNTS_INTERVAL)
+            by_queue = collections.Counter(
+                job.policy.queue
+                for job in self._board.jobs.values()
+                if not job.has_started
+            )
+            await self._store_waiting_counts(
+                waiting_counts.WaitingCounts(
+                    self._store.now_s(), dict(by_queue)
+                )
+            )
 
     async def run_sweep(self) -> None:
         """Removes jobs whose final state need not be shown any more."""
@@ -226,22 +232,21 @@
             logs.log_event("store.regained", service=self._tenure.service)
         return result
 
-    async def _store_figures(self, figures: dict[str, int]) -> None:
-        puts = [
-            row_store.Put(
-                tables.locate_queue(self._tenure.service, queue),
-                f"{count} {self._store.now_s():.3f}".encode(),
-            )
-            for queue, count in figures.items()
-        ]
+    async def _store_waiting_counts(
+        self, counts: waiting_counts.WaitingCounts
+    ) -> None:
+        put = row_store.Put(
+            tables.locate_waiting_counts(self._tenure.service),
+            waiting_counts.encode_counts(counts),
+        )
         result = await self._transact(
-            row_store.Transaction((self._tenure.make_condition(),), tuple(puts))
+            row_store.Transaction((self._tenure.make_condition(),), (put,))
         )
         match result:
-            case row_store.Committed():
-                self._figures = figures
             case row_store.Conflict() as conflict:
                 self._check_owner(conflict)
+            case row_store.Committed() | None:
+                return
 
     async def _remove_jobs(self, job_ids: list[str]) -> None:
         service = self._tenure.service
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -219,7 +219,9 @@
         children = (
             supervisor_lib.Child("jobs", follower.run, restart),
             supervisor_lib.Child("writer", self._writer.run, restart),
-            supervisor_lib.Child("figures", self._writer.run_figures, restart),
+            supervisor_lib.Child(
+                "waiting-counts", self._writer.run_waiting_counts, restart
+            ),
             supervisor_lib.Child("sweep", self._writer.run_sweep, restart),
             supervisor_lib.Child("workers", self._sync_workers, restart),
             supervisor_lib.Child("planner", self._run_planner, restart),
--- a/src/fireflywell/node/tables.py
+++ b/src/fireflywell/node/tables.py
@@ -63,9 +63,9 @@
     return row_store.RowKey(name_progress_table(service), service, job_id)
 
 
-def locate_queue(service: str, queue: str) -> row_store.RowKey:
-    """Returns the place of a queue's figures."""
-    return row_store.RowKey(QUEUES, service, queue)
+def locate_waiting_counts(service: str) -> row_store.RowKey:
+    """Returns the place of the numbers of waiting jobs of all queues."""
+    return row_store.RowKey(QUEUES, service, "waiting")
 
 
 def split_cancel_key(key: str) -> str | None:
--- a/src/fireflywell/platform/job_api.py
+++ b/src/fireflywell/platform/job_api.py
@@ -1,8 +1,12 @@
 """Callers' HTTP interface for jobs on the platform."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import datetime
 
+import anyio
+
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
 from fireflywell import errors
@@ -17,6 +21,10 @@
 
 _DEADLINE_HEADER = "x-fireflywell-deadline-milliseconds"
 
+# A read that takes this share of the caller's deadline is given up, so that the
+# caller can ask another node.
+_READ_SHARE = 0.7
+
 # When a caller may come back after a refusal that isn't about load.
 _RETRY_AFTER_S = 1
 
@@ -91,7 +99,8 @@
         send: asgi.Send,
     ) -> None:
         if not job_id and method == "GET":
-            count = await self._desk.count_waiting(route.policy)
+            with _limit_read(limit):
+                count = await self._desk.count_waiting(route.policy)
             document = job_requests.encode_waiting(count)
             await asgi.send_json(send, 200, document)
             return
@@ -104,7 +113,7 @@
             case "POST":
                 await self._submit(job_id, route, body, limit, send)
             case "GET":
-                await self._show(job_id, route, send)
+                await self._show(job_id, route, limit, send)
             case "DELETE":
                 await self._cancel(job_id, route, limit, send)
             case _:
@@ -150,9 +159,15 @@
                 await _send_error(send, 504, "ask again with the same id")
 
     async def _show(
-        self, job_id: str, route: configuration_lib.Route, send: asgi.Send
+        self,
+        job_id: str,
+        route: configuration_lib.Route,
+        limit: datetime.timedelta,
+        send: asgi.Send,
     ) -> None:
-        match await self._desk.show(job_id, route.policy):
+        with _limit_read(limit):
+            shown = await self._desk.show(job_id, route.policy)
+        match shown:
             case job_desk.Shown(state=state):
                 document = job_requests.encode_state(state)
                 await asgi.send_json(send, 200, document)
@@ -227,6 +242,22 @@
         await asgi.send_response(send, status, (), b"")
 
 
+@contextlib.contextmanager
+def _limit_read(limit: datetime.timedelta) -> Iterator[None]:
+    """Ends a read that leaves the caller no time to ask elsewhere.
+
+    Raises:
+        PlatformUnavailableError: The time is over; nothing was changed.
+    """
+    try:
+        with anyio.fail_after((limit * _READ_SHARE).total_seconds()):
+            yield
+    except TimeoutError as error:
+        raise errors.PlatformUnavailableError(
+            f"the store's answer didn't arrive within {limit * _READ_SHARE}"
+        ) from error
+
+
 def _read_deadline(headers: tuple[asgi.Header, ...]) -> datetime.timedelta:
     text = asgi.find_header(headers, _DEADLINE_HEADER)
     if text is None:
--- /dev/null
+++ b/tests/test_waiting_counts.py
@@ -0,0 +1,122 @@
+"""Numbers of waiting jobs that callers ask for."""
+
+import unittest
+
+import anyio
+
+from fireflywell import clock as clock_lib
+from fireflywell.coordination import row_store
+from fireflywell.node import job_desk
+from fireflywell.node import tables
+from fireflywell.node import waiting_counts
+from fireflywell.scheduling import job_rows
+from fireflywell.scheduling import model
+from fireflywell.standins import row_store as store_standin
+from fireflywell.telemetry import metrics as metrics_lib
+from tests import node_world
+
+_JOBS = tables.name_jobs_table(node_world.SERVICE)
+_OTHER_QUEUE = model.QueuePolicy("added", node_world.SERVICE, 0, 4, 1.6, 0.6)
+
+
+class RecordingStore:
+    """Notes which tables are read."""
+
+    def __init__(self, store: store_standin.MemoryRowStore) -> None:
+        self._store = store
+        self.tables: list[str] = []
+
+    def now_s(self) -> float:
+        """Returns the store's steady clock, in seconds."""
+        return self._store.now_s()
+
+    async def read(
+        self, table: str, partition: str, first: str = "", end: str = ""
+    ) -> row_store.Page:
+        """Reads rows; takes a moment."""
+        self.tables.append(table)
+        await anyio.sleep(0.02)
+        return await self._store.read(table, partition, first, end)
+
+
+class WaitingCountsTest(unittest.TestCase):
+    """What a count costs and says."""
+
+    def test_queue_without_jobs_is_answered_by_the_owner(self) -> None:
+        """Fails if a count reads all jobs although the service has an owner.
+
+        Callers ask for queues that were just added; each count took as much of
+        a node's link as the configuration.
+        """
+        counts: list[int] = []
+
+        async def run() -> list[str]:
+            world = node_world.NodeWorld()
+            recorder = RecordingStore(world.store)
+            desk = job_desk.JobDesk(
+                recorder, world.clock, metrics_lib.NullMetrics()
+            )
+            node = world.make_node("n1")
+            async with anyio.create_task_group() as group:
+                group.start_soon(node.run, anyio.Event())
+                await world.submit()
+                # Longer than what is stored stays valid without a change.
+                await anyio.sleep(5)
+                for policy in (node_world.POLICY, _OTHER_QUEUE):
+                    counts.append(await desk.count_waiting(policy))
+                group.cancel_scope.cancel()
+            return recorder.tables
+
+        read = anyio.run(run)
+        self.assertEqual(counts, [1, 0])
+        self.assertNotIn(_JOBS, read)
+
+    def test_callers_share_a_count_without_an_owner(self) -> None:
+        """Fails if each caller makes the node read all jobs of a service."""
+
+        async def run() -> tuple[list[str], list[int]]:
+            clock = clock_lib.SystemClock()
+            store = store_standin.MemoryRowStore(clock)
+            submission = model.Submission(
+                node_world.JOB_ID,
+                node_world.POLICY,
+                node_world.make_request(),
+                store.now_s(),
+            )
+            store.put(
+                tables.locate_job(node_world.SERVICE, node_world.JOB_ID),
+                job_rows.encode_submission(submission),
+            )
+            recorder = RecordingStore(store)
+            desk = job_desk.JobDesk(recorder, clock, metrics_lib.NullMetrics())
+            counts: list[int] = []
+
+            async def ask() -> None:
+                counts.append(await desk.count_waiting(node_world.POLICY))
+
+            async with anyio.create_task_group() as group:
+                for _ in range(20):
+                    group.start_soon(ask)
+            return recorder.tables, counts
+
+        read, counts = anyio.run(run)
+        self.assertEqual(counts, [1] * 20)
+        self.assertEqual(read.count(_JOBS), 1)
+
+    def test_stored_counts_that_cannot_be_read_are_replaced(self) -> None:
+        """Fails if bytes of another writer end a request."""
+
+        async def run() -> int:
+            store = store_standin.MemoryRowStore(clock_lib.SystemClock())
+            place = tables.locate_waiting_counts(node_world.SERVICE)
+            store.put(place, b"\xff")
+            counter = waiting_counts.WaitingCounter(
+                store, metrics_lib.NullMetrics()
+            )
+            return await counter.count(node_world.POLICY)
+
+        self.assertEqual(anyio.run(run), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
