Bound what a node reads of the heartbeats that it missed

A node that was away reads every renewal of every other node since, in one answer, up to 20 s of them. No user has reported it.

Change: beyond eight renewals of each node the rows are read instead.

--- a/src/fireflywell/node/directory.py
+++ b/src/fireflywell/node/directory.py
@@ -178,6 +178,11 @@
         self._lease = lease
         self._seen: dict[str, _Observation] = {}
 
+    @property
+    def size(self) -> int:
+        """Number of nodes that were ever seen."""
+        return len(self._seen)
+
     def observe(self, rows: tuple[row_store.Row, ...]) -> None:
         """Takes a read of all nodes' rows into account."""
         now = self._clock.monotonic()
--- a/src/fireflywell/node/heartbeat.py
+++ b/src/fireflywell/node/heartbeat.py
@@ -19,6 +19,13 @@
 # The holder stops this share of the lease before others may take over.
 _VALID_SHARE = 0.85
 
+# Renewals of each node that are read one by one; beyond them all rows are read,
+# which takes a call a node but no longer the more was missed.
+_LONGEST_BACKLOG = 8
+_ROW_BYTES = 80
+
+# Nodes that join at a start are read one by one, too.
+_FEWEST_NODES = 32
 
 # A node whose renewals fail for this share of the lease sends callers to other
 # nodes: it can't accept jobs.
@@ -141,14 +148,21 @@
         else:
             try:
                 page = await self._store.follow(
-                    tables.NODES, self._seen_version, datetime.timedelta()
+                    tables.NODES,
+                    self._seen_version,
+                    datetime.timedelta(),
+                    self._find_backlog_limit(),
                 )
-            except errors.HistoryLostError:
+            except (errors.HistoryLostError, errors.BacklogTooLargeError):
                 page = await self._read_all_nodes()
         self._seen_version = page.version
         self._directory.observe(page.rows)
         return page.rows
 
+    def _find_backlog_limit(self) -> int:
+        nodes = max(self._directory.size, _FEWEST_NODES)
+        return nodes * _LONGEST_BACKLOG * _ROW_BYTES
+
     async def _read_all_nodes(self) -> row_store.Page:
         listed = await self._store.list_partitions(tables.NODES)
         pages: list[row_store.Page] = []
--- a/tests/test_node_heartbeat.py
+++ b/tests/test_node_heartbeat.py
@@ -9,6 +9,8 @@
 from fireflywell import clock as clock_lib
 from fireflywell.node import directory as directory_lib
 from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.standins import row_store as store_standin
+from tests import limited_link
 from tests import node_world
 from tests import serial_store
 
@@ -58,6 +60,38 @@
         self.assertEqual(valid, 12)
         self.assertEqual(seen, 12)
 
+    def test_long_backlog_is_not_read(self) -> None:
+        """Fails if a node that was away reads each renewal that it missed."""
+
+        async def run() -> tuple[float, int]:
+            clock = clock_lib.SystemClock()
+            store = store_standin.MemoryRowStore(clock)
+            link = limited_link.LimitedLinkStore(store, clock, 1e9, _LEASE)
+            directory = directory_lib.NodeDirectory(clock, _LEASE)
+            heartbeat = heartbeat_lib.Heartbeat(
+                _make_settings(0), "incarnation-0", link, directory, clock
+            )
+            async with anyio.create_task_group() as group:
+                group.start_soon(heartbeat.run)
+                await anyio.sleep(0.2)
+                before = link.delivered_bytes
+                for beat in range(100):
+                    for number in range(1, 31):
+                        record = directory_lib.NodeRecord(
+                            f"n{number}", "incarnation", "", beat, False
+                        )
+                        store.put(
+                            directory_lib.locate_node(record.name),
+                            directory_lib.encode_node(record),
+                        )
+                await anyio.sleep(1.2)
+                group.cancel_scope.cancel()
+            return link.delivered_bytes - before, len(directory.list_live())
+
+        delivered, seen = anyio.run(run)
+        self.assertEqual(seen, 31)
+        self.assertLess(delivered, 30_000)
+
 
 def _make_settings(number: int) -> object:
     settings = node_world.NodeWorld().make_settings(f"node-{number}")
