Take the store's time from small answers only

Cause: the time in an answer is from before its transfer. After a large answer on a slow link the node's estimate of the store's clock was late by the time of the transfer, 0.7 s for the configuration of the grown District. Counts of waiting jobs were then stored with a time that looked too old, or read ones looked fresher than they were.

Change: answers above 16 KiB don't set the estimate, unless there is none.

Result: test_time_of_a_large_answer_is_not_taken fails without the change (49.0 instead of 50 s).

--- a/src/fireflywell/platform/store.py
+++ b/src/fireflywell/platform/store.py
@@ -20,6 +20,9 @@
 # What the store writes around the rows of a page.
 _ENVELOPE_BYTES = 1024
 
+# Answers up to this size arrive soon after the store has written their time.
+_CLOCK_ANSWER_BYTES = 16_384
+
 # Rows that one transaction of the store may hold.
 MAXIMUM_ENTRIES = 100
 
@@ -184,7 +187,10 @@
             ) from error
         # The store's steady clock, in milliseconds.
         now_ms = answer.get("now_ms")
-        if isinstance(now_ms, int | float):
+        is_prompt = len(response.body) <= _CLOCK_ANSWER_BYTES
+        if isinstance(now_ms, int | float) and (
+            is_prompt or self._offset_s is None
+        ):
             local = self._clock.monotonic().total_seconds()
             self._offset_s = now_ms / 1000 - local
         return answer
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,5 +1,6 @@
 """Translation at the platform's boundary, malformed input included."""
 
+import datetime
 import json
 import pathlib
 import tempfile
@@ -197,6 +198,52 @@
                 await asgi.send_json(send, 412, {"rows": [], "now_ms": 5000})
 
 
+class PreparedClient:
+    """Answers calls with prepared documents."""
+
+    def __init__(self, *documents: dict[str, object]) -> None:
+        self._documents = list(documents)
+
+    async def call(
+        self, *args: object, limit_bytes: int | None = None
+    ) -> http_client.Response:
+        """Returns the next answer."""
+        del args, limit_bytes
+        body = json.dumps(self._documents.pop(0)).encode()
+        return http_client.Response(200, body, datetime.timedelta())
+
+
+class StoreClockTest(unittest.TestCase):
+    """The estimate of the store's clock."""
+
+    def test_time_of_a_large_answer_is_not_taken(self) -> None:
+        """Fails if the transfer of a large answer sets the clock back.
+
+        Its time is from before the transfer; ages of stored rows seem longer
+        or shorter by that much.
+        """
+        clock = clock_lib.ManualClock()
+        row = {
+            "table": "op",
+            "part": "",
+            "key": "config",
+            "value": "A" * 99_999,
+        }
+        small = {"rows": [], "row_version": 1, "has_more": False}
+        client = PreparedClient(
+            {**small, "now_ms": 50_000},
+            {**small, "rows": [row], "now_ms": 49_000},
+        )
+        target = store.PlatformStore(client, clock, metrics_lib.NullMetrics())
+
+        async def run() -> None:
+            await target.read("op", "")
+            await target.read("op", "")
+
+        anyio.run(run)
+        self.assertEqual(target.now_s(), 50)
+
+
 class HttpTest(unittest.TestCase):
     """The store's client over a real connection."""
 
