Change the configuration in the soak, over slow links

Change: the emulator stores series of configurations that each add a queue; links can share a bandwidth; a watcher asks each node for the queues that were just added. A node that doesn't know one 2 s after it was stored, and was not disturbed in the last 3 s, is a finding, and so is one that forgets a queue it knew. The series are chosen apart from the faults, so that seeds keep theirs.

Three tests of the check, on made-up records.

--- a/src/fireflywell/standins/emulator.py
+++ b/src/fireflywell/standins/emulator.py
@@ -38,6 +38,8 @@
 # A lost worker's entry is removed after this time, three missed heartbeats.
 _ENTRY_LAPSE_S = 4.5
 
+_CONFIGURATION_PLACE = row_store.RowKey("op", "", "config")
+
 _CAPACITY = model.Demand(16_000, 32_768)
 
 
@@ -121,12 +123,21 @@
 class Emulator:
     """The root of the emulator's supervisor tree."""
 
-    __slots__ = ("_settings", "_store", "_tree", "_workers")
+    __slots__ = (
+        "_changes",
+        "_clock",
+        "_settings",
+        "_store",
+        "_tree",
+        "_workers",
+    )
 
     def __init__(
         self, settings: values.EmulatorSettings, clock: clock_lib.Clock
     ) -> None:
         self._settings = settings
+        self._clock = clock
+        self._changes: list[values.ChangeSeen] = []
         self._store = row_store_standin.MemoryRowStore(clock)
         self._workers = {
             item.name: EmulatedWorker(item, clock, settings.unit_s)
@@ -156,30 +167,40 @@
 
     async def run(self) -> None:
         """Lists the workers and serves until cancelled."""
-        place = row_store.RowKey("op", "", "config")
-        self._store.put(place, self._encode_configuration())
+        self._store.put(
+            _CONFIGURATION_PLACE,
+            self._encode_configuration(1, self._settings.services, 0),
+        )
         for worker in self._workers.values():
             self._store.put(worker.place, worker.encode_entry())
         await self._tree.run_until_cancelled()
 
-    def _encode_configuration(self) -> bytes:
+    def _encode_configuration(
+        self, version: int, queues: tuple[str, ...], size_bytes: int
+    ) -> bytes:
+        known = self._settings.services
         routes = [
             {
-                "name": service,
+                "name": queue,
                 "host": "jobs.example",
-                "path_prefix": f"/{service}/",
-                "service": service,
+                "path_prefix": f"/{queue}/",
+                "service": queue if queue in known else known[0],
                 "max_attempts": 20,
                 "stretch_factor": 1.6,
                 "target_latency_ms": 600,
             }
-            for service in self._settings.services
+            for queue in queues
         ]
         services = [
             {"name": service, "enforces_capacity": True}
             for service in self._settings.services
         ]
-        document = {"version": 1, "routes": routes, "services": services}
+        document = {
+            "version": version,
+            "routes": routes,
+            "services": services,
+            "padding": "x" * size_bytes,
+        }
         return json.dumps(document).encode()
 
     async def _serve_platform(
@@ -214,6 +235,8 @@
 
     async def _make_fault(self, fault: values.Fault) -> None:
         match fault:
+            case values.ConfigurationSeries():
+                await self._change_configuration(fault)
             case values.StoreDown(seconds=seconds):
                 self._store.is_down = True
                 await anyio.sleep(seconds)
@@ -254,6 +277,23 @@
             case values.StartsUnanswered(worker=name, count=count):
                 self._workers[name].current.lose_answers += count
 
+    async def _change_configuration(
+        self, series: values.ConfigurationSeries
+    ) -> None:
+        for number in range(series.count):
+            version = series.first_version + number
+            added = (*(item.version for item in self._changes), version)
+            queues = self._settings.services + tuple(
+                values.name_added_queue(item) for item in added
+            )
+            self._store.put(
+                _CONFIGURATION_PLACE,
+                self._encode_configuration(version, queues, series.size_bytes),
+            )
+            at_s = self._clock.monotonic().total_seconds()
+            self._changes.append(values.ChangeSeen(version, at_s))
+            await anyio.sleep(series.interval_s)
+
     def _begin_life(
         self, worker: EmulatedWorker, keeps_id: bool = False
     ) -> None:
@@ -286,7 +326,9 @@
                     )
                     for item in life.ends
                 )
-        return values.Records(tuple(starts), tuple(ends), tuple(active))
+        return values.Records(
+            tuple(starts), tuple(ends), tuple(active), tuple(self._changes)
+        )
 
 
 def _listen(
--- a/src/fireflywell/standins/emulator_values.py
+++ b/src/fireflywell/standins/emulator_values.py
@@ -113,8 +113,26 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigurationSeries:
+    """Configurations follow each other; each adds a queue.
+
+    Attributes:
+        first_version: Version of the first one; the others follow by one.
+        count: Number of configurations.
+        interval_s: Time between them.
+        size_bytes: Added to the size of each.
+    """
+
+    first_version: int
+    count: int
+    interval_s: float
+    size_bytes: int
+
+
 Fault = (
-    StoreDown
+    ConfigurationSeries
+    | StoreDown
     | StoreSlow
     | AnswersLost
     | HistoryLost
@@ -127,6 +145,7 @@
 _KINDS: dict[str, type[Fault]] = {
     kind.__name__: kind
     for kind in (
+        ConfigurationSeries,
         StoreDown,
         StoreSlow,
         AnswersLost,
@@ -170,19 +189,34 @@
     is_noted: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeSeen:
+    """A configuration that was stored; times are monotonic seconds."""
+
+    version: int
+    at_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Records:
-    """All that the workers have seen so far.
+    """All that the workers and the store have seen so far.
 
     Attributes:
         starts: Starts, by worker.
         ends: Ends, by worker.
         active: Units that run now, once for each run.
+        changes: Configurations that were stored by a series.
     """
 
     starts: tuple[StartSeen, ...]
     ends: tuple[EndSeen, ...]
     active: tuple[str, ...]
+    changes: tuple[ChangeSeen, ...] = ()
+
+
+def name_added_queue(version: int) -> str:
+    """Returns the name of the queue that a version of a series adds."""
+    return f"added-{version}"
 
 
 def encode_fault(fault: Fault) -> dict[str, Any]:
--- a/src/fireflywell/standins/link_proxy.py
+++ b/src/fireflywell/standins/link_proxy.py
@@ -1,6 +1,7 @@
 """Stand-in for a network link between two processes that can misbehave."""
 
 import dataclasses
+import datetime
 import functools
 import random
 
@@ -49,7 +50,18 @@
     seconds: float
 
 
-LinkState = Open | Silent | Delayed
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slow:
+    """All connections share a bandwidth in each direction.
+
+    Attributes:
+        bytes_per_s: The bandwidth.
+    """
+
+    bytes_per_s: float
+
+
+LinkState = Open | Silent | Delayed | Slow
 
 
 class LinkProxy:
@@ -60,7 +72,9 @@
     """
 
     __slots__ = (
+        "_busy_until",
         "_changed",
+        "_clock",
         "_scopes",
         "_settings",
         "_state",
@@ -74,7 +88,10 @@
         rng: random.Random,
     ) -> None:
         self._settings = settings
+        self._clock = clock
         self._state: LinkState = Open()
+        # Until when each direction carries what was already received.
+        self._busy_until = {True: clock.monotonic(), False: clock.monotonic()}
         self._scopes: set[anyio.CancelScope] = set()
         self._changed = anyio.Event()
         self._supervisor = supervisor_lib.Supervisor(
@@ -165,12 +182,22 @@
                         await anyio.sleep(seconds)
                     case Silent():
                         await self._wait_while_silent(is_to_target)
+                    case Slow(bytes_per_s=bytes_per_s):
+                        seconds = len(data) / bytes_per_s
+                        await self._wait_for_turn(seconds, is_to_target)
                     case Open():
                         pass
                 await target.send(data)
         except _STREAM_ERRORS:
             scope.cancel()
 
+    async def _wait_for_turn(self, seconds: float, is_to_target: bool) -> None:
+        now = self._clock.monotonic()
+        begin = max(now, self._busy_until[is_to_target])
+        end = begin + datetime.timedelta(seconds=seconds)
+        self._busy_until[is_to_target] = end
+        await self._clock.sleep(end - now)
+
     async def _wait_while_silent(self, is_to_target: bool) -> None:
         while isinstance(self._state, Silent):
             state = self._state
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,6 +8,7 @@
 from tools import soak
 from tools import soak_checks
 from tools import soak_clients
+from tools import soak_configuration
 from tools import soak_plan
 
 from fireflywell.standins import emulator_values as values
@@ -44,6 +45,7 @@
             outcome = anyio.run(soak.run_soak, 20, shape, pathlib.Path(name))
         self.assertEqual(outcome.findings, ())
         self.assertGreater(outcome.accepted, 0)
+        self.assertGreater(outcome.probes, 0)
 
 
 class CheckTest(unittest.TestCase):
@@ -97,5 +99,57 @@
                 self.assertEqual(len(listed), 1)
 
 
+class ConfigurationCheckTest(unittest.TestCase):
+    """Checks of when nodes obey a change, on made-up records."""
+
+    def find(
+        self,
+        *probes: soak_configuration.ProbeSeen,
+        disturbances: tuple[soak_configuration.Disturbance, ...] = (),
+    ) -> str:
+        """Returns the findings for version 2, stored at 10 s."""
+        changes = (values.ChangeSeen(2, 10.0),)
+        return "; ".join(
+            soak_configuration.find_late_nodes(probes, changes, disturbances)
+        )
+
+    def test_late_node_is_found(self) -> None:
+        """Fails if a node may obey an old configuration for ever."""
+        in_time = soak_configuration.ProbeSeen(1, 2, 11.9, 12.5, False)
+        self.assertEqual(self.find(in_time), "")
+        late = soak_configuration.ProbeSeen(1, 2, 12.1, 12.2, False)
+        self.assertIn("doesn't know", self.find(late))
+
+    def test_disturbed_node_is_excused_for_a_while(self) -> None:
+        """Fails if a disturbance of one node excuses another, or for long."""
+        late = soak_configuration.ProbeSeen(1, 2, 14.0, 14.1, False)
+        for node, ended_s, is_excused in (
+            (1, 11.5, True),
+            (1, 10.5, False),
+            (2, 11.5, False),
+        ):
+            with self.subTest(node=node, ended_s=ended_s):
+                found = self.find(
+                    late,
+                    disturbances=(
+                        soak_configuration.Disturbance(
+                            frozenset((node,)), False, 9.0, ended_s
+                        ),
+                    ),
+                )
+                self.assertEqual(found == "", is_excused)
+
+    def test_return_to_an_older_version_is_found(self) -> None:
+        """Fails if a process may forget a change that it has obeyed."""
+        known = soak_configuration.ProbeSeen(1, 2, 11.0, 11.1, True)
+        forgotten = soak_configuration.ProbeSeen(1, 2, 11.5, 11.6, False)
+        self.assertIn("no longer", self.find(known, forgotten))
+        restart = soak_configuration.Disturbance(
+            frozenset((1,)), True, 11.2, 11.3
+        )
+        found = self.find(known, forgotten, disturbances=(restart,))
+        self.assertEqual(found, "")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -18,6 +18,7 @@
 import click
 from tools import soak_checks
 from tools import soak_clients
+from tools import soak_configuration
 from tools import soak_plan
 from tools import soak_seeds
 from tools import soak_system
@@ -39,6 +40,7 @@
         jobs: Jobs that clients submitted.
         accepted: Jobs that were accepted.
         starts: Starts that workers carried out.
+        probes: Answers that tell which configuration a node obeyed.
         settle_s: Time from the last fault until all was worked off.
         findings: What broke a promise.
     """
@@ -47,6 +49,7 @@
     jobs: int
     accepted: int
     starts: int
+    probes: int
     settle_s: float
     findings: tuple[str, ...]
 
@@ -90,22 +93,31 @@
         soak_clients.Client(caller, shape.services, random.Random(seed + n))
         for n in range(shape.clients)
     ]
-    async with anyio.create_task_group() as traffic:
-        for client in clients:
-            traffic.start_soon(client.run)
-        async with anyio.create_task_group() as faults:
-            passed_s = 0.0
-            for planned in soak_plan.plan_faults(seed, shape):
-                await anyio.sleep(planned.at_s - passed_s)
-                passed_s = planned.at_s
-                faults.start_soon(system.make_fault, planned.fault)
-        traffic.cancel_scope.cancel()
-    healed_at = clock.monotonic()
-    jobs = [job for client in clients for job in client.jobs]
-    unfinished = await _settle(caller, jobs, system)
-    settle_s = (clock.monotonic() - healed_at).total_seconds()
+    changes = soak_plan.plan_changes(seed, shape)
+    planned = sorted(
+        (*soak_plan.plan_faults(seed, shape), *changes),
+        key=lambda item: item.at_s,
+    )
+    watcher = soak_configuration.Watcher(
+        system.callers_addresses, changes, clock
+    )
+    async with anyio.create_task_group() as watching:
+        watching.start_soon(watcher.run)
+        async with anyio.create_task_group() as traffic:
+            for client in clients:
+                traffic.start_soon(client.run)
+            await _make_faults(planned, system)
+            traffic.cancel_scope.cancel()
+        healed_at = clock.monotonic()
+        jobs = [job for client in clients for job in client.jobs]
+        unfinished = await _settle(caller, jobs, system)
+        settle_s = (clock.monotonic() - healed_at).total_seconds()
+        watching.cancel_scope.cancel()
     records = await system.read_records()
     findings = soak_checks.find_broken_promises(jobs, records) + unfinished
+    findings += soak_configuration.find_late_nodes(
+        watcher.probes, records.changes, system.disturbances
+    )
     findings += await system.stop_nodes()
     findings += system.find_tracebacks()
     await caller.close()
@@ -114,11 +126,23 @@
         len(jobs),
         sum(job.accepted_s is not None for job in jobs),
         len(records.starts),
+        len(watcher.probes),
         settle_s,
         tuple(findings),
     )
 
 
+async def _make_faults(
+    planned: list[soak_plan.Planned], system: soak_system.SoakSystem
+) -> None:
+    passed_s = 0.0
+    async with anyio.create_task_group() as faults:
+        for item in planned:
+            await anyio.sleep(item.at_s - passed_s)
+            passed_s = item.at_s
+            faults.start_soon(system.make_fault, item.fault)
+
+
 async def _settle(
     caller: soak_clients.Caller,
     jobs: list[soak_clients.JobRecord],
@@ -146,7 +170,8 @@
     outcome = anyio.run(run_soak, seed, shape, directory)
     print(
         f"seed {seed}: {outcome.jobs} jobs, {outcome.accepted} accepted, "
-        f"{outcome.starts} starts, settled in {outcome.settle_s:.1f} s, "
+        f"{outcome.starts} starts, {outcome.probes} probes, "
+        f"settled in {outcome.settle_s:.1f} s, "
         f"{len(outcome.findings)} findings",
         flush=True,
     )
--- a/tools/soak_plan.py
+++ b/tools/soak_plan.py
@@ -9,6 +9,15 @@
 # Traffic and faults begin this long after the processes.
 FIRST_FAULT_S = 1.0
 
+# A node on such a link needs longer for one configuration than the time to the
+# next, so it can't keep up by reading each of them.
+_SLOW_LINK_BYTES_PER_S = 220_000
+_CONFIGURATION_BYTES = 100_000
+_CHANGE_INTERVAL_S = 0.25
+_FEWEST_CHANGES = 5
+_MOST_CHANGES = 30
+_MEAN_SERIES_GAP_S = 5.0
+
 # Several faults overlap: their mean distance is shorter than they last.
 _MEAN_GAP_S = 0.9
 _LONGEST_FAULT_S = 4.0
@@ -137,6 +146,33 @@
     return planned
 
 
+def plan_changes(seed: int, shape: Shape) -> list[Planned]:
+    """Returns the changes of the configuration, and the links that are slow.
+
+    They are chosen apart from the faults, so that a seed keeps its faults.
+    """
+    rng = random.Random(f"configuration {seed}")
+    slow = link_proxy.Slow(_SLOW_LINK_BYTES_PER_S)
+    planned = [
+        Planned(0.0, LinkFault(f"node-{node}", slow, shape.fault_s))
+        for node in rng.sample(range(shape.nodes), max(1, shape.nodes // 2))
+    ]
+    at_s = rng.uniform(0.5, 2.0)
+    version = 2
+    while at_s < shape.fault_s:
+        series = emulator_values.ConfigurationSeries(
+            version,
+            rng.randint(_FEWEST_CHANGES, _MOST_CHANGES),
+            _CHANGE_INTERVAL_S,
+            _CONFIGURATION_BYTES,
+        )
+        planned.append(Planned(at_s, PlatformFault(series)))
+        version += series.count
+        at_s += series.count * _CHANGE_INTERVAL_S
+        at_s += rng.expovariate(1 / _MEAN_SERIES_GAP_S)
+    return planned
+
+
 def _choose_fault(rng: random.Random, shape: Shape) -> Fault:
     node = rng.randrange(shape.nodes)
     link = rng.choice(shape.links)
--- a/tools/soak_seeds.py
+++ b/tools/soak_seeds.py
@@ -19,4 +19,7 @@
     KnownSeed(
         20, "a worker that came back under its id forgot ends nobody had noted"
     ),
+    KnownSeed(
+        303, "a node that was behind asked for each configuration it had missed"
+    ),
 )
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -1,6 +1,7 @@
 """Processes of a soak: an emulator, nodes and the links between them."""
 
 import json
+import math
 import pathlib
 import random
 import signal
@@ -8,6 +9,7 @@
 import anyio
 import anyio.to_thread
 from tools import local_processes
+from tools import soak_configuration
 from tools import soak_plan
 
 from fireflywell import clock as clock_lib
@@ -46,6 +48,9 @@
 
     Each soak has loopback addresses of its own, so that several can run at
     the same time.
+
+    Attributes:
+        disturbances: Times in which faults excuse nodes for being late.
     """
 
     __slots__ = (
@@ -56,6 +61,7 @@
         "_proxies",
         "_shape",
         "_subnet",
+        "disturbances",
     )
 
     def __init__(
@@ -69,6 +75,7 @@
         self._subnet = subnet
         self._shape = shape
         self._clock = clock
+        self.disturbances: list[soak_configuration.Disturbance] = []
         self._all: list[local_processes.ManagedProcess] = []
         self._nodes: dict[int, local_processes.ManagedProcess] = {}
         self._proxies = {
@@ -152,6 +159,19 @@
 
     async def make_fault(self, fault: soak_plan.Fault) -> None:
         """Makes a fault and heals it again."""
+        disturbance = soak_configuration.describe_disturbance(
+            fault, self._shape.nodes, self._now_s()
+        )
+        if disturbance is not None:
+            self.disturbances.append(disturbance)
+        await self._carry_out(fault)
+        if disturbance is not None and disturbance.ended_s == math.inf:
+            disturbance.ended_s = self._now_s()
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic().total_seconds()
+
+    async def _carry_out(self, fault: soak_plan.Fault) -> None:
         match fault:
             case soak_plan.KillNode(node=node, down_s=down_s):
                 await self._kill((node,), down_s)
