Confirm the fleet duty after a lapsed lease before the next order

Cause: a node that was cut off from the store stops when its lease lapses, and another node claims the duty. When the first node renews its row again, its lease counts as valid at once, though it hears of the claim only from the follower of the owners' rows, up to 2.5 s later. Until then it ordered moves.

Change: the heartbeat says since when the lease has never lapsed. Before the next order the duty reads its row if the lease lapsed after the last look, and ends if another node owns it. Each order checks this again. Orders to workers need no such guard, since workers hold back lower fencing tokens.

Result: test_former_owner_gives_no_order_after_its_lease_lapsed fails without the change; test_owner_goes_on_if_nobody_claimed_the_duty keeps the duty going.

--- a/src/fireflywell/node/fleet_duty.py
+++ b/src/fireflywell/node/fleet_duty.py
@@ -19,6 +19,7 @@
 from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import ownership
 from fireflywell.node import tables
+from fireflywell.node import tenure_guard
 from fireflywell.node import upkeep_book
 from fireflywell.node import wave_book
 from fireflywell.scheduling import capacity
@@ -69,8 +70,9 @@
         "_clock",
         "_completed",
         "_down",
-        "_heartbeat",
         "_find_spare_pool",
+        "_guard",
+        "_heartbeat",
         "_listed_at",
         "_idle_since_s",
         "_moving",
@@ -106,6 +108,7 @@
         self._book = book
         self._waves = waves
         self._heartbeat = heartbeat
+        self._guard = tenure_guard.TenureGuard(tenure, store, heartbeat, clock)
         self._pools = list_pools
         self._find_spare_pool = find_spare_pool
         self._wake = anyio.Event()
@@ -161,6 +164,9 @@
             if not self._heartbeat.is_valid:
                 continue
             try:
+                if not await self._guard.confirm():
+                    self.stop()
+                    return
                 await self._advance_moves()
                 for wave in tuple(self._waves.waves.values()):
                     if wave.number not in self._completed:
@@ -243,7 +249,8 @@
                     del self._moving[name]
                 continue
             if ticket.phase is upkeep.Phase.READY:
-                await self._order_move(name, ticket.target)
+                if not await self._order_move(name, ticket.target):
+                    return
                 await self._advance(
                     dataclasses.replace(ticket, phase=upkeep.Phase.DONE)
                 )
@@ -254,7 +261,10 @@
             ):
                 del self._moving[name]
 
-    async def _order_move(self, name: str, pool: str) -> None:
+    async def _order_move(self, name: str, pool: str) -> bool:
+        """Orders a move; returns whether the platform was asked."""
+        if not self._guard.is_open:
+            return False
         # The list that was read before the order says nothing about it.
         self._listed_at = self._clock.monotonic()
         refusal = await self._client.move(name, pool, self._tenure.token)
@@ -269,6 +279,7 @@
             self._moving[name] = pool
         else:
             self._moving.pop(name, None)
+        return True
 
     def _find_last_wave(self, name: str) -> int:
         """Returns the wave that a VM's ticket must not forget."""
@@ -384,7 +395,7 @@
         if not is_empty or machine in self._down:
             return
         down = sum(number == wave.number for number in self._down.values())
-        if down >= wave.max_count or not self._heartbeat.is_valid:
+        if down >= wave.max_count or not self._guard.is_open:
             return
         await self._begin(wave, ticket)
 
--- a/src/fireflywell/node/heartbeat.py
+++ b/src/fireflywell/node/heartbeat.py
@@ -51,6 +51,7 @@
         "_settings",
         "_stopping",
         "_store",
+        "_valid_since",
         "_version",
         "rounds",
     )
@@ -74,6 +75,7 @@
         # Up to which version of the store the nodes' rows were read.
         self._seen_version: int | None = None
         self._renewed_at: datetime.timedelta | None = None
+        self._valid_since: datetime.timedelta | None = None
         self._stopping = False
         self._is_lost = False
         self.rounds = 0
@@ -93,6 +95,11 @@
         """Whether this node may still give orders."""
         return self.measure_lapse() <= datetime.timedelta()
 
+    @property
+    def valid_since(self) -> datetime.timedelta | None:
+        """Monotonic time from which the lease has never lapsed."""
+        return self._valid_since
+
     @property
     def is_failing(self) -> bool:
         """Whether the store hasn't taken a renewal for a while."""
@@ -133,6 +140,8 @@
                 self._version = _find_version(rows, self._settings.name)
             started = self._clock.monotonic()
             if await self._write_row():
+                if not self.is_valid:
+                    self._valid_since = started
                 self._renewed_at = started
                 await self._read_nodes()
                 self.rounds += 1
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -96,7 +96,6 @@
         "_keeper",
         "_listeners",
         "_metrics_listener",
-        "_operator_follower",
         "_owners",
         "_owners_tree",
         "_random",
@@ -147,13 +146,6 @@
         self._desk = job_desk.JobDesk(store, clock, boundary.metrics)
         self._owners: dict[str, service_owner.ServiceOwner] = {}
         self._owners_tree = supervisor_lib.Supervisor("owners", clock, rng)
-        self._operator_follower = self._follow(
-            tables.OPERATOR,
-            lambda: ("",),
-            self._apply_operator_rows,
-            self._apply_operator_rows,
-            on_confirmed=self._configuration.note_confirmed,
-        )
         self._listeners = (
             _make_listener(
                 settings.callers_address,
@@ -186,6 +178,13 @@
 
     def _build_tree(self) -> supervisor_lib.Supervisor:
         restart = policies.RestartWithBackoff()
+        operator_rows = self._follow(
+            tables.OPERATOR,
+            lambda: ("",),
+            self._apply_operator_rows,
+            self._apply_operator_rows,
+            on_confirmed=self._configuration.note_confirmed,
+        )
         instances = self._follow(
             tables.INSTANCES,
             lambda: ("",),
@@ -214,9 +213,7 @@
             supervisor_lib.Child(
                 "readiness", readiness.run, policies.StopProcess()
             ),
-            supervisor_lib.Child(
-                "configuration", self._operator_follower.run, restart
-            ),
+            supervisor_lib.Child("configuration", operator_rows.run, restart),
             self._make_gated_child(
                 "instances", instances, self._registry.clear
             ),
--- /dev/null
+++ b/src/fireflywell/node/tenure_guard.py
@@ -0,0 +1,68 @@
+"""Guards orders that no fencing token holds back."""
+
+from fireflywell import clock as clock_lib
+from fireflywell.coordination import row_store
+from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import ownership
+from fireflywell.node import tables
+from fireflywell.telemetry import logs
+
+
+class TenureGuard:
+    """Says whether the owner of a duty may still give orders.
+
+    While this node's lease had lapsed, another node may have claimed the duty.
+    A renewed lease doesn't undo that, and the follower of the owners' rows may
+    tell of it later than the first renewal; so the row is read before the next
+    order.
+    """
+
+    __slots__ = ("_clock", "_confirmed_at", "_heartbeat", "_store", "_tenure")
+
+    def __init__(
+        self,
+        tenure: ownership.Tenure,
+        store: row_store.RowStore,
+        heartbeat: heartbeat_lib.Heartbeat,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._tenure = tenure
+        self._store = store
+        self._heartbeat = heartbeat
+        self._clock = clock
+        self._confirmed_at = clock.monotonic()
+
+    @property
+    def is_open(self) -> bool:
+        """Whether an order may be given now."""
+        since = self._heartbeat.valid_since
+        return (
+            self._heartbeat.is_valid
+            and since is not None
+            and since <= self._confirmed_at
+        )
+
+    async def confirm(self) -> bool:
+        """Reads the owner's row if the lease has lapsed since the last time.
+
+        Returns:
+            False if another node owns the duty now.
+
+        Raises:
+            PlatformError: The store doesn't answer.
+        """
+        if self.is_open or not self._heartbeat.is_valid:
+            return True
+        started = self._clock.monotonic()
+        place = tables.locate_owner(self._tenure.service)
+        page = await self._store.read(
+            place.table, place.partition, place.key, place.key + "\x00"
+        )
+        versions = [row.version for row in page.rows if row.place == place]
+        if versions != [self._tenure.version]:
+            logs.log_event(
+                "ownership.lost", service=self._tenure.service, owner=""
+            )
+            return False
+        self._confirmed_at = started
+        return True
--- a/src/fireflywell/scheduling/upkeep.py
+++ b/src/fireflywell/scheduling/upkeep.py
@@ -141,13 +141,7 @@
         store_now_s: The store's steady clock.
         now_s: Monotonic time.
     """
-    # A VM that is back has a new worker; the former one is listed for a while.
-    by_machine = {
-        worker.instance.machine: worker
-        for worker in sorted(
-            board.workers.values(), key=lambda item: item.is_reachable
-        )
-    }
+    by_machine = _find_present_workers(board)
     due = [
         (ticket, worker)
         for ticket in tickets
@@ -195,6 +189,19 @@
     return chosen
 
 
+def _find_present_workers(
+    board: board_lib.Board,
+) -> dict[str, workers_lib.Worker]:
+    """Returns the worker on each VM.
+
+    A VM that is back has a new worker; the former one is listed for a while.
+    """
+    by_reachability = sorted(
+        board.workers.values(), key=lambda item: item.is_reachable
+    )
+    return {worker.instance.machine: worker for worker in by_reachability}
+
+
 class _Relocations:
     """Long-running units that must leave workers, a few at a time."""
 
--- /dev/null
+++ b/tests/test_node_tenure_guard.py
@@ -0,0 +1,129 @@
+"""Orders for VMs after the lease of their giver has lapsed."""
+
+import datetime
+import random
+import unittest
+
+import anyio
+import anyio.lowlevel
+import msgpack
+
+from fireflywell import clock as clock_lib
+from fireflywell.coordination import row_store
+from fireflywell.node import directory as directory_lib
+from fireflywell.node import fleet_duty
+from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import owner_records
+from fireflywell.node import ownership
+from fireflywell.node import tables
+from fireflywell.node import upkeep_book
+from fireflywell.node import wave_book
+from fireflywell.platform import waves
+from fireflywell.scheduling import model
+from fireflywell.scheduling import upkeep
+from fireflywell.standins import row_store as store_standin
+from tests import node_world
+
+_DUTY = ownership.FLEET_DUTY
+_PLACE = tables.locate_owner(_DUTY)
+_STEP = datetime.timedelta(milliseconds=50)
+
+
+class FleetWorld:
+    """One node that owns the fleet duty, on a clock set by hand."""
+
+    def __init__(self) -> None:
+        self._clock = clock_lib.ManualClock()
+        self.store = store_standin.MemoryRowStore(self._clock)
+        self.fleet = node_world.FakeFleet()
+        self.fleet.vms["m-1"] = upkeep.Vm(
+            "m-1", "spares", upkeep.VmState.UP, "a", (), model.Demand(1, 1), ""
+        )
+        settings = node_world.NodeWorld().make_settings("n1")
+        self.heartbeat = heartbeat_lib.Heartbeat(
+            settings,
+            "incarnation-1",
+            self.store,
+            directory_lib.NodeDirectory(self._clock, settings.bounds.lease),
+            self._clock,
+        )
+        self._book = upkeep_book.UpkeepBook()
+        self._lease = settings.bounds.lease
+
+    async def run(self, claims_meanwhile: bool) -> None:
+        """Lets the lease lapse, regains it, and then asks for a VM."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.heartbeat.run)
+            await self._advance(0.2)
+            version = self._write_owner("n1", 1)
+            self._set_rows(
+                (upkeep_book.locate_floating(_DUTY), msgpack.packb(["m-1"]))
+            )
+            duty = self._make_duty(version)
+            group.start_soon(duty.run)
+            await self._advance(0.5)
+            self.store.is_down = True
+            await self._advance(3)
+            if claims_meanwhile:
+                self._write_owner("n2", 2)
+            self.store.is_down = False
+            await self._advance(1)
+            self._set_rows((upkeep_book.locate_need(_DUTY, "desk"), b"1"))
+            await self._advance(2)
+            group.cancel_scope.cancel()
+
+    def _write_owner(self, node: str, token: int) -> int:
+        record = owner_records.OwnerRecord(node, f"{node}-1", token)
+        return self.store.put(_PLACE, owner_records.encode_owner(record))
+
+    def _set_rows(self, item: tuple[row_store.RowKey, bytes]) -> None:
+        place, value = item
+        version = self.store.put(place, value)
+        self._book.apply_rows((row_store.Row(place, value, version),))
+
+    def _make_duty(self, version: int) -> fleet_duty.FleetDuty:
+        return fleet_duty.FleetDuty(
+            ownership.Tenure(_DUTY, 1, version, is_first=True),
+            self.store,
+            self.fleet,
+            self._book,
+            wave_book.WaveBook(waves.decode_wave, self.store),
+            self.heartbeat,
+            lambda: ("desk",),
+            lambda: "spares",
+            self._lease,
+            self._clock,
+            random.Random(1),
+        )
+
+    async def _advance(self, seconds: float) -> None:
+        for _ in range(round(seconds / _STEP.total_seconds())):
+            self._clock.advance(_STEP)
+            for _ in range(20):
+                await anyio.lowlevel.checkpoint()
+
+
+class TenureGuardTest(unittest.TestCase):
+    """A node whose lease lapsed and was renewed."""
+
+    def test_former_owner_gives_no_order_after_its_lease_lapsed(self) -> None:
+        """Fails if a VM gets orders of two owners by turns.
+
+        Seen in mix of the grown District, seed 837193981649: a node that was
+        cut off from the store renewed its row again and ordered a move before
+        it heard that another node had claimed the duty.
+        """
+        world = FleetWorld()
+        anyio.run(world.run, True)
+        self.assertTrue(world.heartbeat.is_valid)
+        self.assertEqual(world.fleet.orders, [])
+
+    def test_owner_goes_on_if_nobody_claimed_the_duty(self) -> None:
+        """Fails if a short absence of the store ends the duty for good."""
+        world = FleetWorld()
+        anyio.run(world.run, False)
+        self.assertEqual(len(world.fleet.orders), 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/soak_clients.py
+++ b/tools/soak_clients.py
@@ -21,7 +21,8 @@
 _LONG_SHARE = 0.2
 _CANCEL_SHARE = 0.2
 
-_FAILED_CALLS = (
+# How a call ends that got no answer.
+FAILED_CALLS = (
     OSError,
     httpcore.NetworkError,
     httpcore.TimeoutException,
@@ -149,7 +150,7 @@
                 content=body,
                 extensions={"timeout": timeout},
             )
-        except _FAILED_CALLS:
+        except FAILED_CALLS:
             return Answer(0)
         return Answer(response.status, response.content)
 
--- a/tools/soak_configuration.py
+++ b/tools/soak_configuration.py
@@ -7,6 +7,7 @@
 
 import anyio
 import httpcore
+from tools import soak_clients
 from tools import soak_plan
 
 from fireflywell import clock as clock_lib
@@ -24,13 +25,6 @@
 # Queues are asked for from this long after they were to be added.
 _PROBE_DELAY_S = 1.0
 
-_FAILED_CALLS = (
-    OSError,
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
-)
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProbeSeen:
@@ -144,7 +138,7 @@
                 headers=[("Host", "jobs.example")],
                 extensions={"timeout": limits},
             )
-        except _FAILED_CALLS:
+        except soak_clients.FAILED_CALLS:
             return
         # Any other status says nothing of the configuration.
         if response.status in (200, 404):
