Keep VMs empty that a former owner has emptied

Cause: the owner of a service empties a worker and says in the VM's ticket that it is ready. The next owner looked only at tickets that are due, so it placed units on VMs that were ready; the fleet duty then began their maintenance.

Change: a worker on a VM that is ready takes no runs under any owner. If it has some already, because a former owner's word came late, the ticket becomes due again. An owner starts units only once the tickets are read.

Result: the two tests of test_node_takeover fail without the change: units start on the VM that is ready, and the ticket of a VM in use doesn't become due.

--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -201,7 +201,7 @@
         upkeep_rows = self._follow(
             tables.UPKEEP,
             lambda: (ownership.FLEET_DUTY,),
-            self._upkeep.apply_rows,
+            self._upkeep.load_rows,
             self._upkeep.apply_rows,
             _UPKEEP_PAUSE,
         )
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -292,6 +292,10 @@
     def _start_session(self, instance: workers_lib.WorkerInstance) -> None:
         worker = workers_lib.Worker(instance)
         worker.is_floating = self._is_floating(instance)
+        ticket = self._upkeep.find(instance.machine)
+        worker.is_reserved_for_upkeep = (
+            ticket is not None and ticket.phase is upkeep.Phase.READY
+        )
         self._board.workers[instance.instance_id] = worker
         session = worker_session.WorkerSession(
             worker,
@@ -370,7 +374,12 @@
             self._plan_wake = anyio.Event()
             self._give_stops()
             self._board.open_due_steps(self._read_unix_ms())
-            if self._board.has_waiting and self._heartbeat.is_valid:
+            # Tickets of a former owner say which VMs must stay empty.
+            if (
+                self._board.has_waiting
+                and self._heartbeat.is_valid
+                and self._upkeep.is_loaded
+            ):
                 self._plan()
             self._writer.wake()
             await self._clock.sleep(_PLAN_DELAY)
@@ -384,6 +393,7 @@
             await self._publish_need()
             tickets = self._upkeep.list_tickets()
             self._mark_due_workers(tickets)
+            await self._keep_emptied_workers(tickets)
             for worker in upkeep.choose_reservations(
                 self._board, tickets, self._store.now_s(), self._now_s()
             ):
@@ -428,6 +438,25 @@
         for worker in self._board.workers.values():
             worker.is_due_for_upkeep = worker.instance.machine in due
 
+    async def _keep_emptied_workers(
+        self, tickets: tuple[upkeep.Ticket, ...]
+    ) -> None:
+        """Starts nothing on VMs that are said to be empty.
+
+        A former owner may have said so of a VM that this owner already uses;
+        that VM must be emptied again.
+        """
+        ready = {t.machine: t for t in tickets if t.phase is upkeep.Phase.READY}
+        for running in tuple(self._sessions.values()):
+            worker = running.session.worker
+            ticket = ready.get(worker.instance.machine)
+            if ticket is None or not worker.is_reachable:
+                continue
+            if running.reserved_since_s is None:
+                self._reserve(worker)
+            if worker.runs:
+                await self._set_phase(ticket, upkeep.Phase.DUE)
+
     def _fleet_pool_is_absent(self) -> bool:
         return not self._upkeep.floating
 
@@ -469,11 +498,16 @@
         self._give_stops()
         if worker.runs or not worker.is_reachable:
             return
+        await self._set_phase(ticket, upkeep.Phase.READY)
+
+    async def _set_phase(
+        self, ticket: upkeep.Ticket, phase: upkeep.Phase
+    ) -> None:
         await upkeep_book.advance_ticket(
             self._store,
             self._upkeep,
             ownership.FLEET_DUTY,
-            dataclasses.replace(ticket, phase=upkeep.Phase.READY),
+            dataclasses.replace(ticket, phase=phase),
         )
 
     def _plan(self) -> None:
--- a/src/fireflywell/node/upkeep_book.py
+++ b/src/fireflywell/node/upkeep_book.py
@@ -19,7 +19,7 @@
 class UpkeepBook:
     """The tickets as last read."""
 
-    __slots__ = ("_listeners", "_needs", "_tickets", "floating")
+    __slots__ = ("_is_loaded", "_listeners", "_needs", "_tickets", "floating")
 
     def __init__(self) -> None:
         self._listeners: list[Callable[[], None]] = []
@@ -28,6 +28,12 @@
         # VMs that belong to the spare pool, wherever they are.
         self.floating: frozenset[str] = frozenset()
         self._tickets: dict[str, tuple[upkeep.Ticket, int]] = {}
+        self._is_loaded = False
+
+    @property
+    def is_loaded(self) -> bool:
+        """Whether all rows were read since the book was last cleared."""
+        return self._is_loaded
 
     def list_tickets(self) -> tuple[upkeep.Ticket, ...]:
         """Returns all tickets."""
@@ -57,6 +63,12 @@
         self._tickets = {}
         self._needs = {}
         self.floating = frozenset()
+        self._is_loaded = False
+
+    def load_rows(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Takes all rows of the fleet's partition into account."""
+        self._is_loaded = True
+        self.apply_rows(rows)
 
     def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
         """Takes rows of the fleet's partition into account."""
--- a/tests/test_node_takeover.py
+++ b/tests/test_node_takeover.py
@@ -9,9 +9,12 @@
 
 from fireflywell.coordination import row_store
 from fireflywell.node import job_desk
+from fireflywell.node import ownership
 from fireflywell.node import tables
+from fireflywell.node import upkeep_book
 from fireflywell.node import worker_session
 from fireflywell.scheduling import model
+from fireflywell.scheduling import upkeep
 from tests import node_world
 
 
@@ -302,6 +305,47 @@
 
         anyio.run(run)
 
+    def test_emptied_vm_stays_empty_under_a_new_owner(self) -> None:
+        """Fails if units start on a VM whose maintenance may begin any time.
+
+        AVAIL in store-troubles of the grown District, seed 318876265424: the
+        former owner had emptied the VM and said so.
+        """
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1", "w2", run_s=None)
+            ticket = upkeep.Ticket("m-w1", 1, upkeep.Phase.READY, 1e9, 1)
+            place = upkeep_book.locate_ticket(ownership.FLEET_DUTY, "m-w1")
+            world.store.put(place, upkeep_book.encode_ticket(ticket))
+            async with self.run_node(world, "node-a"):
+                await world.submit(node_world.make_step(6))
+                with anyio.fail_after(5):
+                    while not world.workers["w2"].starts:
+                        await anyio.sleep(0.02)
+                await anyio.sleep(0.3)
+                self.assertEqual(world.workers["w1"].starts, [])
+
+        anyio.run(run)
+
+    def test_vm_that_is_in_use_is_not_said_to_be_empty(self) -> None:
+        """Fails if a former owner's late word lets a VM go with its units."""
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1", run_s=None)
+            place = upkeep_book.locate_ticket(ownership.FLEET_DUTY, "m-w1")
+            ticket = upkeep.Ticket("m-w1", 1, upkeep.Phase.READY, 1e9, 1)
+            async with self.run_node(world, "node-a"):
+                await world.submit(node_world.make_step(2))
+                with anyio.fail_after(5):
+                    while not world.workers["w1"].starts:
+                        await anyio.sleep(0.02)
+                world.store.put(place, upkeep_book.encode_ticket(ticket))
+                with anyio.fail_after(3):
+                    while b"due" not in _read(world, place):
+                        await anyio.sleep(0.02)
+
+        anyio.run(run)
+
     def test_ends_of_a_worker_that_came_back_are_not_forgotten(self) -> None:
         """Fails if a unit runs twice after its worker was restarted.
 
