Give the reasons for three constants

Cause: read as a newcomer, the size of a node's row and the longest transfer had no reason beside them.

Change: comments only.

--- a/src/fireflywell/http_client.py
+++ b/src/fireflywell/http_client.py
@@ -18,7 +18,8 @@
 
 _RECEIVE_BYTES = 65536
 
-# A call whose answer keeps arriving ends after this many of its time limits.
+# A call whose answer keeps arriving ends after this many of its time limits. A
+# call of the store can then carry 5 MB at 5 Mbit/s.
 _LONGEST_TRANSFER = 6
 
 # An idle connection is closed after this time, before most servers do.
--- a/src/fireflywell/node/heartbeat.py
+++ b/src/fireflywell/node/heartbeat.py
@@ -19,9 +19,11 @@
 # The holder stops this share of the lease before others may take over.
 _VALID_SHARE = 0.85
 
-# Renewals of each node that are read one by one; beyond them all rows are read,
-# which takes a call a node but no longer the more was missed.
+# Renewals of each node that are read one by one. Beyond them all rows are read:
+# that takes a call for each node, but no more the longer the absence was.
 _LONGEST_BACKLOG = 8
+
+# About the size of a node's row.
 _ROW_BYTES = 80
 
 # Nodes that join at a start are read one by one, too.
--- a/tools/soak_plan.py
+++ b/tools/soak_plan.py
@@ -9,8 +9,8 @@
 # Traffic and faults begin this long after the processes.
 FIRST_FAULT_S = 1.0
 
-# A node on such a link needs longer for one configuration than the time to the
-# next, so it can't keep up by reading each of them.
+# A node on such a link needs 0.6 s for one configuration, more than the time to
+# the next, so it can't keep up by reading each of them.
 _SLOW_LINK_BYTES_PER_S = 220_000
 _CONFIGURATION_BYTES = 100_000
 _CHANGE_INTERVAL_S = 0.25
