--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -100,7 +100,7 @@
 
 
 class ConfigurationCheckTest(unittest.TestCase):
-    """Checks of when nodes obey a change, on made-up records."""
+    """Checks of when nodes apply a change, on made-up records."""
 
     def find(
         self,
@@ -114,7 +114,7 @@
         )
 
     def test_late_node_is_found(self) -> None:
-        """Fails if a node may obey an old configuration for ever."""
+        """Fails if a node may use an old configuration for ever."""
         in_time = soak_configuration.ProbeSeen(1, 2, 11.9, 12.5, False)
         self.assertEqual(self.find(in_time), "")
         late = soak_configuration.ProbeSeen(1, 2, 12.1, 12.2, False)
@@ -159,7 +159,7 @@
                 self.assertEqual(set(found.nodes) if found else set(), nodes)
 
     def test_return_to_an_older_version_is_found(self) -> None:
-        """Fails if a process may forget a change that it has obeyed."""
+        """Fails if a process may forget a change that it has applied."""
         known = soak_configuration.ProbeSeen(1, 2, 11.0, 11.1, True)
         forgotten = soak_configuration.ProbeSeen(1, 2, 11.5, 11.6, False)
         self.assertIn("no longer", self.find(known, forgotten))
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -40,7 +40,7 @@
         jobs: Jobs that clients submitted.
         accepted: Jobs that were accepted.
         starts: Starts that workers carried out.
-        probes: Answers that tell which configuration a node obeyed.
+        probes: Answers that tell which configuration a node had applied.
         settle_s: Time from the last fault until all was worked off.
         findings: What broke a promise.
     """
--- a/tools/soak_configuration.py
+++ b/tools/soak_configuration.py
@@ -1,4 +1,4 @@
-"""Watches when nodes of a soak obey changes of the configuration."""
+"""Watches when nodes of a soak apply changes of the configuration."""
 
 from collections.abc import Iterable
 from collections.abc import Iterator
@@ -14,8 +14,8 @@
 from fireflywell.standins import emulator_values as values
 from fireflywell.standins import link_proxy
 
-# A node that is in touch obeys a change after two seconds; after a disturbance
-# it is in touch again after three.
+# An undisturbed node applies a change within two seconds. After a disturbance
+# the users' platform allows three seconds before it expects that again.
 APPLY_BOUND_S = 2.0
 CONTACT_S = 3.0
 
