Log each start without an answer and the runs that a session drops

run.refused was written once for all transmissions of a start, so the log could not tell whether a worker had refused the only transmission or a repeat of one that it may still carry out. run.start_unanswered is now written for each transmission without an answer, and worker.leases_over and worker.restarted list the dropped runs with their phases.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -334,7 +334,7 @@
             unit.step.tickets.get(self._worker.worker_id, ""),
         )
         self._extend_lease_expiry()
-        outcome = await self._send_start(order)
+        outcome = await self._send_start(run, order)
         now_s = self._now_s()
         match outcome:
             case orders.Accepted():
@@ -363,7 +363,7 @@
         self._on_change()
 
     async def _send_start(
-        self, order: orders.StartOrder
+        self, run: jobs_lib.Run, order: orders.StartOrder
     ) -> orders.OrderOutcome | None:
         may_have_been_sent = False
         for _ in range(_START_ATTEMPTS):
@@ -371,8 +371,9 @@
                 return await self._client.start(order)
             except errors.PlatformUnavailableError:
                 await self._clock.sleep(_RETRY_DELAY)
-            except errors.AnswerLostError:
+            except errors.AnswerLostError as error:
                 may_have_been_sent = True
+                self._log_unanswered_start(run, str(error))
         if may_have_been_sent:
             return None
         return orders.Unhealthy()
@@ -454,23 +455,25 @@
         if not self._worker.runs or self._worker.is_reachable:
             return
         if self._now_s() > self._leases_expire_s:
-            count = self._state.drop_worker_runs(self._worker.worker_id)
+            dropped = self._state.drop_worker_runs(self._worker.worker_id)
             logs.log_event(
                 "worker.leases_over",
                 worker=self._worker.worker_id,
-                runs=count,
+                runs=len(dropped),
+                dropped=_describe_runs(dropped),
             )
             self._on_change()
 
     def _handle_new_incarnation(self, reason: str) -> None:
-        count = self._state.drop_worker_runs(self._worker.worker_id)
+        dropped = self._state.drop_worker_runs(self._worker.worker_id)
         self._acknowledged_end = 0
         self._worker.is_reachable = False
         logs.log_event(
             "worker.restarted",
             worker=self._worker.worker_id,
             reason=reason,
-            runs=count,
+            runs=len(dropped),
+            dropped=_describe_runs(dropped),
         )
         self._on_change()
 
@@ -485,6 +488,17 @@
             reason=str(reason),
         )
 
+    def _log_unanswered_start(self, run: jobs_lib.Run, reason: str) -> None:
+        self._metrics.count("node.runs.unanswered")
+        logs.log_event(
+            "run.start_unanswered",
+            job=run.unit.step.job.job_id,
+            unit=run.unit.name,
+            run=run.number,
+            worker=self._worker.worker_id,
+            reason=reason,
+        )
+
     def _log_ends(self, report: orders.WorkerReport) -> None:
         for end in report.ended:
             if end.number > self._acknowledged_end:
@@ -501,3 +515,12 @@
 
     def _now_s(self) -> float:
         return self._clock.monotonic().total_seconds()
+
+
+def _describe_runs(
+    runs: tuple[service_state.DroppedRun, ...],
+) -> list[str]:
+    return [
+        f"{item.run.unit.name}#{item.run.number}:{item.phase.name.lower()}"
+        for item in runs
+    ]
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -59,6 +59,14 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DroppedRun:
+    """A run that ended without a report, and its phase until then."""
+
+    run: jobs_lib.Run
+    phase: jobs_lib.RunPhase
+
+
 class ServiceState:
     """Tracks the jobs, workers and runs of one service."""
 
@@ -337,19 +345,17 @@
             if job_id not in self.jobs and job_id not in self.final_states
         )
 
-    def drop_worker_runs(self, worker_id: str) -> int:
-        """Marks all runs on a worker as ended and requeues their units.
-
-        Returns:
-            The number of runs.
-        """
+    def drop_worker_runs(self, worker_id: str) -> tuple[DroppedRun, ...]:
+        """Marks all runs on a worker as ended and requeues their units."""
         worker = self.workers.get(worker_id)
         if worker is None:
-            return 0
-        dropped = tuple(worker.runs.values())
-        for run in dropped:
-            self._drop_run(run)
-        return len(dropped)
+            return ()
+        dropped = tuple(
+            DroppedRun(run, run.phase) for run in worker.runs.values()
+        )
+        for item in dropped:
+            self._drop_run(item.run)
+        return dropped
 
     def remove_worker(self, worker_id: str) -> None:
         """Removes a worker and requeues the units of its remaining runs."""
