--- a/src/fireflywell/standins/unit_worker.py
+++ b/src/fireflywell/standins/unit_worker.py
@@ -63,6 +63,11 @@
         is_silent: Whether no order arrives and no answer is sent.
         lose_answers: How many of the next starts are carried out without an
             answer.
+        delayed_starts: How many of the next starts get no answer and are
+            carried out `delay_s` later.
+        delay_s: Delay of those starts.
+        refused_starts: How many of the starts after them are refused as by an
+            unhealthy worker.
         fails: Whether every unit fails.
         starts: Starts that were carried out, in order.
         ends: Ends of runs, in order.
@@ -75,16 +80,20 @@
         "_changed",
         "_clock",
         "_count",
+        "_delayed",
         "_ended",
         "_highest",
         "_lease_until_ms",
         "_token",
+        "delay_s",
+        "delayed_starts",
         "ends",
         "fails",
         "instance",
         "is_silent",
         "lose_answers",
         "noted",
+        "refused_starts",
         "run_s",
         "starts",
     )
@@ -99,6 +108,9 @@
         self.run_s = run_s
         self.is_silent = False
         self.lose_answers = 0
+        self.delayed_starts = 0
+        self.delay_s = 0.0
+        self.refused_starts = 0
         self.fails = False
         self.starts: list[StartRecord] = []
         self.ends: list[EndRecord] = []
@@ -106,6 +118,8 @@
         self._clock = clock
         self._started = clock.monotonic()
         self._active: dict[tuple[str, int], _ActiveRun] = {}
+        # Starts to carry out later, by the monotonic time at which they are.
+        self._delayed: list[tuple[float, orders.StartOrder]] = []
         self._ended: list[orders.EndReport] = []
         self._highest: dict[str, int] = {}
         self._count = 0
@@ -122,6 +136,21 @@
     async def start(self, order: orders.StartOrder) -> orders.OrderOutcome:
         """Starts a unit; see `WorkerClient.start`."""
         await self._receive()
+        if self.delayed_starts > 0:
+            self.delayed_starts -= 1
+            self._delayed.append((self._now_s() + self.delay_s, order))
+            raise errors.AnswerLostError("the start is carried out later")
+        if self.refused_starts > 0:
+            self.refused_starts -= 1
+            return orders.Unhealthy()
+        start_count = len(self.starts)
+        outcome = self._carry_out_start(order)
+        if self.lose_answers > 0 and len(self.starts) > start_count:
+            self.lose_answers -= 1
+            raise errors.AnswerLostError("the answer was lost on purpose")
+        return outcome
+
+    def _carry_out_start(self, order: orders.StartOrder) -> orders.OrderOutcome:
         if order.fencing_token < self._token:
             return orders.Refused(orders.Refusal.FENCED)
         self._token = order.fencing_token
@@ -144,9 +173,6 @@
             StartRecord(order.unit, order.run, order.fencing_token, now_s)
         )
         self._signal()
-        if self.lose_answers > 0:
-            self.lose_answers -= 1
-            raise errors.AnswerLostError("the answer was lost on purpose")
         return orders.Accepted(self._read_clock_ms())
 
     async def stop(self, order: orders.StopOrder) -> orders.OrderOutcome:
@@ -216,6 +242,7 @@
                 )
             )
         self._active.clear()
+        self._delayed.clear()
         self.is_silent = True
 
     def restart(self) -> None:
@@ -235,11 +262,20 @@
 
     async def _receive(self) -> None:
         await anyio.lowlevel.checkpoint()
+        self._carry_out_delayed()
         if self.is_silent:
             await anyio.sleep(0.02)
             raise errors.PlatformUnavailableError("the worker is silent")
 
+    def _carry_out_delayed(self) -> None:
+        now_s = self._now_s()
+        due = [order for at_s, order in self._delayed if at_s <= now_s]
+        self._delayed = [item for item in self._delayed if item[0] > now_s]
+        for order in due:
+            self._carry_out_start(order)
+
     async def _wait_for_end(self) -> None:
+        self._carry_out_delayed()
         self._end_due()
         if self._ended:
             return
--- a/tests/test_node_takeover.py
+++ b/tests/test_node_takeover.py
@@ -98,6 +98,27 @@
 
         anyio.run(run)
 
+    def test_late_start_after_a_refused_repeat_runs_once(self) -> None:
+        """Fails if a unit runs twice after the repeat of a start was refused.
+
+        The worker left the first transmission unanswered, refused the second
+        one as unhealthy and then carried out the first.
+        """
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1", "w2", run_s=0.2)
+            for worker in world.workers.values():
+                worker.delayed_starts = 1
+                worker.delay_s = 0.5
+                worker.refused_starts = 1
+            async with self.run_node(world, "node-a"):
+                await world.submit(node_world.make_step(1))
+                await world.wait_for_state("completed")
+                await anyio.sleep(0.6)
+            self.assertEqual(len(world.list_starts()), 1)
+
+        anyio.run(run)
+
     def test_cancelled_job_stops(self) -> None:
         """Fails if units of a cancelled job keep running."""
 
