Request the stop of a start whose repeat was refused

Callers saw a unit run twice. The owner repeats a start after 0.7 s without an answer. A worker that answered the repeat with 429, 503 or 409 had refused only the repeat; it could still carry out the first transmission, seconds later and within the lease. The owner took the refusal for both, dropped the run and placed the unit on another worker.

A run now counts its unanswered transmissions. A refusal drops the run only if there are none; otherwise the owner requests the run's stop, after which the worker refuses that run number, and places the unit again once the stop is confirmed and a later report doesn't list the run. Only 200 and "old run" hold for all transmissions of an order.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -365,18 +365,21 @@
     async def _send_start(
         self, run: jobs_lib.Run, order: orders.StartOrder
     ) -> orders.OrderOutcome | None:
-        may_have_been_sent = False
         for _ in range(_START_ATTEMPTS):
+            if run.phase is not jobs_lib.RunPhase.SENDING:
+                break
+            run.unanswered_starts += 1
             try:
-                return await self._client.start(order)
+                outcome = await self._client.start(order)
             except errors.PlatformUnavailableError:
+                run.unanswered_starts -= 1
                 await self._clock.sleep(_RETRY_DELAY)
             except errors.AnswerLostError as error:
-                may_have_been_sent = True
                 self._log_unanswered_start(run, str(error))
-        if may_have_been_sent:
-            return None
-        return orders.Unhealthy()
+            else:
+                run.unanswered_starts -= 1
+                return outcome
+        return None if run.unanswered_starts else orders.Unhealthy()
 
     async def _stop(self, unit: str, number: int) -> None:
         order = orders.StopOrder(unit, number, self._token)
@@ -486,6 +489,7 @@
             run=run.number,
             worker=self._worker.worker_id,
             reason=str(reason),
+            unanswered=run.unanswered_starts,
         )
 
     def _log_unanswered_start(self, run: jobs_lib.Run, reason: str) -> None:
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -47,6 +47,7 @@
         "phase",
         "share_percent",
         "started_s",
+        "unanswered_starts",
         "unit",
         "worker_id",
     )
@@ -63,6 +64,9 @@
         # A report requested later that doesn't list the run means that it has
         # ended.
         self.confirmed_s = started_s
+        # Transmissions of the start order without an answer. The worker may
+        # carry out each of them until the lease in the order has expired.
+        self.unanswered_starts = 0
         # Progress; 0 until a report lists the run.
         self.percent = 0
         # Share of the worker that a filling unit was last ordered to use.
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -234,37 +234,41 @@
     ) -> None:
         """Applies a worker's refusal to start a run.
 
-        The run is dropped and its unit requeued, except after `OLD_RUN`, when
-        the next report decides.
+        The run is dropped and its unit requeued. If an earlier transmission of
+        the order had no answer, the worker may still carry that one out, so
+        the run's stop is requested instead. After `OLD_RUN` no transmission
+        can start the run, and the next report decides.
 
         Args:
             run: The refused run.
             reason: Reason of the refusal, or None if the worker is unhealthy.
             now_s: Monotonic time.
         """
+        if run.phase is jobs_lib.RunPhase.ENDED:
+            return
         worker = self.workers.get(run.worker_id)
-        if reason is orders.Refusal.NO_TICKET:
-            # The ticket has expired or belongs to a previous incarnation of the
-            # worker; tickets for other workers may still be valid.
-            run.unit.step.tickets.pop(run.worker_id, None)
-            run.unit.step.advice_due_s = 0.0
+        match reason:
+            case orders.Refusal.OLD_RUN:
+                run.phase = jobs_lib.RunPhase.AWAITING_REPORT
+                run.confirmed_s = now_s
+                return
+            case orders.Refusal.NO_TICKET:
+                # The ticket has expired or belongs to a previous incarnation of
+                # the worker; tickets for other workers may still be valid.
+                run.unit.step.tickets.pop(run.worker_id, None)
+                run.unit.step.advice_due_s = 0.0
+            case _ if worker is not None:
+                pause = (
+                    _UNHEALTHY_PAUSE_S if reason is None else _REFUSAL_PAUSE_S
+                )
+                worker.avoid_until_s = max(worker.avoid_until_s, now_s + pause)
+        if run.unanswered_starts:
+            self.mark_start_unknown(run)
+        else:
             self._drop_run(run)
-            return
-        if reason is orders.Refusal.OLD_RUN:
-            # The worker may have carried out an earlier transmission of this
-            # order; the next report lists the run if so.
-            run.phase = jobs_lib.RunPhase.AWAITING_REPORT
-            run.confirmed_s = now_s
-            return
-        if worker is not None:
-            pause = _REFUSAL_PAUSE_S
-            if reason is None:
-                pause = _UNHEALTHY_PAUSE_S
-            worker.avoid_until_s = max(worker.avoid_until_s, now_s + pause)
-        self._drop_run(run)
 
     def mark_start_unknown(self, run: jobs_lib.Run) -> None:
-        """Marks a start without a response as unknown and requests its stop.
+        """Marks a start without an answer as unknown and requests its stop.
 
         The worker may still carry out the order. The unit isn't placed again
         until the stop is confirmed and a later report doesn't list the run.
