Treat a start with an unexpected answer as unanswered

A status that the protocol doesn't name, such as 500, raised an error that ended the task which sends orders. The run stayed in the phase of sending, so its unit was never placed again and the worker's room stayed taken. Such an answer doesn't tell whether the worker has started the run, so it counts as none: the start is repeated, and its stop is requested if no other answer comes.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -374,7 +374,7 @@
             except errors.PlatformUnavailableError:
                 run.unanswered_starts -= 1
                 await self._clock.sleep(_RETRY_DELAY)
-            except errors.AnswerLostError as error:
+            except errors.PlatformError as error:
                 self._log_unanswered_start(run, str(error))
             else:
                 run.unanswered_starts -= 1
