Keep runs that the next incarnation of a worker may carry out

When a worker came back under its id, the session dropped all its runs and placed their units at once. A start that was on its way, or without an answer, may reach the next incarnation, which has the same id and has seen neither the run number nor the stop. A start that it confirmed between the request and the arrival of its first report was dropped too, since that report doesn't list it.

Runs with an unanswered start are now stopped on the next incarnation, and runs confirmed after the report was requested wait for the next report. A stop that another incarnation answered is repeated as long as its run is tracked. If no answer comes, the runs are dropped when the leases end, as before.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -207,7 +207,10 @@
                 case orders.WorkerReport():
                     await self._apply_report(report, requested_s)
                 case orders.IncarnationMismatch():
-                    self._handle_new_incarnation("another incarnation answered")
+                    self._handle_new_incarnation(
+                        "another incarnation answered", requested_s
+                    )
+                    self.expire_runs()
                     await self._clock.sleep(_RETRY_DELAY)
                 case orders.Refused(reason=reason):
                     self._mark_unreachable(f"renewal refused: {reason}")
@@ -266,7 +269,9 @@
             and report.started_unix_ms
             and report.started_unix_ms != self.incarnation_start_unix_ms
         ):
-            self._handle_new_incarnation("the worker has restarted")
+            self._handle_new_incarnation(
+                "the worker has restarted", requested_s
+            )
         self.incarnation_start_unix_ms = (
             report.started_unix_ms or self.incarnation_start_unix_ms
         )
@@ -399,6 +404,10 @@
                     return
                 case orders.Unhealthy():
                     await self._clock.sleep(_RETRY_DELAY)
+                case orders.IncarnationMismatch() if self._has_run(
+                    unit, number
+                ):
+                    await self._clock.sleep(_RETRY_DELAY)
                 case _:
                     return
 
@@ -467,8 +476,10 @@
             )
             self._on_change()
 
-    def _handle_new_incarnation(self, reason: str) -> None:
-        dropped = self._state.drop_worker_runs(self._worker.worker_id)
+    def _handle_new_incarnation(self, reason: str, requested_s: float) -> None:
+        dropped = self._state.end_incarnation(
+            self._worker.worker_id, requested_s
+        )
         self._acknowledged_end = 0
         self._worker.is_reachable = False
         logs.log_event(
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -274,10 +274,7 @@
         until the stop is confirmed and a later report doesn't list the run.
         """
         if run.phase is jobs_lib.RunPhase.SENDING:
-            run.phase = jobs_lib.RunPhase.START_UNKNOWN
-            self.pending_stops.append(
-                StopRequest(run.worker_id, run.unit.name, run.number)
-            )
+            self._stop_unknown_start(run)
 
     def confirm_stop(
         self, worker_id: str, unit_name: str, number: int, now_s: float
@@ -361,6 +358,38 @@
             self._drop_run(item.run)
         return dropped
 
+    def end_incarnation(
+        self, worker_id: str, requested_s: float
+    ) -> tuple[DroppedRun, ...]:
+        """Ends the runs of a worker's former incarnation.
+
+        Runs that the next incarnation may carry out stay. Those with an
+        unanswered start are stopped; the next report decides about those that
+        were confirmed after this report was requested.
+
+        Args:
+            worker_id: The worker.
+            requested_s: Monotonic time at which the report was requested that
+                another incarnation answered.
+
+        Returns:
+            The runs that were dropped.
+        """
+        worker = self.workers.get(worker_id)
+        if worker is None:
+            return ()
+        dropped = []
+        for run in tuple(worker.runs.values()):
+            if run.unanswered_starts:
+                self._stop_unknown_start(run)
+            elif (
+                run.phase is jobs_lib.RunPhase.SENDING
+                or run.confirmed_s < requested_s
+            ):
+                dropped.append(DroppedRun(run, run.phase))
+                self._drop_run(run)
+        return tuple(dropped)
+
     def remove_worker(self, worker_id: str) -> None:
         """Removes a worker and requeues the units of its remaining runs."""
         self.drop_worker_runs(worker_id)
@@ -550,6 +579,15 @@
         worker.add_run(run)
         return run
 
+    def _stop_unknown_start(self, run: jobs_lib.Run) -> None:
+        # While the phase is `START_UNKNOWN`, a stop is requested or repeated.
+        if run.phase is jobs_lib.RunPhase.START_UNKNOWN:
+            return
+        run.phase = jobs_lib.RunPhase.START_UNKNOWN
+        self.pending_stops.append(
+            StopRequest(run.worker_id, run.unit.name, run.number)
+        )
+
     def _stop_orphan_run(self, request: StopRequest, now_s: float) -> None:
         """Requests the stop of a run that no unit accounts for.
 
--- a/tests/test_scheduling_service_state.py
+++ b/tests/test_scheduling_service_state.py
@@ -55,6 +55,39 @@
         self.state.apply_report(run.worker_id, samples.make_report(), 4.9, 5.1)
         self.assertIs(run.phase, jobs_lib.RunPhase.RUNNING)
 
+    def test_run_of_the_next_incarnation_survives_its_older_report(
+        self,
+    ) -> None:
+        """Fails if a unit starts twice on and beside a restarted worker.
+
+        The next incarnation confirmed the start after its first report had been
+        requested, so that the report doesn't list the run.
+        """
+        (run,) = self.start(node_world.make_step(1))
+        self.state.confirm_start(run, 5.0)
+        self.assertEqual(self.state.end_incarnation(run.worker_id, 4.9), ())
+        self.state.apply_report(run.worker_id, samples.make_report(), 4.9, 5.1)
+        self.assertIs(run.phase, jobs_lib.RunPhase.RUNNING)
+        self.state.apply_report(run.worker_id, samples.make_report(), 5.2, 5.3)
+        self.assertEqual(len(self.state.plan(5.3)), 1)
+
+    def test_stop_of_an_unanswered_start_is_repeated_after_a_restart(
+        self,
+    ) -> None:
+        """Fails if a stop that the former incarnation confirmed counts on.
+
+        The next one doesn't know the stop and may carry out the start.
+        """
+        (run,) = self.start(node_world.make_step(1))
+        run.unanswered_starts = 1
+        self.state.mark_start_unknown(run)
+        self.state.confirm_stop(run.worker_id, _UNIT, 1, 3.0)
+        self.state.pending_stops.clear()
+        self.state.end_incarnation(run.worker_id, 3.5)
+        self.state.apply_report(run.worker_id, samples.make_report(), 3.5, 3.6)
+        self.assertEqual(self.state.plan(3.7), [])
+        self.assertEqual(len(self.state.pending_stops), 1)
+
     def test_failure_counts_once_when_it_is_reported_again(self) -> None:
         """Fails if a failure that is reported repeatedly uses up attempts.
 
