Wait for the leases of an earlier owner before starting its units again

A session began without any lease. If the worker stopped answering before the session had renewed the leases, which it doesn't while its node's own lease has lapsed, the runs adopted from the first report were dropped at once although an earlier owner's leases ran on. The first report now counts as a renewal of the longest lease.

test_adopted_run_keeps_its_lease failed before: the unit waited 0.01 s instead of 1 s.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -276,6 +276,10 @@
             report.started_unix_ms or self.incarnation_start_unix_ms
         )
         is_first = self._worker_clock_read_s is None
+        if is_first:
+            # An earlier owner may have renewed the leases until this owner's
+            # first request.
+            self._extend_lease_expiry()
         self._worker_clock_ms = report.clock_ms
         self._worker_clock_read_s = now_s
         if not self._worker.is_reachable:
