Queue stops for a worker also when its queue is full

A session accepted 512 waiting orders and dropped any stop beyond them without a line in the log. The run then stayed in the phase of stopping, and its unit, which waits for that stop, was never placed again. Starts are still refused while the queue is full, and throttles are sent again after a later report.

The test failed before: 512 of 600 stops were sent.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -43,7 +43,7 @@
 
 # Orders that are sent to one worker at the same time.
 _MAX_CONCURRENT_ORDERS = 4
-_ORDER_QUEUE_SIZE = 512
+_MAX_QUEUED_ORDERS = 512
 
 # A start without an answer is sent again to the same worker, which starts a
 # run number at most once.
@@ -147,7 +147,7 @@
         self._acknowledged_end = 0
         self._wake = anyio.Event()
         self._command_sender, self._command_receiver = (
-            anyio.create_memory_object_stream[Command](_ORDER_QUEUE_SIZE)
+            anyio.create_memory_object_stream[Command](math.inf)
         )
         self.incarnation_start_unix_ms = worker.instance.started_unix_ms
         self.has_reported = False
@@ -158,14 +158,24 @@
         return self._worker
 
     def enqueue(self, command: Command) -> None:
-        """Queues an order; a start is refused if the queue is full."""
-        try:
-            self._command_sender.send_nowait(command)
-        except anyio.WouldBlock:
-            if isinstance(command, StartCommand):
+        """Queues an order; only stops are accepted while the queue is full.
+
+        The unit of a stop is placed again only once the stop is confirmed.
+        """
+        is_full = (
+            self._command_sender.statistics().current_buffer_used
+            >= _MAX_QUEUED_ORDERS
+        )
+        match command:
+            case StartCommand(run=run) if is_full:
                 self._state.refuse_start(
-                    command.run, orders.Refusal.NO_ROOM, self._now_s()
+                    run, orders.Refusal.NO_ROOM, self._now_s()
                 )
+            case ThrottleCommand(run=run) if is_full:
+                # Resets the share, so that a later report sends it again.
+                run.share_percent = 100
+            case _:
+                self._command_sender.send_nowait(command)
         self._wake.set()
 
     async def run(self) -> None:
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -280,6 +280,22 @@
         anyio.run(run)
 
 
+class FullQueueTest(unittest.TestCase):
+    """Sessions with more queued orders than they accept."""
+
+    def test_stops_are_sent_although_the_queue_is_full(self) -> None:
+        """Fails if a stop is dropped and its run is never settled."""
+
+        async def run() -> None:
+            world = SessionWorld()
+            for number in range(600):
+                world.session.enqueue(worker_session.StopCommand(_UNIT, number))
+            async with world.run():
+                await wait_until(lambda: len(world.client.stops) == 600)
+
+        anyio.run(run)
+
+
 class RestartedWorkerTest(unittest.TestCase):
     """Workers that come back under their id."""
 
