Split orders and leases from the session with a worker

worker_session.py had 555 lines for three jobs. order_sender.py queues and sends starts, stops and throttles; worker_leases.py estimates the worker's clock and knows when the granted leases end; the session requests reports and applies them. Decisions are unchanged.

--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -15,11 +15,13 @@
 from fireflywell.node import fleet_cache
 from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import job_loader
+from fireflywell.node import order_sender
 from fireflywell.node import ownership
 from fireflywell.node import progress_writer
 from fireflywell.node import settings as node_settings
 from fireflywell.node import table_follower
 from fireflywell.node import tables
+from fireflywell.node import worker_leases
 from fireflywell.node import worker_session
 from fireflywell.scheduling import capacity
 from fireflywell.scheduling import jobs as jobs_lib
@@ -190,7 +192,7 @@
     @property
     def _run_lease(self) -> datetime.timedelta:
         longest = self._settings.bounds.longest_run_lease
-        return min(longest, worker_session.LONGEST_LEASE)
+        return min(longest, worker_leases.LONGEST_LEASE)
 
     def stop(self) -> None:
         """Stops the owner's tasks; no further order is sent to a worker."""
@@ -237,10 +239,10 @@
         )
 
     async def _load(self) -> None:
-        orphan_timeout = self._run_lease * (1 + worker_session.CLOCK_DRIFT)
+        orphan_timeout = self._run_lease * (1 + worker_leases.CLOCK_DRIFT)
         orphan_timeout += _ORPHAN_MARGIN
         if not self._tenure.is_handover:
-            orphan_timeout += worker_session.RENEWAL_GRACE
+            orphan_timeout += worker_leases.RENEWAL_GRACE
         while True:
             try:
                 await self._assigned_workers.load(orphan_timeout)
@@ -538,7 +540,7 @@
     def _enqueue_starts(self, runs: list[jobs_lib.Run]) -> None:
         for run in runs:
             self._sessions[run.worker_id].session.enqueue(
-                worker_session.StartCommand(run)
+                order_sender.StartCommand(run)
             )
         if runs:
             logs.log_event(
@@ -557,7 +559,7 @@
             running = self._sessions.get(item.worker_id)
             if running is not None:
                 running.session.enqueue(
-                    worker_session.StopCommand(item.unit, item.run)
+                    order_sender.StopCommand(item.unit, item.run)
                 )
 
     def _read_unix_ms(self) -> int:
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -2,18 +2,16 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
-import dataclasses
 import datetime
-import math
 
 import anyio
-import anyio.streams.memory
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import order_sender
 from fireflywell.node import progress_writer
-from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.node import worker_leases
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import service_state
 from fireflywell.scheduling import throttling
@@ -37,55 +35,12 @@
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=150)
 
-# How long to wait until the ends of a report are stored. Until they are stored
-# and acknowledged, each report would list the same ends again.
-_STORE_TIMEOUT = datetime.timedelta(milliseconds=250)
-
 # Orders that are sent to one worker at the same time.
 _MAX_CONCURRENT_ORDERS = 4
-_MAX_QUEUED_ORDERS = 512
-
-# A start without an answer is sent again to the same worker, which starts a
-# run number at most once.
-_START_ATTEMPTS = 2
-
-# A worker's clock may be this much slower than the node's.
-CLOCK_DRIFT = 0.02
-_LEASE_EXPIRY_MARGIN_S = 0.3
-
-# Longest lease of a run: long enough for a successor to renew it after a
-# takeover, short enough that runs on an unreachable worker soon expire.
-LONGEST_LEASE = datetime.timedelta(seconds=6)
-
-# After its node's lease has expired, an owner renews the leases of runs for
-# this long but starts none. A successor relies on this bound.
-RENEWAL_GRACE = datetime.timedelta(seconds=2)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StartCommand:
-    """A run to start."""
-
-    run: jobs_lib.Run
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopCommand:
-    """A run to stop."""
-
-    unit: str
-    run: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ThrottleCommand:
-    """A filling run whose share of the worker changes."""
-
-    run: jobs_lib.Run
-    percent: int
 
-
-Command = StartCommand | StopCommand | ThrottleCommand
+# How long to wait until the ends of a report are stored. Until they are stored
+# and acknowledged, each report would list the same ends again.
+_STORE_TIMEOUT = datetime.timedelta(milliseconds=250)
 
 
 class WorkerSession:
@@ -95,17 +50,13 @@
         "_state",
         "_client",
         "_clock",
-        "_worker_clock_ms",
-        "_worker_clock_read_s",
-        "_command_sender",
         "_fetch_jobs",
         "_heartbeat",
-        "_leases_expire_s",
-        "_lease",
+        "_leases",
         "_metrics",
         "_acknowledged_end",
         "_on_change",
-        "_command_receiver",
+        "_order_sender",
         "_token",
         "_wake",
         "_worker",
@@ -136,18 +87,22 @@
         self._writer = writer
         self._heartbeat = heartbeat
         self._token = token
-        self._lease = lease
         self._clock = clock
         self._on_change = on_change
-        self._worker_clock_ms = 0
-        self._worker_clock_read_s: float | None = None
-        # Monotonic time after which all leases that were sent to the worker
-        # have expired, so that none of its runs can still be active.
-        self._leases_expire_s = 0.0
+        self._leases = worker_leases.WorkerLeases(clock, lease)
         self._acknowledged_end = 0
         self._wake = anyio.Event()
-        self._command_sender, self._command_receiver = (
-            anyio.create_memory_object_stream[Command](math.inf)
+        self._order_sender = order_sender.OrderSender(
+            worker,
+            client,
+            state,
+            writer,
+            heartbeat,
+            token,
+            self._leases,
+            clock,
+            on_change,
+            metrics,
         )
         self.incarnation_start_unix_ms = worker.instance.started_unix_ms
         self.has_reported = False
@@ -157,25 +112,9 @@
         """State of the worker that this session talks to."""
         return self._worker
 
-    def enqueue(self, command: Command) -> None:
-        """Queues an order; only stops are accepted while the queue is full.
-
-        The unit of a stop is placed again only once the stop is confirmed.
-        """
-        is_full = (
-            self._command_sender.statistics().current_buffer_used
-            >= _MAX_QUEUED_ORDERS
-        )
-        match command:
-            case StartCommand(run=run) if is_full:
-                self._state.refuse_start(
-                    run, orders.Refusal.NO_ROOM, self._now_s()
-                )
-            case ThrottleCommand(run=run) if is_full:
-                # Resets the share, so that a later report sends it again.
-                run.share_percent = 100
-            case _:
-                self._command_sender.send_nowait(command)
+    def enqueue(self, command: order_sender.Command) -> None:
+        """Queues an order; see `OrderSender.enqueue`."""
+        self._order_sender.enqueue(command)
         self._wake.set()
 
     async def run(self) -> None:
@@ -193,7 +132,9 @@
                         ),
                         *(
                             supervisor_lib.Child(
-                                f"orders-{number}", self._send_orders, restart
+                                f"orders-{number}",
+                                self._order_sender.run,
+                                restart,
                             )
                             for number in range(_MAX_CONCURRENT_ORDERS)
                         ),
@@ -235,7 +176,7 @@
     async def _request_report(
         self,
     ) -> orders.WorkerReport | orders.OrderOutcome:
-        is_first = self._worker_clock_read_s is None
+        is_first = not self._leases.has_clock
         is_unreachable = not self._worker.is_reachable
         is_idle = not self._worker.runs
         wait = _REPORT_WAIT
@@ -245,8 +186,8 @@
         # A worker that doesn't answer may still receive renewals. Its leases
         # are not extended, so that they expire by a known time.
         if not is_first and not is_unreachable and self._may_renew():
-            lease_until = self._compute_lease_end()
-            self._extend_lease_expiry()
+            lease_until = self._leases.compute_end()
+            self._leases.extend()
         # A worker may restart under the same id and number its ends from 1
         # again. The former incarnation's number would make it discard ends that
         # no owner has stored.
@@ -285,13 +226,12 @@
         self.incarnation_start_unix_ms = (
             report.started_unix_ms or self.incarnation_start_unix_ms
         )
-        is_first = self._worker_clock_read_s is None
+        is_first = not self._leases.has_clock
         if is_first:
             # An earlier owner may have renewed the leases until this owner's
             # first request.
-            self._extend_lease_expiry()
-        self._worker_clock_ms = report.clock_ms
-        self._worker_clock_read_s = now_s
+            self._leases.extend()
+        self._leases.record_clock(report.clock_ms)
         if not self._worker.is_reachable:
             self._worker.is_reachable = True
             logs.log_event(
@@ -305,7 +245,9 @@
         )
         for throttle in throttling.choose_throttles(self._worker):
             throttle.run.share_percent = throttle.percent
-            self.enqueue(ThrottleCommand(throttle.run, throttle.percent))
+            self.enqueue(
+                order_sender.ThrottleCommand(throttle.run, throttle.percent)
+            )
         self.has_reported = True
         self._on_change()
         if last_end > self._acknowledged_end:
@@ -326,144 +268,8 @@
         with anyio.move_on_after(_IDLE_INTERVAL.total_seconds()):
             await self._wake.wait()
 
-    async def _send_orders(self) -> None:
-        async for command in self._command_receiver:
-            match command:
-                case StartCommand(run=run):
-                    await self._start(run)
-                case StopCommand(unit=unit, run=number):
-                    await self._stop(unit, number)
-                case ThrottleCommand(run=run, percent=percent):
-                    await self._throttle(run, percent)
-
-    async def _start(self, run: jobs_lib.Run) -> None:
-        if run.phase is not jobs_lib.RunPhase.SENDING:
-            return
-        if self._worker_clock_read_s is None or not self._heartbeat.is_valid:
-            self._state.refuse_start(run, orders.Refusal.NO_ROOM, self._now_s())
-            return
-        unit = run.unit
-        order = orders.StartOrder(
-            unit.name,
-            run.number,
-            unit.step.job.submission.request.specification,
-            self._compute_lease_end(),
-            self._token,
-            unit.checkpoint,
-            unit.step.tickets.get(self._worker.worker_id, ""),
-        )
-        self._extend_lease_expiry()
-        outcome = await self._send_start(run, order)
-        now_s = self._now_s()
-        match outcome:
-            case orders.Accepted():
-                self._metrics.count("node.runs.started")
-                self._metrics.record_duration(
-                    "node.runs.wait",
-                    datetime.timedelta(
-                        seconds=now_s - run.unit.step.job.arrived_s
-                    ),
-                )
-                self._state.confirm_start(run, now_s)
-            case orders.Refused(reason=reason):
-                self._log_refusal(run, reason)
-                self._state.refuse_start(run, reason, now_s)
-                if reason is orders.Refusal.FENCED:
-                    self._writer.check_tenure()
-            case orders.Unhealthy():
-                self._log_refusal(run, "unhealthy")
-                self._state.refuse_start(run, None, now_s)
-            case orders.IncarnationMismatch():
-                self._log_refusal(run, "another incarnation answered")
-                self._state.refuse_start(run, None, now_s)
-            case None:
-                self._log_refusal(run, "no answer")
-                self._state.mark_start_unknown(run)
-        self._on_change()
-
-    async def _send_start(
-        self, run: jobs_lib.Run, order: orders.StartOrder
-    ) -> orders.OrderOutcome | None:
-        for _ in range(_START_ATTEMPTS):
-            if run.phase is not jobs_lib.RunPhase.SENDING:
-                break
-            run.unanswered_starts += 1
-            try:
-                outcome = await self._client.start(order)
-            except errors.PlatformUnavailableError:
-                run.unanswered_starts -= 1
-                await self._clock.sleep(_RETRY_DELAY)
-            except errors.PlatformError as error:
-                self._log_unanswered_start(run, str(error))
-            else:
-                run.unanswered_starts -= 1
-                return outcome
-        return None if run.unanswered_starts else orders.Unhealthy()
-
-    async def _stop(self, unit: str, number: int) -> None:
-        order = orders.StopOrder(unit, number, self._token)
-        while True:
-            try:
-                outcome = await self._client.stop(order)
-            except errors.PlatformError:
-                if not self._has_run(unit, number):
-                    return
-                await self._clock.sleep(_RETRY_DELAY)
-                continue
-            match outcome:
-                case orders.Accepted():
-                    self._state.confirm_stop(
-                        self._worker.worker_id, unit, number, self._now_s()
-                    )
-                    return
-                case orders.Unhealthy():
-                    await self._clock.sleep(_RETRY_DELAY)
-                case orders.IncarnationMismatch() if self._has_run(
-                    unit, number
-                ):
-                    await self._clock.sleep(_RETRY_DELAY)
-                case _:
-                    return
-
-    async def _throttle(self, run: jobs_lib.Run, percent: int) -> None:
-        if run.phase is not jobs_lib.RunPhase.RUNNING:
-            return
-        order = orders.ThrottleOrder(
-            run.unit.name, run.number, percent, self._token
-        )
-        try:
-            await self._client.throttle(order)
-        except errors.PlatformError as error:
-            # Resets the share, so that the next report sends a throttle again.
-            run.share_percent = 100
-            logs.log_event(
-                "worker.pace_failed",
-                worker=self._worker.worker_id,
-                unit=run.unit.name,
-                error=str(error),
-            )
-
-    def _has_run(self, unit: str, number: int) -> bool:
-        return (unit, number) in self._worker.runs
-
     def _may_renew(self) -> bool:
-        return self._heartbeat.measure_lapse() < RENEWAL_GRACE
-
-    def _compute_lease_end(self) -> int:
-        """Returns the end of a lease granted now, on the worker's clock."""
-        assert self._worker_clock_read_s is not None
-        elapsed_ms = (self._now_s() - self._worker_clock_read_s) * 1000
-        lease_ms = self._lease.total_seconds() * 1000
-        return math.floor(self._worker_clock_ms + elapsed_ms + lease_ms)
-
-    def _extend_lease_expiry(self) -> None:
-        # The margin covers an order that arrives late, and the time that the
-        # last report was on its way, by which the worker's clock may be ahead
-        # of the estimate.
-        span = self._lease.total_seconds() * (1 + CLOCK_DRIFT)
-        self._leases_expire_s = max(
-            self._leases_expire_s, self._now_s() + span + _LEASE_EXPIRY_MARGIN_S
-        )
+        return self._heartbeat.measure_lapse() < worker_leases.RENEWAL_GRACE
 
     def _mark_unreachable(self, reason: str) -> None:
         if self._worker.is_reachable:
@@ -480,7 +286,7 @@
         """Drops an unreachable worker's runs once its leases have expired."""
         if not self._worker.runs or self._worker.is_reachable:
             return
-        if self._now_s() > self._leases_expire_s:
+        if self._leases.are_expired:
             dropped = self._state.drop_worker_runs(self._worker.worker_id)
             logs.log_event(
                 "worker.leases_over",
@@ -505,29 +311,6 @@
         )
         self._on_change()
 
-    def _log_refusal(self, run: jobs_lib.Run, reason: str) -> None:
-        self._metrics.count("node.runs.refused")
-        logs.log_event(
-            "run.refused",
-            job=run.unit.step.job.job_id,
-            unit=run.unit.name,
-            run=run.number,
-            worker=self._worker.worker_id,
-            reason=str(reason),
-            unanswered=run.unanswered_starts,
-        )
-
-    def _log_unanswered_start(self, run: jobs_lib.Run, reason: str) -> None:
-        self._metrics.count("node.runs.unanswered")
-        logs.log_event(
-            "run.start_unanswered",
-            job=run.unit.step.job.job_id,
-            unit=run.unit.name,
-            run=run.number,
-            worker=self._worker.worker_id,
-            reason=reason,
-        )
-
     def _log_ends(self, report: orders.WorkerReport) -> None:
         for end in report.ended:
             if end.number > self._acknowledged_end:
--- a/tests/test_node_takeover.py
+++ b/tests/test_node_takeover.py
@@ -12,7 +12,7 @@
 from fireflywell.node import job_frontend
 from fireflywell.node import ownership
 from fireflywell.node import tables
-from fireflywell.node import worker_session
+from fireflywell.node import worker_leases
 from fireflywell.scheduling import maintenance
 from fireflywell.scheduling import model
 from tests import node_world
@@ -225,7 +225,7 @@
                 await world.wait_for_state("completed", seconds=12)
             second = world.workers["w2"].starts[0]
             self.assertGreater(second.run, world.workers["w1"].starts[0].run)
-            renewal_grace = worker_session.RENEWAL_GRACE.total_seconds()
+            renewal_grace = worker_leases.RENEWAL_GRACE.total_seconds()
             lease = node_world.BOUNDS.longest_run_lease.total_seconds()
             self.assertGreater(second.at_s - lost_at, renewal_grace + lease)
 
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -16,6 +16,7 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
+from fireflywell.node import order_sender
 from fireflywell.node import worker_session
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
@@ -175,7 +176,7 @@
         """Adds a job with one unit, places it on `w1` and sends the start."""
         self.state.add_job(samples.make_job(_JOB))
         (run,) = self.state.plan(self.clock.monotonic().total_seconds())
-        self.session.enqueue(worker_session.StartCommand(run))
+        self.session.enqueue(order_sender.StartCommand(run))
         return run
 
     def send_stops(self) -> None:
@@ -183,9 +184,7 @@
         stops = self.state.pending_stops
         while stops:
             item = stops.popleft()
-            self.session.enqueue(
-                worker_session.StopCommand(item.unit, item.run)
-            )
+            self.session.enqueue(order_sender.StopCommand(item.unit, item.run))
 
 
 async def wait_until(condition) -> None:
@@ -289,7 +288,7 @@
         async def run() -> None:
             world = SessionWorld()
             for number in range(600):
-                world.session.enqueue(worker_session.StopCommand(_UNIT, number))
+                world.session.enqueue(order_sender.StopCommand(_UNIT, number))
             async with world.run():
                 await wait_until(lambda: len(world.client.stops) == 600)
 
