Leave out odd entries of other writers instead of ending their reader

Cause: the decoders of the workers' entries, configurations and waves caught ValueError, KeyError, TypeError and AttributeError. Deeply nested JSON raises RecursionError and a number like 1e999 OverflowError, and the registry caught CorruptRowError alone. One such entry ended the task that follows the list of workers, at each restart again, so a node that read it knew no workers. Other odd values were accepted and failed later: ports that `connect` refuses, digits outside ASCII, line ends in an address or id that becomes a header, capacities below 0 or of 400 digits (msgpack refuses them in the list of assigned workers), lone surrogates.

An entry needs an id of printable ASCII, an IP address or host name with a port from 1 to 65535, amounts from 0 to 10^9, and fields of their own type. `zone` is required, as the protocol lists it. The registry leaves out a row whatever its decoder raises, and its log line names the worker and the type of error. Error texts shorten the value that they show.

--- a/src/fireflywell/node/instance_registry.py
+++ b/src/fireflywell/node/instance_registry.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 
-from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.telemetry import logs
@@ -49,8 +48,15 @@
                 self._instances[instance_id] = self._decode(
                     instance_id, row.value
                 )
-            except errors.CorruptRowError as error:
+            except Exception as error:
+                # Other writers can place any bytes here. A fault of one entry
+                # must not keep the others out.
                 self._instances.pop(instance_id, None)
                 if instance_id not in self._reported:
                     self._reported.add(instance_id)
-                    logs.log_event("instance.unreadable", error=str(error))
+                    logs.log_event(
+                        "instance.unreadable",
+                        worker=instance_id,
+                        error_type=type(error).__name__,
+                        error=str(error),
+                    )
--- a/src/fireflywell/platform/instances.py
+++ b/src/fireflywell/platform/instances.py
@@ -1,10 +1,10 @@
 """Decodes the entries that workers write to the platform's store."""
 
 import datetime
-import json
 from typing import Any
 
 from fireflywell import errors
+from fireflywell.platform import json_values
 from fireflywell.scheduling import model
 from fireflywell.scheduling import workers
 
@@ -13,6 +13,10 @@
 
 _STATES = ("ready", "draining")
 
+# Largest amount of a resource: a million cores, or 1 PB of memory. With more,
+# one odd entry would count as more room than all workers have.
+_MAX_AMOUNT = 10**9
+
 
 def decode_instance(instance_id: str, data: bytes) -> workers.WorkerInstance:
     """Decodes the entry of a worker.
@@ -25,52 +29,63 @@
         CorruptRowError: A field is missing, invalid or of the wrong type.
     """
     try:
-        item = json.loads(data)
-        state = item["state"]
+        # Each call to the worker names it in a header.
+        json_values.check_header_value(instance_id, "id")
+        item = json_values.parse_object(data)
+        state = json_values.read_text(item.get("state"), "state")
         if state not in _STATES:
-            raise ValueError(f"unknown state {state!r}")
-        address = item["address"]
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit():
-            raise ValueError(f"address {address!r} isn't of the form host:port")
-        service = item["service"]
-        if not isinstance(service, str):
-            raise TypeError(f"service {service!r} isn't a string")
-        labels = tuple(str(label) for label in item.get("labels") or ())
-        # Minimum time until the instance stops, set while it drains.
-        remaining_ms = item.get("remaining_ms")
+            raise ValueError(f"state is {state[:40]!r}, not {_STATES}")
+        labels = json_values.read_texts(item.get("labels"), "labels", [])
         return workers.WorkerInstance(
             instance_id=instance_id,
-            service=service,
-            address=address,
-            zone=str(item.get("zone", "")),
+            service=json_values.read_text(item.get("service"), "service"),
+            address=json_values.read_address(item.get("address"), "address"),
+            zone=json_values.read_text(item.get("zone"), "zone"),
             rack=_find_rack(labels),
             labels=labels,
-            capacity=decode_demand(item["capacity"]),
-            is_draining=state == "draining",
-            leaves_in=(
-                datetime.timedelta(milliseconds=remaining_ms)
-                if isinstance(remaining_ms, int | float)
-                else None
+            capacity=decode_demand(
+                json_values.read_object(item.get("capacity"), "capacity")
             ),
+            is_draining=state == "draining",
+            leaves_in=_decode_remaining(item),
             # `born` is the start of this incarnation, in Unix milliseconds.
-            started_unix_ms=int(item.get("born") or 0),
+            started_unix_ms=json_values.read_integer(
+                item.get("born"), "born", 0, minimum=0
+            ),
             # `machine` is the ID of the VM.
-            vm_id=str(item.get("machine") or ""),
+            vm_id=json_values.read_text(item.get("machine"), "machine", ""),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except ValueError as error:
         raise errors.CorruptRowError(
-            f"the entry of instance {instance_id} can't be decoded: "
-            f"{error!r}; no units are placed on it"
+            f"the entry of instance {instance_id!r} can't be decoded: "
+            f"{error}; no units are placed on it"
         ) from error
 
 
 def decode_demand(item: dict[str, Any]) -> model.ResourceAmounts:
-    """Decodes resource amounts; a missing field counts as 0."""
+    """Decodes resource amounts; a missing field counts as 0.
+
+    Raises:
+        ValueError: An amount is invalid, negative or too large.
+    """
     return model.ResourceAmounts(
-        int(item.get("cpu") or 0),
-        int(item.get("requested_memory_mb") or 0),
-        int(item.get("gpu") or 0),
+        *(
+            json_values.read_integer(
+                item.get(key), key, 0, minimum=0, maximum=_MAX_AMOUNT
+            )
+            for key in ("cpu", "requested_memory_mb", "gpu")
+        )
+    )
+
+
+def _decode_remaining(item: dict[str, Any]) -> datetime.timedelta | None:
+    """Returns the least time until a draining worker stops, if it is set."""
+    if item.get("remaining_ms") is None:
+        return None
+    return datetime.timedelta(
+        milliseconds=json_values.read_number(
+            item["remaining_ms"], "remaining_ms"
+        )
     )
 
 
--- a/src/fireflywell/platform/waves.py
+++ b/src/fireflywell/platform/waves.py
@@ -1,8 +1,7 @@
 """Decodes operators' maintenance waves from the platform's store."""
 
-import json
-
 from fireflywell import errors
+from fireflywell.platform import json_values
 from fireflywell.scheduling import maintenance
 
 KEY_PREFIX = "wave/"
@@ -15,15 +14,18 @@
         CorruptRowError: The value isn't a valid maintenance wave.
     """
     try:
-        item = json.loads(data)
+        item = json_values.parse_object(data)
         return maintenance.Wave(
-            int(item["wave"]),
+            json_values.read_integer(item.get("wave"), "wave"),
             # `machines` holds the IDs of the VMs.
-            tuple(str(vm_id) for vm_id in item["machines"]),
-            float(item.get("duration_s") or 0),
-            max(1, int(item.get("max_count") or 1)),
+            json_values.read_texts(item["machines"], "machines"),
+            json_values.read_number(item.get("duration_s"), "duration_s", 0),
+            max(
+                1,
+                json_values.read_integer(item.get("max_count"), "max_count", 1),
+            ),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as error:
+    except (ValueError, KeyError) as error:
         raise errors.CorruptRowError(
             f"the row of a maintenance wave can't be decoded: {error!r}; "
             "write the row again"
