Report unreadable answers as the errors that their callers handle

Cause: the clients of workers, the store, the VM API and the advice service raised RecursionError, OverflowError, KeyError, TypeError, AttributeError or ValueError for an answer of an unexpected form. In the fleet controller, which isn't restarted, it ended maintenance and moves on that node. A worker's status other than those of the protocol raised PlatformRejectedError, which `WorkerClient` doesn't promise. A `now_ms` of 1e999 made the estimate of the store's clock infinite, a value that isn't a text kept all rows of its page from readers, and an address whose port is above 65535 or whose name can't be encoded raised errors other than PlatformUnavailableError, as did an answer that switches the protocol.

Change: the four clients read answers with `json_values` and raise AnswerLostError. A refused order with an unknown reason stays a refusal. One odd row makes a worker's report or a page of VMs unreadable as a whole: without it a run would count as ended, or a VM as absent. A row of the store whose value or key is odd leaves its page readable. The HTTP client checks ports and reports names that can't be encoded. Integers and ASCII texts are checked first, as they are the most frequent values.

--- a/src/fireflywell/http_client.py
+++ b/src/fireflywell/http_client.py
@@ -17,6 +17,7 @@
 from fireflywell import errors
 
 _RECEIVE_BYTES = 65536
+_MAX_PORT = 65_535
 
 # A call whose answer keeps arriving is ended after this many times its timeout.
 # An answer of the store can then have 5 MB on a link of 5 Mbit/s.
@@ -177,6 +178,7 @@
             anyio.EndOfStream,
             OSError,
             httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
         ) as error:
             raise errors.AnswerLostError(
                 f"the connection ended before the response did: {error!r}"
@@ -323,9 +325,14 @@
             ):
                 return connection
             await connection.close()
+        if self._port > _MAX_PORT:
+            raise errors.PlatformUnavailableError(
+                f"{self._address} can't be reached: ports end at {_MAX_PORT}"
+            )
         try:
             return await Connection.open(self._host, self._port, self._clock)
-        except OSError as error:
+        except (OSError, UnicodeError) as error:
+            # A name with parts that are too long or empty can't be encoded.
             raise errors.PlatformUnavailableError(
                 f"{self._address} can't be reached: {error}"
             ) from error
--- a/src/fireflywell/platform/advice.py
+++ b/src/fireflywell/platform/advice.py
@@ -2,10 +2,12 @@
 
 import datetime
 import json
+from typing import Any
 
 from fireflywell import errors
 from fireflywell import http_client
 from fireflywell.node import advice_requester
+from fireflywell.platform import json_values
 
 # The service handles the calls of one VM one after another, and the time of a
 # call grows with the number of workers in it.
@@ -34,6 +36,25 @@
                 "the advice service returned status "
                 f"{response.status} for a step; it is asked again later"
             )
-        # Each row is [instance ID, ticket].
-        rows = json.loads(response.body).get("approved") or ()
-        return tuple(advice_requester.Approval(row[0], row[1]) for row in rows)
+        try:
+            document = json_values.parse_object(response.body)
+            rows = json_values.read_list(
+                document.get("approved"), "approved", []
+            )
+            return tuple(_decode_approval(row) for row in rows)
+        except ValueError as error:
+            raise errors.AnswerLostError(
+                f"the advice service's response can't be read: {error}; it is "
+                "asked again later"
+            ) from error
+
+
+def _decode_approval(row: Any) -> advice_requester.Approval:
+    """Decodes a row [instance ID, ticket]."""
+    instance_id, ticket, *_ = json_values.read_list(
+        row, "approved row", min_length=2
+    )
+    return advice_requester.Approval(
+        json_values.read_text(instance_id, "id"),
+        json_values.read_text(ticket, "ticket"),
+    )
--- a/src/fireflywell/platform/json_values.py
+++ b/src/fireflywell/platform/json_values.py
@@ -83,6 +83,9 @@
         ValueError: The value isn't a text, or it holds half of a surrogate
             pair.
     """
+    # Most texts end here; reports of workers hold hundreds of them.
+    if isinstance(value, str) and value.isascii():
+        return value
     if value is None and default is not None:
         return default
     if not isinstance(value, str):
@@ -143,6 +146,8 @@
     Raises:
         ValueError: The value isn't a number, or it is out of range.
     """
+    if type(value) is int and minimum <= value <= maximum:
+        return value
     if value is None and default is not None:
         return default
     return int(read_number(value, name, None, minimum, maximum))
--- a/src/fireflywell/platform/machines.py
+++ b/src/fireflywell/platform/machines.py
@@ -3,10 +3,12 @@
 import datetime
 import json
 from typing import Any
+import urllib.parse
 
 from fireflywell import errors
 from fireflywell import http_client
 from fireflywell.platform import instances
+from fireflywell.platform import json_values
 from fireflywell.scheduling import maintenance
 
 _TIMEOUT = datetime.timedelta(seconds=2)
@@ -26,15 +28,15 @@
         vms: list[maintenance.Vm] = []
         page = ""
         while True:
-            path = f"/machines?page_token={page}" if page else "/machines"
+            query = urllib.parse.urlencode({"page_token": page})
+            path = f"/machines?{query}" if page else "/machines"
             response = await self._client.call("GET", path, b"", _TIMEOUT)
             if response.status != 200:
                 raise errors.PlatformUnavailableError(
                     f"listing the VMs failed with status {response.status}"
                 )
-            document = json.loads(response.body)
-            vms.extend(_decode_vm(item) for item in document["machines"])
-            page = document.get("next_page_token") or ""
+            found, page = _decode_page(response.body)
+            vms.extend(found)
             if not page:
                 return tuple(vms)
 
@@ -67,9 +69,11 @@
             case 200:
                 return None
             case 409:
-                reason = json.loads(response.body).get("reason", "")
                 try:
-                    return maintenance.VmRefusal(reason)
+                    item = json_values.parse_object(response.body)
+                    return maintenance.VmRefusal(
+                        json_values.read_text(item.get("reason"), "reason")
+                    )
                 except ValueError:
                     return maintenance.VmRefusal.UNKNOWN
             case 400:
@@ -82,14 +86,45 @@
         )
 
 
+def _decode_page(body: bytes) -> tuple[tuple[maintenance.Vm, ...], str]:
+    """Decodes one page of the list of VMs.
+
+    One odd VM makes the whole page unreadable, because decisions on a list
+    without it could take more VMs away than its service may miss.
+
+    Returns:
+        The VMs, and the token of the next page, empty after the last one.
+
+    Raises:
+        AnswerLostError: The page can't be read.
+    """
+    try:
+        document = json_values.parse_object(body)
+        items = json_values.read_list(document.get("machines"), "machines")
+        vms = tuple(
+            _decode_vm(json_values.read_object(item, "VM")) for item in items
+        )
+        return vms, json_values.read_text(
+            document.get("next_page_token"), "next_page_token", ""
+        )
+    except ValueError as error:
+        raise errors.AnswerLostError(
+            f"the list of VMs can't be read: {error}; it is read again later"
+        ) from error
+
+
 def _decode_vm(item: dict[str, Any]) -> maintenance.Vm:
     # `machine` is the ID of the VM; `id` is the instance that runs on it.
     return maintenance.Vm(
-        item["machine"],
-        item.get("pool", ""),
-        maintenance.VmState(item.get("state", "down")),
-        item.get("zone", ""),
-        tuple(item.get("labels") or ()),
-        instances.decode_demand(item.get("capacity") or {}),
-        item.get("id") or "",
+        json_values.read_text(item.get("machine"), "machine"),
+        json_values.read_text(item.get("pool"), "pool", ""),
+        maintenance.VmState(
+            json_values.read_text(item.get("state"), "state", "down")
+        ),
+        json_values.read_text(item.get("zone"), "zone", ""),
+        json_values.read_texts(item.get("labels"), "labels", []),
+        instances.decode_demand(
+            json_values.read_object(item.get("capacity"), "capacity", {})
+        ),
+        json_values.read_text(item.get("id"), "id", ""),
     )
--- a/src/fireflywell/platform/store.py
+++ b/src/fireflywell/platform/store.py
@@ -4,6 +4,8 @@
 """
 
 import base64
+from collections.abc import Iterator
+import contextlib
 import datetime
 import json
 from typing import Any
@@ -13,6 +15,7 @@
 from fireflywell import errors
 from fireflywell import http_client
 from fireflywell.coordination import row_store
+from fireflywell.platform import json_values
 from fireflywell.telemetry import metrics as metrics_lib
 
 # A call usually takes 4 to 10 ms, up to 60 times as long if the store is slow.
@@ -64,10 +67,11 @@
         self._metrics.record_duration("node.store.transact", response.elapsed)
         if response.status == 412:
             answer = self._parse_response(response)
-            rows = tuple(_decode_row(item) for item in answer.get("rows", ()))
-            return row_store.Conflict(rows)
+            with _report_unreadable():
+                return row_store.Conflict(_decode_rows(answer, []))
         answer = self._decode_response(response)
-        return row_store.Committed(int(answer["row_version"]))
+        with _report_unreadable():
+            return row_store.Committed(_read_version(answer))
 
     async def read(
         self, table: str, partition: str, first: str = "", end: str = ""
@@ -83,11 +87,13 @@
                 # `target` is the exclusive end of the range of keys.
                 query["target"] = end
             answer = await self._get("/rows-get", query)
-            rows.extend(_decode_row(item) for item in answer["rows"])
-            # The result has the version of the first page, so that a caller
-            # that follows from it also gets the changes between two pages.
-            version = version or int(answer["row_version"])
-            if not answer["has_more"]:
+            with _report_unreadable():
+                has_more = _read_flag(answer, "has_more")
+                rows.extend(_decode_rows(answer, min_length=int(has_more)))
+                # The result has the version of the first page, so that a caller
+                # that follows from it also gets the changes between two pages.
+                version = version or _read_version(answer)
+            if not has_more:
                 return row_store.Page(tuple(rows), version)
             first = rows[-1].row_key.key + "\x00"
 
@@ -99,7 +105,8 @@
             if names:
                 query["after"] = names[-1]
             answer = await self._get("/rows-parts", query)
-            page = [str(name) for name in answer["parts"]]
+            with _report_unreadable():
+                page = json_values.read_texts(answer.get("parts"), "parts")
             names.extend(page)
             if len(page) < _PARTITIONS_PER_PAGE:
                 return tuple(names)
@@ -128,8 +135,8 @@
                 f"the changes of table {table} after version {after} exceed "
                 f"the limit: {error}; read the table's rows instead"
             ) from error
-        rows = tuple(_decode_row(item) for item in answer["rows"])
-        return row_store.Page(rows, int(answer["row_version"]))
+        with _report_unreadable():
+            return row_store.Page(_decode_rows(answer), _read_version(answer))
 
     async def _get(
         self,
@@ -137,10 +144,10 @@
         query: dict[str, str],
         timeout: datetime.timedelta = _CALL_TIMEOUT,
         limit_bytes: int | None = None,
-    ) -> Any:
+    ) -> dict[str, Any]:
         response = await self._call(
             "GET",
-            f"{path}?{urllib.parse.urlencode(query)}",
+            f"{path}?{urllib.parse.urlencode(query, errors='surrogatepass')}",
             b"",
             timeout,
             limit_bytes,
@@ -167,7 +174,9 @@
             self._metrics.count("node.store.answers_lost")
             raise
 
-    def _decode_response(self, response: http_client.Response) -> Any:
+    def _decode_response(
+        self, response: http_client.Response
+    ) -> dict[str, Any]:
         if response.status == 200:
             return self._parse_response(response)
         if response.status == 410:
@@ -186,19 +195,13 @@
             f"{response.status}: {response.body[:200]!r}"
         )
 
-    def _parse_response(self, response: http_client.Response) -> Any:
-        try:
-            answer = json.loads(response.body)
-        except ValueError as error:
-            raise errors.AnswerLostError(
-                "the store's response isn't JSON; a write may have been applied"
-            ) from error
+    def _parse_response(self, response: http_client.Response) -> dict[str, Any]:
         # `now_ms` is the time of the store's monotonic clock, in milliseconds.
-        now_ms = answer.get("now_ms")
+        with _report_unreadable():
+            answer = json_values.parse_object(response.body)
+            now_ms = json_values.read_number(answer.get("now_ms"), "now_ms", -1)
         is_fast = len(response.body) <= _MAX_CLOCK_RESPONSE_BYTES
-        if isinstance(now_ms, int | float) and (
-            is_fast or self._offset_s is None
-        ):
+        if now_ms >= 0 and (is_fast or self._offset_s is None):
             local = self._clock.monotonic().total_seconds()
             self._offset_s = now_ms / 1000 - local
         return answer
@@ -229,17 +232,69 @@
     }
 
 
+def _decode_rows(
+    answer: dict[str, Any],
+    default: list[Any] | None = None,
+    min_length: int = 0,
+) -> tuple[row_store.Row, ...]:
+    items = json_values.read_list(
+        answer.get("rows"), "rows", default, min_length
+    )
+    return tuple(
+        _decode_row(json_values.read_object(item, "row")) for item in items
+    )
+
+
 def _decode_row(item: dict[str, Any]) -> row_store.Row:
-    row_key = row_store.RowKey(item["table"], item.get("part", ""), item["key"])
+    row_key = row_store.RowKey(
+        _read_key(item, "table"),
+        _read_key(item, "part"),
+        _read_key(item, "key"),
+    )
     try:
         value = base64.b64decode(item.get("value") or "")
-    except ValueError:
+    except (ValueError, TypeError):
         # A row of another writer may hold any value. An empty value is invalid
         # in every table, so it is logged where the row is decoded.
         value = b""
     return row_store.Row(
         row_key,
         value,
-        int(item.get("row_version", 0)),
+        json_values.read_integer(item.get("row_version"), "row_version", 0),
         bool(item.get("deleted", False)),
     )
+
+
+def _read_key(item: dict[str, Any], field: str) -> str:
+    """Returns a part of a row's key.
+
+    It may hold half of a surrogate pair, if another writer put it there. Where
+    keys are used, such a row is left out; here it must not fail its page.
+    """
+    text = item.get(field, "" if field == "part" else None)
+    if not isinstance(text, str):
+        raise ValueError(f"{field} isn't a text")
+    return text
+
+
+def _read_flag(answer: dict[str, Any], field: str) -> bool:
+    value = answer.get(field)
+    if not isinstance(value, bool):
+        raise ValueError(f"{field} isn't true or false")
+    return value
+
+
+def _read_version(answer: dict[str, Any]) -> int:
+    return json_values.read_integer(answer.get("row_version"), "row_version")
+
+
+@contextlib.contextmanager
+def _report_unreadable() -> Iterator[None]:
+    """Raises `AnswerLostError` in place of a `ValueError`."""
+    try:
+        yield
+    except ValueError as error:
+        raise errors.AnswerLostError(
+            f"the store's response can't be read: {error}; a write may have "
+            "been applied"
+        ) from error
--- a/src/fireflywell/platform/worker_calls.py
+++ b/src/fireflywell/platform/worker_calls.py
@@ -1,5 +1,7 @@
 """HTTP client that sends orders to the platform's workers."""
 
+from collections.abc import Iterator
+import contextlib
 import datetime
 import json
 from typing import Any
@@ -7,6 +9,7 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell import http_client
+from fireflywell.platform import json_values
 from fireflywell.scheduling import orders
 
 # A worker usually answers an order within a few milliseconds.
@@ -119,12 +122,22 @@
 
 
 def _decode_outcome(response: http_client.Response) -> orders.OrderOutcome:
+    """Returns the outcome of an order.
+
+    Raises:
+        AnswerLostError: The response can't be read, or its status isn't one
+            that a worker returns. The order may have been carried out.
+    """
     match response.status:
         case 200:
-            return orders.Accepted(int(_parse_body(response.body)["clock_ms"]))
+            with _report_unreadable():
+                item = json_values.parse_object(response.body)
+                return orders.Accepted(_read_integer(item, "clock_ms"))
         case 409:
-            reason = _parse_body(response.body).get("reason", "")
+            with _report_unreadable():
+                item = json_values.parse_object(response.body)
             try:
+                reason = json_values.read_text(item.get("reason"), "reason")
                 return orders.Refused(orders.Refusal(reason))
             except ValueError:
                 return orders.Refused(orders.Refusal.OTHER)
@@ -132,42 +145,80 @@
             return orders.IncarnationMismatch()
         case 429 | 503:
             return orders.Unhealthy()
-    raise errors.PlatformRejectedError(
+    raise errors.AnswerLostError(
         "a worker returned unexpected status "
         f"{response.status}: {response.body[:200]!r}"
     )
 
 
 def _decode_report(body: bytes) -> orders.WorkerReport:
-    item = _parse_body(body)
-    # Rows of [unit, run, checkpoint, percent, load]; `load` may be missing.
-    running = tuple(
-        orders.RunReport(
-            row[0],
-            int(row[1]),
-            row[2] or "",
-            int(row[3]),
-            float(row[4]) if len(row) > 4 and row[4] is not None else 0.0,
+    """Decodes a report; one odd row makes the whole report unreadable.
+
+    A run without its row would count as ended and would be started again.
+
+    Raises:
+        AnswerLostError: The report can't be read.
+    """
+    with _report_unreadable():
+        item = json_values.parse_object(body)
+        # `born` is the start of the incarnation, in Unix milliseconds.
+        return orders.WorkerReport(
+            _read_integer(item, "clock_ms"),
+            json_values.read_integer(item.get("born"), "born", 0),
+            tuple(
+                _decode_run(row)
+                for row in json_values.read_list(
+                    item.get("running"), "running", []
+                )
+            ),
+            tuple(
+                _decode_end(row)
+                for row in json_values.read_list(item.get("ended"), "ended", [])
+            ),
         )
-        for row in item.get("running") or ()
+
+
+def _decode_run(row: Any) -> orders.RunReport:
+    """Decodes a row [unit, run, checkpoint, percent, load].
+
+    The load may be missing.
+    """
+    unit, run, checkpoint, percent, *rest = json_values.read_list(
+        row, "running row", min_length=4
     )
-    # Rows of [number, unit, run, kind, checkpoint].
-    ended = tuple(
-        orders.EndReport(
-            int(row[0]), row[1], int(row[2]), orders.EndKind(row[3]), row[4]
-        )
-        for row in item.get("ended") or ()
+    return orders.RunReport(
+        json_values.read_text(unit, "unit"),
+        json_values.read_integer(run, "run"),
+        json_values.read_text(checkpoint, "checkpoint", ""),
+        json_values.read_integer(percent, "percent"),
+        json_values.read_number(rest[0] if rest else None, "load", 0.0),
     )
-    # `born` is the start of the incarnation, in Unix milliseconds.
-    return orders.WorkerReport(
-        int(item["clock_ms"]), int(item.get("born") or 0), running, ended
+
+
+def _decode_end(row: Any) -> orders.EndReport:
+    """Decodes a row [number, unit, run, kind, checkpoint]."""
+    number, unit, run, kind, checkpoint, *_ = json_values.read_list(
+        row, "ended row", min_length=5
+    )
+    return orders.EndReport(
+        json_values.read_integer(number, "number"),
+        json_values.read_text(unit, "unit"),
+        json_values.read_integer(run, "run"),
+        orders.EndKind(json_values.read_text(kind, "kind")),
+        json_values.read_text(checkpoint, "checkpoint", ""),
     )
 
 
-def _parse_body(body: bytes) -> Any:
+def _read_integer(item: dict[str, Any], key: str) -> int:
+    return json_values.read_integer(item.get(key), key)
+
+
+@contextlib.contextmanager
+def _report_unreadable() -> Iterator[None]:
+    """Raises `AnswerLostError` in place of a `ValueError`."""
     try:
-        return json.loads(body)
+        yield
     except ValueError as error:
         raise errors.AnswerLostError(
-            "a worker's response isn't JSON"
+            f"a worker's response can't be read: {error}"
         ) from error
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -94,6 +94,32 @@
         self.check_refusal(head, body)
 
 
+class UnreadableAnswerTest(AnswersCase):
+    """Answers of servers that aren't the expected ones."""
+
+    def test_unreadable_answers_are_lost(self) -> None:
+        """Fails if an answer raises an error that ends the caller's task."""
+        for answer in (
+            b"no HTTP\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n",
+            b"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\n"
+            b"Upgrade: other\r\n\r\n",
+        ):
+
+            async def respond(
+                stream: anyio.abc.SocketStream, answer: bytes = answer
+            ) -> None:
+                await stream.send(answer)
+
+            async def use(client: http_client.HttpClient) -> None:
+                with self.assertRaises(errors.AnswerLostError):
+                    await client.call("GET", "/", b"", _TIMEOUT)
+
+            with self.subTest(answer=answer[:40]):
+                self.run_with_server(respond, use)
+
+
 class SlowAnswerTest(AnswersCase):
     """Answers that take longer than the timeout of the call."""
 
