Refuse odd bodies of callers with status 400

Cause: a deeply nested body, a number like 1e999 or a specification with half of a surrogate pair raised an error that isn't handled, and the caller got status 500. Other odd bodies became jobs: amounts below 0, counts of a billion units, integers of 400 digits, infinite times, texts that msgpack can't hold. A stored job of a billion units would use up the memory of each owner that loads it. The error text in an answer wasn't escaped as JSON.

Change: `decode_job` reads the body with `json_values`. Fields have the types of the protocol, amounts and limits aren't negative, and a job has at most 60,000 units in all of its occurrences, because the row of its progress holds a byte for each. Error answers are encoded as JSON.

--- a/src/fireflywell/platform/job_api.py
+++ b/src/fireflywell/platform/job_api.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 import contextlib
 import datetime
+import json
 
 import anyio
 
@@ -280,5 +281,5 @@
     headers = [asgi.Header("content-type", "application/json")]
     if status in (429, 503):
         headers.append(asgi.Header("retry-after", str(_RETRY_AFTER_S)))
-    body = b'{"error":"' + text.replace('"', "'").encode() + b'"}'
+    body = json.dumps({"error": text}).encode()
     await asgi.send_response(send, status, tuple(headers), body)
--- a/src/fireflywell/platform/job_requests.py
+++ b/src/fireflywell/platform/job_requests.py
@@ -1,15 +1,19 @@
 """Decodes the bodies of callers' requests and encodes the responses."""
 
-import json
 from typing import Any
 
 from fireflywell import errors
 from fireflywell.platform import instances
+from fireflywell.platform import json_values
 from fireflywell.scheduling import model
 
 _MAX_SPECIFICATION_BYTES = 4000
 _JOB_ID_DIGITS = 16
 
+# The row of a job's progress holds a byte for each unit and at most 65,536
+# bytes. A job of a billion units would use up the memory of each owner.
+_MAX_UNITS = 60_000
+
 
 def is_job_id(text: str) -> bool:
     """Returns whether a text is a job ID: 16 hexadecimal digits."""
@@ -26,37 +30,43 @@
             is sent to the caller, names the field.
     """
     try:
-        document = json.loads(body)
+        document = json_values.parse_object(body)
+    except ValueError as error:
+        raise errors.MalformedRequestError(
+            f"the body can't be read as a JSON object: {error}; send a job"
+        ) from error
+    try:
+        specification = json_values.read_text(
+            document.get("specification"), "specification", ""
+        )
+        steps = tuple(
+            _decode_step(json_values.read_object(item, "step"))
+            for item in json_values.read_list(
+                document.get("steps"), "steps", min_length=1
+            )
+        )
+        recurrence = _decode_recurrence(document)
     except ValueError as error:
         raise errors.MalformedRequestError(
-            f"the body isn't JSON: {error}; send a job"
+            f"a field is invalid: {error}"
         ) from error
-    if not isinstance(document, dict):
-        raise errors.MalformedRequestError("the body isn't an object")
-    specification = document.get("specification", "")
-    if not isinstance(specification, str):
-        raise errors.MalformedRequestError("specification isn't a text")
     if len(specification.encode()) > _MAX_SPECIFICATION_BYTES:
         raise errors.MalformedRequestError(
             "specification is longer than "
             f"{_MAX_SPECIFICATION_BYTES} bytes; send less"
         )
-    items = document.get("steps")
-    if not isinstance(items, list) or not items:
-        raise errors.MalformedRequestError("steps isn't a list of steps")
-    try:
-        steps = tuple(_decode_step(item) for item in items)
-        recurrence = _decode_recurrence(document)
-    except (ValueError, TypeError, AttributeError) as error:
-        raise errors.MalformedRequestError(
-            f"a step holds a field of the wrong type: {error}"
-        ) from error
     for position, step in enumerate(steps):
         if any(not 0 <= earlier < position for earlier in step.after):
             raise errors.MalformedRequestError(
                 f"step {position} waits for a step that isn't before it"
             )
-    return model.JobRequest(specification, steps, recurrence)
+    request = model.JobRequest(specification, steps, recurrence)
+    units = sum(step.count for step in steps) * request.occurrences
+    if units > _MAX_UNITS:
+        raise errors.MalformedRequestError(
+            f"the job has {units} units; at most {_MAX_UNITS} are possible"
+        )
+    return request
 
 
 def encode_state(state: str) -> dict[str, Any]:
@@ -70,42 +80,61 @@
 
 
 def _decode_step(item: dict[str, Any]) -> model.Step:
-    count = int(item.get("count") or 0)
-    if count < 1:
-        raise ValueError(f"count is {count}, at least 1 is needed")
+    estimated_ms = json_values.read_number(
+        item.get("estimated_ms"), "estimated_ms", 0
+    )
     return model.Step(
-        count=count,
+        count=json_values.read_integer(
+            item.get("count"), "count", minimum=1, maximum=_MAX_UNITS
+        ),
         demand=instances.decode_demand(item),
-        estimated_s=max(0.001, float(item.get("estimated_ms") or 1000) / 1000),
-        after=tuple(int(number) for number in item.get("after") or ()),
+        estimated_s=max(0.001, (estimated_ms or 1000) / 1000),
+        after=tuple(
+            json_values.read_integer(number, "after", minimum=0)
+            for number in json_values.read_list(item.get("after"), "after", [])
+        ),
         is_checkpointing=bool(item.get("checkpointing")),
         is_gang=bool(item.get("gang")),
         needs_single_rack=bool(item.get("same_rack")),
         # `requirements` is one label that the worker must have.
-        required_label=str(item.get("requirements") or ""),
+        required_label=_read_text(item, "requirements"),
         # `affinity` is the rack that holds the step's data.
-        preferred_rack=str(item.get("affinity") or ""),
+        preferred_rack=_read_text(item, "affinity"),
         # `anti_affinity` is the maximum number of units on one worker.
-        max_per_worker=int(item.get("anti_affinity") or 0),
+        max_per_worker=json_values.read_integer(
+            item.get("anti_affinity"), "anti_affinity", 0, minimum=0
+        ),
         is_speculative=bool(item.get("speculative")),
         is_long_running=bool(item.get("long_running")),
-        image=str(item.get("image") or ""),
-        target_ms=float(item.get("target_ms") or 0),
+        image=_read_text(item, "image"),
+        target_ms=json_values.read_number(
+            item.get("target_ms"), "target_ms", 0
+        ),
         # `fills`: units use only resources that other units leave unused.
         is_filling=bool(item.get("fills")),
         # `may_miss` is the number of units that planned work may interrupt at
         # a time.
-        may_be_away=int(item.get("may_miss") or 0),
+        may_be_away=json_values.read_integer(
+            item.get("may_miss"), "may_miss", 0, minimum=0
+        ),
     )
 
 
 def _decode_recurrence(document: dict[str, Any]) -> model.Recurrence | None:
-    repetitions = int(document.get("repetitions") or 0)
+    repetitions = json_values.read_integer(
+        document.get("repetitions"), "repetitions", 0, maximum=_MAX_UNITS
+    )
     if repetitions < 1:
         return None
     return model.Recurrence(
         # `first_run_ms` is the first due time, in Unix milliseconds.
-        int(document.get("first_run_ms") or 0),
-        int(document.get("interval_ms") or 0),
+        json_values.read_integer(
+            document.get("first_run_ms"), "first_run_ms", 0
+        ),
+        json_values.read_integer(document.get("interval_ms"), "interval_ms", 0),
         repetitions,
     )
+
+
+def _read_text(item: dict[str, Any], key: str) -> str:
+    return json_values.read_text(item.get(key), key, "")
