Keep reading the nodes' own tables beside unreadable rows

Cause: an unreadable list of spare VMs, or a service's need of more digits than Python converts, ended the follower of the `upkeep` table. Drain requests and progress were accepted with fields of any type, which fail when they are used. An unreadable list of assigned workers ended the owner of its service, and each later owner. A caller that read the state of a job whose progress is unreadable got status 500.

Change: each row of the `upkeep` table is applied by itself, and drain requests and progress are checked for the types that their users rely on. If the list of assigned workers can't be read, recovered units wait until no lease of an earlier owner can be left; the event `assigned_workers.unreadable` says so. An unreadable progress gives status 503, until the owner writes it again.

--- a/src/fireflywell/node/assigned_workers.py
+++ b/src/fireflywell/node/assigned_workers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import datetime
+import math
 
 import msgpack
 
@@ -23,6 +24,7 @@
     __slots__ = (
         "_state",
         "_incarnations",
+        "_is_list_unknown",
         "_on_recovered",
         "_store",
         "_tenure",
@@ -43,6 +45,8 @@
         self._store = store
         self._on_recovered = on_recovered
         self._incarnations: dict[str, int] = {}
+        # Whether the list of earlier owners couldn't be read.
+        self._is_list_unknown = False
         self._version = 0
         self._unreported: dict[str, int] = {}
         # Recovery ends at this time without the missing reports. It is on the
@@ -63,10 +67,8 @@
         page = await self._store.read(row_key.table, row_key.partition)
         for row in page.rows:
             if row.row_key == row_key:
-                incarnations, stored_deadline_s = msgpack.unpackb(row.value)
-                self._incarnations = dict(incarnations)
-                self._recovery_deadline_s = float(stored_deadline_s)
                 self._version = row.version
+                self._decode_row(row)
         self._unreported = dict(self._incarnations)
         self._recovery_deadline_s = max(
             self._recovery_deadline_s,
@@ -74,6 +76,22 @@
         )
         self.check_recovery()
 
+    def _decode_row(self, row: row_store.Row) -> None:
+        try:
+            incarnations, deadline_s = msgpack.unpackb(row.value)
+            decoded = {str(key): int(n) for key, n in incarnations.items()}
+            if not math.isfinite(deadline_s):
+                raise ValueError(f"the deadline is {deadline_s}")
+            self._incarnations = decoded
+            self._recovery_deadline_s = float(deadline_s)
+        except Exception as error:
+            self._is_list_unknown = True
+            logs.log_event(
+                "assigned_workers.unreadable",
+                service=self._tenure.service,
+                error=repr(error),
+            )
+
     def mark_reported(self, worker_id: str, started_unix_ms: int) -> None:
         """Records that an incarnation of a worker has reported all its runs.
 
@@ -89,12 +107,14 @@
         """Completes the recovery once no unreported run can be active.
 
         That is so once all listed workers have reported, or after the deadline.
+        If the list can't be read, any worker may have runs until the deadline.
         Recovered units may be started again from then on.
         """
         if self._state.is_recovery_complete:
             return
         is_past_deadline = self._store.now_s() > self._recovery_deadline_s
-        if self._unreported and not is_past_deadline:
+        is_waiting = bool(self._unreported) or self._is_list_unknown
+        if is_waiting and not is_past_deadline:
             return
         logs.log_event(
             "ownership.inheritance_settled",
--- a/src/fireflywell/node/fleet_cache.py
+++ b/src/fireflywell/node/fleet_cache.py
@@ -15,6 +15,9 @@
 _NEED_PREFIX = "need/"
 _SPARE_POOL_KEY = "floating"
 
+# A need with more digits than this is no number of VMs.
+_MAX_NEED_DIGITS = 9
+
 
 class FleetCache:
     """Caches the rows of the fleet's partition as last read or written."""
@@ -88,17 +91,35 @@
         """
         self._apply_drain_requests(rows)
         for row in rows:
-            if row.row_key.key == _SPARE_POOL_KEY:
-                self.spare_pool_vms = frozenset(msgpack.unpackb(row.value))
-            elif row.row_key.key.startswith(_NEED_PREFIX):
-                service = row.row_key.key.removeprefix(_NEED_PREFIX)
-                cached = self._needs.get(service)
-                if cached is None or cached[1] < row.version:
-                    need = int(row.value) if row.value.isdigit() else 0
-                    self._needs[service] = (need, row.version)
+            try:
+                self._apply_pool_row(row)
+            except Exception as error:
+                # A fault of one row must not keep the others out.
+                logs.log_event(
+                    "upkeep.unreadable", key=row.row_key.key, error=repr(error)
+                )
         for listener in tuple(self._listeners):
             listener()
 
+    def _apply_pool_row(self, row: row_store.Row) -> None:
+        """Applies the list of spare VMs or the need of a service.
+
+        Raises:
+            Exception: The value can't be decoded; `msgpack` has many errors.
+        """
+        key = row.row_key.key
+        if key == _SPARE_POOL_KEY:
+            self.spare_pool_vms = frozenset(msgpack.unpackb(row.value))
+        elif key.startswith(_NEED_PREFIX):
+            service = key.removeprefix(_NEED_PREFIX)
+            cached = self._needs.get(service)
+            if cached is None or cached[1] < row.version:
+                is_number = row.value.isdigit() and (
+                    len(row.value) <= _MAX_NEED_DIGITS
+                )
+                need = int(row.value) if is_number else 0
+                self._needs[service] = (need, row.version)
+
     def _apply_drain_requests(self, rows: tuple[row_store.Row, ...]) -> None:
         for row in rows:
             if not row.row_key.key.startswith(_REQUEST_PREFIX):
@@ -115,11 +136,11 @@
                 )
                 request = maintenance.DrainRequest(
                     vm_id,
-                    wave,
+                    int(wave),
                     maintenance.DrainPhase(phase),
-                    deadline_s,
-                    max_concurrent,
-                    target,
+                    float(deadline_s),
+                    int(max_concurrent),
+                    str(target),
                 )
             except Exception as error:
                 logs.log_event(
--- a/src/fireflywell/node/job_frontend.py
+++ b/src/fireflywell/node/job_frontend.py
@@ -161,12 +161,16 @@
         """Returns a job's state; `QUEUED` until its owner stores another.
 
         Raises:
-            PlatformError: The store doesn't answer.
+            PlatformError: The store doesn't answer, or the stored progress
+                can't be read until the owner writes it again.
         """
         service = self._services.get(job_id, policy.service)
         progress = await self._read_row(tables.locate_progress(service, job_id))
         if progress is not None:
-            stored = job_rows.decode_progress(progress.value)
+            try:
+                stored = job_rows.decode_progress(progress.value)
+            except errors.CorruptRowError as error:
+                raise errors.PlatformUnavailableError(str(error)) from error
             return JobStatus(stored.state)
         if job_id in self._services:
             # Accepted here, and its owner has stored no progress yet.
--- a/src/fireflywell/scheduling/job_rows.py
+++ b/src/fireflywell/scheduling/job_rows.py
@@ -132,10 +132,7 @@
     """
     try:
         document = msgpack.unpackb(data, strict_map_key=False)
-        steps = tuple(
-            StepProgress(number, done, failures, checkpoints)
-            for number, done, failures, checkpoints in document.get("t", ())
-        )
+        steps = tuple(_decode_step(row) for row in document.get("t", ()))
         return Progress(
             jobs.JobState(document["s"]),
             steps,
@@ -146,3 +143,19 @@
         raise errors.CorruptRowError(
             f"the stored progress can't be decoded: {error!r}; it is ignored"
         ) from error
+
+
+def _decode_step(row: Any) -> StepProgress:
+    """Decodes one step, with the types that `restore_progress` relies on."""
+    number, done, failures, checkpoints = row
+    if (
+        not isinstance(number, int)
+        or number < 0
+        or not isinstance(done, bytes)
+        or not all(
+            isinstance(run, int) for runs in failures.values() for run in runs
+        )
+        or not all(isinstance(text, str) for text in checkpoints.values())
+    ):
+        raise TypeError("a field of a step has another type")
+    return StepProgress(number, done, failures, checkpoints)
