Keep orders for VMs open until their outcome is known

What operators saw: nothing yet; found by reading the code for calls whose first transmission may still be carried out after its repeat was refused.

Cause: after an order for maintenance without an answer, the next list of VMs that showed the VM as up freed its place in the wave, and a refused repeat (429) freed it at once. The next VM was then ordered, although the first transmission could still take the first VM down, so more than `max_count` VMs could be down. A new controller knew only its own orders, so a VM that the former one had taken down didn't count at all. A refused repeat of a move marked the drain request as done, so that units could start on a VM that the first transmission was about to move. A VM of the spare pool whose move had no answer was replaced by another one. A 500, 502 or 504 counted as proof that nothing was done.

Change: `VmOrders` remembers the VMs whose order has no answer. Such a VM counts towards the limit of its wave, is the only one that may be ordered beyond it, and its order is repeated until it is accepted or invalid. VMs that are listed as in maintenance count as well. A move that is refused for the rate or the state of the VM leaves the VM drained and is repeated. Only 503 and 429 mean that nothing was done.

Evidence: the new tests but one failed before (m-2 ordered while m-1 was down or could still go down; request marked as done; two VMs ordered for one need; status 500 as `PlatformUnavailableError`) and pass now. The other one checks that an order that was surely refused doesn't hold up the next VM.

--- a/src/fireflywell/node/fleet_controller.py
+++ b/src/fireflywell/node/fleet_controller.py
@@ -9,7 +9,6 @@
 import dataclasses
 import datetime
 import random
-from typing import Protocol
 
 import anyio
 import msgpack
@@ -23,6 +22,7 @@
 from fireflywell.node import ownership
 from fireflywell.node import ownership_guard
 from fireflywell.node import tables
+from fireflywell.node import vm_orders
 from fireflywell.scheduling import capacity
 from fireflywell.scheduling import maintenance
 from fireflywell.supervision import policies
@@ -42,35 +42,6 @@
 _COMPLETED = "completed"
 
 
-class FleetClient(Protocol):
-    """Calls to the platform's interface for VMs.
-
-    All methods raise `PlatformUnavailableError` if nothing was changed and
-    `AnswerLostError` if the order may have been carried out.
-    """
-
-    async def list_vms(self) -> tuple[maintenance.Vm, ...]:
-        """Returns all VMs."""
-
-    async def begin_maintenance(
-        self, vm_id: str, wave: int, token: int
-    ) -> maintenance.VmRefusal | None:
-        """Starts the maintenance of a VM.
-
-        Returns:
-            Why the platform refused the order; None if it was accepted.
-        """
-
-    async def move(
-        self, vm_id: str, pool: str, token: int
-    ) -> maintenance.VmRefusal | None:
-        """Moves a VM to another pool.
-
-        Returns:
-            Why the platform refused the order; None if it was accepted.
-        """
-
-
 class FleetController:
     """Runs maintenance waves and moves of VMs during one tenure."""
 
@@ -86,6 +57,7 @@
         "_listed_at",
         "_idle_since_s",
         "_moving",
+        "_orders",
         "_list_pools",
         "_random",
         "_scope",
@@ -102,7 +74,7 @@
         self,
         tenure: ownership.Tenure,
         store: row_store.RowStore,
-        client: FleetClient,
+        client: vm_orders.FleetClient,
         cache: fleet_cache.FleetCache,
         waves: maintenance_waves.MaintenanceWaves,
         heartbeat: heartbeat_lib.Heartbeat,
@@ -121,6 +93,9 @@
         self._guard = ownership_guard.OwnershipGuard(
             tenure, store, heartbeat, clock
         )
+        self._orders = vm_orders.VmOrders(
+            client, self._guard, tenure.token, clock
+        )
         self._list_pools = list_pools
         self._find_spare_pool = find_spare_pool
         self._wake = anyio.Event()
@@ -133,8 +108,8 @@
         self._scope = anyio.CancelScope()
         self._vms: dict[str, maintenance.Vm] = {}
         self._listed_at: datetime.timedelta | None = None
-        # Wave of each VM that may be down for maintenance.
-        self._down: dict[str, int] = {}
+        # VMs whose maintenance was accepted and that aren't listed as up yet.
+        self._down: set[str] = set()
         self._started_waves: set[int] = set()
         self._completed_waves: set[int] = set()
 
@@ -259,15 +234,20 @@
                     vm.state is maintenance.VmState.UP
                 ):
                     del self._moving[name]
+                    self._orders.settle(name)
+                elif name in self._moving and self._orders.is_unanswered(name):
+                    await self._order_move(name, self._moving[name])
                 continue
             if request.phase is maintenance.DrainPhase.READY:
-                if not await self._order_move(name, request.target):
-                    return
-                await self._store_request(
-                    dataclasses.replace(
-                        request, phase=maintenance.DrainPhase.DONE
+                # The VM stays drained until the order is settled, because a
+                # transmission without an answer may still move it.
+                self._moving.setdefault(name, request.target)
+                if await self._order_move(name, request.target):
+                    await self._store_request(
+                        dataclasses.replace(
+                            request, phase=maintenance.DrainPhase.DONE
+                        )
                     )
-                )
             elif request.phase is maintenance.DrainPhase.DUE:
                 self._moving.setdefault(name, request.target)
             elif self._moving.get(name) == vm.pool and (
@@ -276,30 +256,31 @@
                 del self._moving[name]
 
     async def _order_move(self, name: str, pool: str) -> bool:
-        """Orders a move.
+        """Orders a move, unless an order for the VM was just sent.
 
         Returns:
-            Whether the platform was called; False if ownership isn't
-            confirmed.
+            Whether the move has begun or never will.
         """
-        if not self._guard.permits_orders:
+        if not self._orders.may_send(name):
             return False
         # The list in memory doesn't show the effect of the order. The next one
         # is read a full interval after it.
         self._listed_at = self._clock.monotonic()
-        refusal = await self._client.move(name, pool, self._tenure.token)
-        logs.log_event(
-            "vm.move_ordered",
-            machine=name,
-            pool=pool,
-            token=self._tenure.token,
-            outcome=str(refusal) if refusal else "begun",
-        )
-        if refusal is None:
+        try:
+            outcome = await self._orders.move(name, pool)
+        except errors.AnswerLostError:
+            # It counts as moving, so that no other VM moves in its place.
             self._moving[name] = pool
-        else:
-            self._moving.pop(name, None)
-        return True
+            raise
+        match outcome:
+            case vm_orders.OrderOutcome.BEGUN:
+                self._moving[name] = pool
+                return True
+            case vm_orders.OrderOutcome.POSTPONED:
+                return False
+            case vm_orders.OrderOutcome.REFUSED:
+                self._moving.pop(name, None)
+                return True
 
     def _get_request_wave(self, name: str) -> int:
         """Returns the wave that a VM's next drain request has to keep.
@@ -353,13 +334,27 @@
             self._started_waves.add(wave.number)
         await self._refresh_vms()
         await self._create_drain_requests(wave)
+        down = {name for name in wave.vm_ids if self._may_be_down(name)}
         for vm_id in wave.vm_ids:
-            await self._advance_vm(wave, vm_id)
+            await self._advance_vm(wave, vm_id, down)
         if all(self._is_maintained(wave, name) for name in wave.vm_ids):
             await self._refresh_vms(force=True)
             await self._write_wave_state(wave, _COMPLETED)
             self._completed_waves.add(wave.number)
 
+    def _may_be_down(self, vm_id: str) -> bool:
+        """Returns whether a VM is or may soon be down for its maintenance.
+
+        A former owner may have taken it down, and an order without an answer
+        may still be carried out.
+        """
+        vm = self._vms.get(vm_id)
+        return vm is not None and (
+            vm_id in self._down
+            or vm.state is maintenance.VmState.UPKEEP
+            or self._orders.is_unanswered(vm_id)
+        )
+
     async def _refresh_vms(self, *, force: bool = False) -> None:
         now = self._clock.monotonic()
         if (
@@ -370,10 +365,11 @@
             return
         vms = await self._client.list_vms()
         self._vms = {vm.name: vm for vm in vms}
-        for vm_id in tuple(self._down):
-            vm = self._vms.get(vm_id)
-            if vm is None or vm.state is maintenance.VmState.UP:
-                del self._down[vm_id]
+        for vm in vms:
+            if vm.state is maintenance.VmState.UP:
+                self._down.discard(vm.name)
+            elif vm.state is maintenance.VmState.UPKEEP:
+                self._orders.settle(vm.name)
         self._listed_at = self._clock.monotonic()
 
     async def _create_drain_requests(self, wave: maintenance.Wave) -> None:
@@ -401,7 +397,9 @@
             return False
         return request.wave < wave.number
 
-    async def _advance_vm(self, wave: maintenance.Wave, vm_id: str) -> None:
+    async def _advance_vm(
+        self, wave: maintenance.Wave, vm_id: str, down: set[str]
+    ) -> None:
         request = self._fleet_cache.find(vm_id)
         vm = self._vms.get(vm_id)
         if request is None or request.wave != wave.number or vm is None:
@@ -416,37 +414,33 @@
             not vm.instance_id
             and vm.state is maintenance.VmState.UP
         )
-        if not is_empty or vm_id in self._down:
+        if not is_empty or not self._orders.may_send(vm_id):
             return
-        down = sum(number == wave.number for number in self._down.values())
-        if down >= wave.max_count or not self._guard.permits_orders:
+        if vm_id in down:
+            if not self._orders.is_unanswered(vm_id):
+                return
+        elif len(down) >= wave.max_count:
             return
-        await self._begin_maintenance(wave, request)
+        if await self._begin_maintenance(wave, request):
+            down.add(vm_id)
 
     async def _begin_maintenance(
         self, wave: maintenance.Wave, request: maintenance.DrainRequest
-    ) -> None:
-        vm_id = request.vm_id
-        self._down[vm_id] = wave.number
+    ) -> bool:
+        """Orders the maintenance of a VM; returns whether it has begun."""
         # The list in memory doesn't show the effect of the order. The next one
         # is read a full interval after it.
         self._listed_at = self._clock.monotonic()
-        refusal = await self._client.begin_maintenance(
-            vm_id, wave.number, self._tenure.token
+        outcome = await self._orders.begin_maintenance(
+            request.vm_id, wave.number
         )
-        logs.log_event(
-            "upkeep.ordered",
-            machine=vm_id,
-            wave=wave.number,
-            token=self._tenure.token,
-            outcome=str(refusal) if refusal else "begun",
+        if outcome is not vm_orders.OrderOutcome.BEGUN:
+            return False
+        self._down.add(request.vm_id)
+        await self._store_request(
+            dataclasses.replace(request, phase=maintenance.DrainPhase.DONE)
         )
-        if refusal is None:
-            await self._store_request(
-                dataclasses.replace(request, phase=maintenance.DrainPhase.DONE)
-            )
-            return
-        del self._down[vm_id]
+        return True
 
     def _is_maintained(self, wave: maintenance.Wave, vm_id: str) -> bool:
         if vm_id not in self._vms:
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -27,6 +27,7 @@
 from fireflywell.node import settings as node_settings
 from fireflywell.node import table_follower
 from fireflywell.node import tables
+from fireflywell.node import vm_orders
 from fireflywell.scheduling import maintenance
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import workers as workers_lib
@@ -71,7 +72,7 @@
     decode_instance: Callable[[str, bytes], workers_lib.WorkerInstance]
     decode_wave: Callable[[bytes], maintenance.Wave]
     make_client: Callable[[workers_lib.WorkerInstance], orders.WorkerClient]
-    fleet: fleet_controller.FleetClient
+    fleet: vm_orders.FleetClient
     advice: advice_requester.AdviceClient
     make_callers_api: Callable[
         [job_frontend.JobFrontend, directory_lib.ConfigurationHolder],
--- a/src/fireflywell/platform/machines.py
+++ b/src/fireflywell/platform/machines.py
@@ -80,9 +80,15 @@
                 return maintenance.VmRefusal.UNKNOWN
             case 429:
                 return maintenance.VmRefusal.RATE
-        raise errors.PlatformUnavailableError(
+            case 503:
+                raise errors.PlatformUnavailableError(
+                    f"{path} for VM {body['machine']} was rejected with status "
+                    "503 and changed nothing; retry later"
+                )
+        # A gateway may answer with an error although the order was passed on.
+        raise errors.AnswerLostError(
             f"{path} for VM {body['machine']} failed with status "
-            f"{response.status}"
+            f"{response.status}; it may be carried out"
         )
 
 
--- /dev/null
+++ b/tests/test_node_fleet_orders.py
@@ -0,0 +1,295 @@
+"""Tests orders for VMs whose answers are lost or that are refused."""
+
+import dataclasses
+import datetime
+import enum
+import json
+import random
+import unittest
+
+import anyio
+import anyio.lowlevel
+import msgpack
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.coordination import row_store
+from fireflywell.node import directory as directory_lib
+from fireflywell.node import fleet_cache
+from fireflywell.node import fleet_controller
+from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import maintenance_waves
+from fireflywell.node import owner_records
+from fireflywell.node import ownership
+from fireflywell.node import tables
+from fireflywell.platform import waves
+from fireflywell.scheduling import maintenance
+from fireflywell.scheduling import model
+from fireflywell.standins import row_store as store_standin
+from tests import node_world
+
+_FLEET = ownership.FLEET_SERVICE
+_STEP = datetime.timedelta(milliseconds=50)
+# Timeout of a call to the platform.
+_TIMEOUT = datetime.timedelta(seconds=2)
+_UP = maintenance.VmState.UP
+_UPKEEP = maintenance.VmState.UPKEEP
+
+
+class Reply(enum.Enum):
+    """What happens to an order for a VM."""
+
+    CARRIED_OUT = enum.auto()
+    LATE = enum.auto()  # No answer comes; it is carried out later, if at all.
+    OVER_RATE = enum.auto()
+
+
+class FaultyFleet(node_world.FakeFleet):
+    """Replaces the platform's interface for VMs; some orders fail.
+
+    Attributes:
+        replies: What happens to the next orders; later ones are carried out.
+        hidden: VMs that the next list leaves out.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        super().__init__()
+        self._clock = clock
+        self.replies: list[Reply] = []
+        self.hidden: set[str] = set()
+
+    def add_vm(
+        self, name: str, pool: str = "desk", instance_id: str = ""
+    ) -> None:
+        """Adds a VM, which is up."""
+        self.vms[name] = maintenance.Vm(
+            name, pool, _UP, "a", (), model.ResourceAmounts(1, 1), instance_id
+        )
+
+    def set_state(self, name: str, state: maintenance.VmState) -> None:
+        """Changes the state of a VM."""
+        self.vms[name] = dataclasses.replace(self.vms[name], state=state)
+
+    async def list_vms(self) -> tuple[maintenance.Vm, ...]:
+        """Returns the VMs, once without the hidden ones."""
+        hidden, self.hidden = self.hidden, set()
+        return tuple(vm for vm in self.vms.values() if vm.name not in hidden)
+
+    async def begin_maintenance(
+        self, vm_id: str, wave: int, token: int
+    ) -> maintenance.VmRefusal | None:
+        """Records the order and takes the VM down."""
+        await super().begin_maintenance(vm_id, wave, token)
+        refusal = await self._reply()
+        if refusal is None:
+            self.set_state(vm_id, _UPKEEP)
+        return refusal
+
+    async def move(
+        self, vm_id: str, pool: str, token: int
+    ) -> maintenance.VmRefusal | None:
+        """Records the order and moves the VM."""
+        self.orders.append(node_world.VmOrder(vm_id, pool, token))
+        refusal = await self._reply()
+        if refusal is None:
+            self.vms[vm_id] = dataclasses.replace(self.vms[vm_id], pool=pool)
+        return refusal
+
+    async def _reply(self) -> maintenance.VmRefusal | None:
+        match self.replies.pop(0) if self.replies else Reply.CARRIED_OUT:
+            case Reply.LATE:
+                await self._clock.sleep(_TIMEOUT)
+                raise errors.AnswerLostError("no answer")
+            case Reply.OVER_RATE:
+                return maintenance.VmRefusal.RATE
+            case Reply.CARRIED_OUT:
+                return None
+
+
+class World:
+    """A fleet controller on a manual clock."""
+
+    def __init__(self) -> None:
+        self._clock = clock_lib.ManualClock()
+        self.fleet = FaultyFleet(self._clock)
+        self.store = store_standin.MemoryRowStore(self._clock)
+        self.cache = fleet_cache.FleetCache()
+        self._waves = maintenance_waves.MaintenanceWaves(
+            waves.decode_wave, self.store
+        )
+
+    @property
+    def ordered(self) -> list[tuple[str, str]]:
+        """VMs of the orders so far, with the wave or pool."""
+        return [(item.vm_id, item.target) for item in self.fleet.orders]
+
+    def add_wave(self, number: int, *vm_ids: str) -> None:
+        """Requests the maintenance of VMs, one at a time."""
+        document = {
+            "wave": number,
+            "machines": vm_ids,
+            "duration_s": 60,
+            "max_count": 1,
+        }
+        row_key = row_store.RowKey(tables.OPERATOR, "", f"wave/{number}")
+        value = json.dumps(document).encode()
+        self._waves.apply_rows((row_store.Row(row_key, value, 1),))
+
+    def add_request(
+        self, vm_id: str, wave: int, phase: str, target: str = ""
+    ) -> None:
+        """Stores a drain request."""
+        self._put(
+            fleet_cache.locate_drain_request(_FLEET, vm_id),
+            fleet_cache.encode_drain_request(
+                maintenance.DrainRequest(
+                    vm_id,
+                    wave,
+                    maintenance.DrainPhase(phase),
+                    60.0,
+                    1,
+                    target,
+                )
+            ),
+        )
+
+    def set_spare_pool_vms(self, *vm_ids: str) -> None:
+        """Stores which VMs belong to the spare pool."""
+        row_key = fleet_cache.locate_spare_pool_vms(_FLEET)
+        self._put(row_key, msgpack.packb(list(vm_ids)))
+
+    def set_need(self, service: str, count: int) -> None:
+        """Stores how many VMs a service needs."""
+        row_key = fleet_cache.locate_need(_FLEET, service)
+        self._put(row_key, str(count).encode())
+
+    def find_phase(self, vm_id: str) -> maintenance.DrainPhase | None:
+        """Returns the phase of a VM's drain request."""
+        request = self.cache.find(vm_id)
+        return request.phase if request else None
+
+    async def advance(self, seconds: float) -> None:
+        """Lets time pass."""
+        for _ in range(round(seconds / _STEP.total_seconds())):
+            self._clock.advance(_STEP)
+            for _ in range(30):
+                await anyio.lowlevel.checkpoint()
+            # The controller's loop waits on the real clock between passes.
+            for listener in tuple(self.cache._listeners):
+                listener()
+
+    async def run(self, seconds: float) -> None:
+        """Runs a controller that has just taken over."""
+        settings = node_world.NodeWorld().make_settings("n1")
+        heartbeat = heartbeat_lib.Heartbeat(
+            settings,
+            "incarnation-1",
+            self.store,
+            directory_lib.NodeDirectory(self._clock, settings.bounds.lease),
+            self._clock,
+        )
+        record = owner_records.OwnerRecord("n1", "incarnation-1", 2)
+        version = self.store.put(
+            tables.locate_owner(_FLEET), owner_records.encode_owner(record)
+        )
+        controller = fleet_controller.FleetController(
+            ownership.Tenure(_FLEET, 2, version, is_first=False),
+            self.store,
+            self.fleet,
+            self.cache,
+            self._waves,
+            heartbeat,
+            lambda: ("desk",),
+            lambda: "spares",
+            settings.bounds.lease,
+            self._clock,
+            random.Random(1),
+        )
+        async with anyio.create_task_group() as group:
+            group.start_soon(heartbeat.run)
+            group.start_soon(controller.run)
+            await self.advance(seconds)
+            group.cancel_scope.cancel()
+
+    def _put(self, row_key: row_store.RowKey, value: bytes) -> None:
+        version = self.store.put(row_key, value)
+        self.cache.apply_rows((row_store.Row(row_key, value, version),))
+
+
+class UpkeepOrderTest(unittest.TestCase):
+    """Maintenance of two VMs, one at a time."""
+
+    def setUp(self) -> None:
+        """Requests the maintenance of two drained VMs."""
+        self.world = World()
+        for name in ("m-1", "m-2"):
+            self.world.fleet.add_vm(name)
+        self.world.add_wave(1, "m-1", "m-2")
+
+    def test_order_without_answer_counts_until_it_is_settled(self) -> None:
+        """Fails if more VMs are down than a wave allows.
+
+        A VM was taken as free when the repeat of its order was refused, though
+        the first transmission could still take it down.
+        """
+        self.world.fleet.replies = [Reply.LATE, Reply.OVER_RATE, Reply.LATE]
+        anyio.run(self.world.run, 12)
+        self.assertEqual(self.world.ordered, [("m-1", "wave 1")] * 4)
+
+    def test_vm_that_a_former_owner_took_down_counts(self) -> None:
+        """Fails if more VMs are down than a wave allows after a takeover."""
+        self.world.add_request("m-1", 1, "done")
+        self.world.fleet.set_state("m-1", _UPKEEP)
+        anyio.run(self.world.run, 4)
+        self.assertEqual(self.world.ordered, [])
+
+    def test_refused_vm_does_not_hold_up_the_others(self) -> None:
+        """Fails if an order that was surely refused uses up the limit."""
+        self.world.fleet.replies = [Reply.OVER_RATE]
+        anyio.run(self.world.run, 2)
+        self.assertEqual(
+            self.world.ordered, [("m-1", "wave 1"), ("m-2", "wave 1")]
+        )
+
+
+class MoveOrderTest(unittest.TestCase):
+    """Moves of VMs of the spare pool."""
+
+    def test_vm_stays_drained_while_its_move_is_postponed(self) -> None:
+        """Fails if a move that is carried out late ends running units.
+
+        A refused repeat ended the drain, so that units could start on a VM
+        that the first transmission was about to move.
+        """
+        world = World()
+        world.fleet.add_vm("m-1")
+        world.set_spare_pool_vms("m-1")
+        world.add_request("m-1", 0, "ready", "spares")
+        world.set_need("desk", 1)
+        world.fleet.replies = [Reply.LATE] + [Reply.OVER_RATE] * 9
+        anyio.run(world.run, 4)
+        self.assertGreater(len(world.ordered), 2)
+        self.assertEqual(world.find_phase("m-1"), maintenance.DrainPhase.READY)
+
+    def test_move_without_answer_is_repeated(self) -> None:
+        """Fails if another VM moves in place of one that may have moved."""
+        world = World()
+        for name in ("m-1", "m-2"):
+            world.fleet.add_vm(name, "spares")
+        world.set_spare_pool_vms("m-1", "m-2")
+        world.set_need("desk", 1)
+        world.fleet.replies = [Reply.LATE, Reply.OVER_RATE]
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(world.run, 5)
+                while not world.ordered:
+                    await anyio.lowlevel.checkpoint()
+                world.fleet.set_state("m-1", maintenance.VmState.MOVING)
+
+        anyio.run(run)
+        self.assertEqual({name for name, _ in world.ordered}, {"m-1"})
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -19,6 +19,7 @@
 from fireflywell.platform import instances
 from fireflywell.platform import job_api
 from fireflywell.platform import job_requests
+from fireflywell.platform import machines
 from fireflywell.platform import settings
 from fireflywell.platform import store
 from fireflywell.standins import row_store as store_standin
@@ -201,16 +202,19 @@
 class StubClient:
     """Answers calls with given JSON documents, in order."""
 
-    def __init__(self, *documents: dict[str, object]) -> None:
+    def __init__(
+        self, *documents: dict[str, object], status: int = 200
+    ) -> None:
         self._documents = list(documents)
+        self._status = status
 
     async def call(
         self, *args: object, limit_bytes: int | None = None
     ) -> http_client.Response:
-        """Returns the next document with status 200."""
+        """Returns the next document."""
         del args, limit_bytes
         body = json.dumps(self._documents.pop(0)).encode()
-        return http_client.Response(200, body, datetime.timedelta())
+        return http_client.Response(self._status, body, datetime.timedelta())
 
 
 class StoreClockTest(unittest.TestCase):
@@ -244,6 +248,27 @@
         self.assertEqual(target.now_s(), 50)
 
 
+class VmOrderTest(unittest.TestCase):
+    """Answers to orders for VMs."""
+
+    def test_unexpected_status_does_not_mean_that_nothing_was_done(
+        self,
+    ) -> None:
+        """Fails if an order that a gateway passed on is taken as refused."""
+        with self.assertRaises(errors.PlatformUnavailableError):
+            self._order(503)
+        for status in (500, 502, 504):
+            with self.assertRaises(errors.AnswerLostError):
+                self._order(status)
+
+    def _order(self, status: int) -> None:
+        fleet = machines.HttpFleetClient(
+            StubClient({}, status=status),  # type: ignore[arg-type]
+            "n1",
+        )
+        anyio.run(fleet.begin_maintenance, "m-1", 1, 1)
+
+
 class HttpTest(unittest.TestCase):
     """Tests the store's client over a TCP connection."""
 
