Complete a wave only on a full list and its own maintenance

Cause: a VM that one list left out counted as removed. The list was read again before the wave was completed, but the result wasn't looked at. The drain request for a later wave replaced the pending one of an earlier wave, and the maintenance for the later wave then completed the earlier one. A conflict while the state was stored was taken as success.

Change: the wave is checked again after the forced reading of the list. A pending request of a running wave is carried out before a later wave replaces it, and waves are handled in the order of their numbers. A wave is done only once its state is stored.

Evidence: both new tests failed before (wave shown as completed with its only VM down and not maintained; only the order for wave 2 was sent) and pass now.

--- a/src/fireflywell/node/fleet_controller.py
+++ b/src/fireflywell/node/fleet_controller.py
@@ -155,7 +155,7 @@
                     self.stop()
                     return
                 await self._advance_moves()
-                for wave in tuple(self._waves.waves.values()):
+                for _, wave in sorted(self._waves.waves.items()):
                     if wave.number not in self._completed_waves:
                         await self._advance_wave(wave)
             except errors.PlatformError as error:
@@ -337,9 +337,13 @@
         down = {name for name in wave.vm_ids if self._may_be_down(name)}
         for vm_id in wave.vm_ids:
             await self._advance_vm(wave, vm_id, down)
-        if all(self._is_maintained(wave, name) for name in wave.vm_ids):
-            await self._refresh_vms(force=True)
-            await self._write_wave_state(wave, _COMPLETED)
+        if not self._are_all_maintained(wave):
+            return
+        # The list in memory may lack a VM that is still there.
+        await self._refresh_vms(force=True)
+        if not self._are_all_maintained(wave):
+            return
+        if await self._write_wave_state(wave, _COMPLETED):
             self._completed_waves.add(wave.number)
 
     def _may_be_down(self, vm_id: str) -> bool:
@@ -392,11 +396,19 @@
         request = self._fleet_cache.find(vm_id)
         if request is None:
             return True
-        if request.target and request.phase is not maintenance.DrainPhase.DONE:
-            # The pending move completes first.
+        is_pending = request.phase is not maintenance.DrainPhase.DONE
+        if is_pending and (request.target or self._is_running(request.wave)):
+            # The pending move or the maintenance of an earlier wave is
+            # completed first.
             return False
         return request.wave < wave.number
 
+    def _is_running(self, wave_number: int) -> bool:
+        return (
+            wave_number in self._waves.waves
+            and wave_number not in self._completed_waves
+        )
+
     async def _advance_vm(
         self, wave: maintenance.Wave, vm_id: str, down: set[str]
     ) -> None:
@@ -442,6 +454,9 @@
         )
         return True
 
+    def _are_all_maintained(self, wave: maintenance.Wave) -> bool:
+        return all(self._is_maintained(wave, name) for name in wave.vm_ids)
+
     def _is_maintained(self, wave: maintenance.Wave, vm_id: str) -> bool:
         if vm_id not in self._vms:
             # The platform no longer lists the VM, so it needs no maintenance.
@@ -468,16 +483,20 @@
 
     async def _write_wave_state(
         self, wave: maintenance.Wave, state: str
-    ) -> None:
+    ) -> bool:
+        """Stores a wave's state; returns False if its row has changed."""
         row = await self._read_wave_state(wave)
         row_key = _locate_wave_state(wave)
-        await self._store.transact(
+        result = await self._store.transact(
             row_store.Transaction(
                 (row_store.Condition(row_key, row.version if row else 0),),
                 (row_store.Put(row_key, fleet_cache.encode_wave_state(state)),),
             )
         )
+        if isinstance(result, row_store.Conflict):
+            return False
         logs.log_event("wave.state", wave=wave.number, state=state)
+        return True
 
     async def _read_wave_state(
         self, wave: maintenance.Wave
--- a/tests/test_node_fleet_orders.py
+++ b/tests/test_node_fleet_orders.py
@@ -168,6 +168,19 @@
         request = self.cache.find(vm_id)
         return request.phase if request else None
 
+    def mark_ready(self, vm_id: str) -> None:
+        """Marks a VM as drained, as its owner does."""
+        request = self.cache.find(vm_id)
+        assert request is not None
+        self.add_request(vm_id, request.wave, "ready")
+
+    def read_wave_state(self, number: int) -> bytes:
+        """Returns the stored state of a wave."""
+        row = self.store.get(
+            row_store.RowKey(tables.STATUS, "", f"wave/{number}")
+        )
+        return row.value if row else b""
+
     async def advance(self, seconds: float) -> None:
         """Lets time pass."""
         for _ in range(round(seconds / _STEP.total_seconds())):
@@ -252,6 +265,45 @@
         )
 
 
+class WaveStateTest(unittest.TestCase):
+    """State of a wave that operators read."""
+
+    def test_wave_is_not_completed_by_an_incomplete_list(self) -> None:
+        """Fails if a wave is completed though a VM wasn't maintained.
+
+        A VM that one list left out was taken as removed.
+        """
+        world = World()
+        world.fleet.add_vm("m-1")
+        world.fleet.set_state("m-1", maintenance.VmState.DOWN)
+        world.fleet.hidden = {"m-1"}
+        world.add_wave(1, "m-1")
+        anyio.run(world.run, 3)
+        self.assertNotIn(b"completed", world.read_wave_state(1))
+
+    def test_vm_in_two_waves_is_maintained_for_both(self) -> None:
+        """Fails if a wave is completed by the maintenance for a later one."""
+        world = World()
+        world.fleet.add_vm("m-1", instance_id="w1")
+        world.add_wave(1, "m-1")
+        world.add_wave(2, "m-1")
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(world.run, 8)
+                while b"completed" not in world.read_wave_state(2):
+                    if world.find_phase("m-1") is maintenance.DrainPhase.DUE:
+                        await world.advance(1)
+                        world.mark_ready("m-1")
+                    if world.fleet.vms["m-1"].state is _UPKEEP:
+                        world.fleet.set_state("m-1", _UP)
+                    await anyio.lowlevel.checkpoint()
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+        self.assertEqual(world.ordered, [("m-1", "wave 1"), ("m-1", "wave 2")])
+
+
 class MoveOrderTest(unittest.TestCase):
     """Moves of VMs of the spare pool."""
 
