Store the list of workers again after a write without an answer

Cause: a write of the list of workers in use that had no answer was taken as not applied. If the worker that it removed came back before the next write, the list in memory equalled the new one, and nothing was written. The store then held a list without a worker that got orders. A successor didn't wait for its report and could start a unit elsewhere that ran there.

Change: after a write without an answer, only the incarnations that are in both lists count as stored, and the next call writes the list again until the store confirms it. As before, each write is conditional on the version of the row, so a late one can't replace a newer one.

--- a/src/fireflywell/node/assigned_workers.py
+++ b/src/fireflywell/node/assigned_workers.py
@@ -25,6 +25,7 @@
         "_state",
         "_incarnations",
         "_is_list_unknown",
+        "_is_row_known",
         "_on_recovered",
         "_store",
         "_tenure",
@@ -44,9 +45,13 @@
         self._state = state
         self._store = store
         self._on_recovered = on_recovered
+        # Incarnations that the stored list surely holds.
         self._incarnations: dict[str, int] = {}
         # Whether the list of earlier owners couldn't be read.
         self._is_list_unknown = False
+        # Whether the stored list holds nothing else. A write without an answer
+        # may be applied at any time until a later one is.
+        self._is_row_known = True
         self._version = 0
         self._unreported: dict[str, int] = {}
         # Recovery ends at this time without the missing reports. It is on the
@@ -141,7 +146,7 @@
             Whether all of them are stored, so that orders may be sent to them.
         """
         wanted = {**self._unreported, **incarnations}
-        if wanted == self._incarnations:
+        if self._is_row_known and wanted == self._incarnations:
             return True
         has_new = any(
             self._incarnations.get(key) != started_unix_ms
@@ -159,12 +164,19 @@
                     (row_store.Put(row_key, bytes(value)),),
                 )
             )
+        except errors.PlatformUnavailableError:
+            return not has_new
         except errors.PlatformError:
+            self._is_row_known = False
+            self._incarnations = dict(
+                self._incarnations.items() & wanted.items()
+            )
             return not has_new
         match result:
             case row_store.Committed(version=version):
                 self._version = version
                 self._incarnations = wanted
+                self._is_row_known = True
                 return True
             case row_store.Conflict() as conflict:
                 # An earlier write of this owner, whose answer was lost, was
