Send no starts and renewals to workers that aren't listed

What teams saw: nothing yet; found by reading the code for calls without an answer that are carried out nevertheless.

Cause: a job is placed elsewhere once its worker has been missing from the list for one and a half leases. Until then its start was sent again each round and the lease of its task was renewed. A start that was carried out without an answer, or the last renewal, gave the attempt a lease beyond that time, so the next attempt began while it was running.

Change: starts are sent again only to listed workers, and only tasks on listed workers are renewed. All leases on a missing worker are then over before it counts as gone.

Evidence: both new tests failed before (two live tasks of one job 45 s after the worker went missing) and pass now.

--- a/src/fireflywell/control/attempt_tracker.py
+++ b/src/fireflywell/control/attempt_tracker.py
@@ -56,7 +56,10 @@
         task = self._task_tracker.find(record.spec.job_id, record.attempt)
         is_expired = self._task_tracker.is_worker_expired(record.worker_id)
         if task is None or (is_expired and task_tracker.is_live(task)):
-            return job_transitions.decide_without_task(record, is_expired)
+            is_listed = self._task_tracker.is_worker_listed(record.worker_id)
+            return job_transitions.decide_without_task(
+                record, is_listed, is_expired
+            )
         if task_tracker.is_live(task):
             now = self._clock.monotonic()
             self._running_since.setdefault(record.spec.job_id, now)
--- a/src/fireflywell/control/task_tracker.py
+++ b/src/fireflywell/control/task_tracker.py
@@ -58,8 +58,16 @@
 
     @property
     def live_tasks(self) -> tuple[records.Task, ...]:
-        """Attempts that are running or throttled, by their latest reports."""
-        return tuple(task for task in self._tasks.values() if is_live(task))
+        """Attempts that are running or throttled, by their latest reports.
+
+        Those on workers that aren't listed are left out: their leases must
+        expire before the workers count as gone.
+        """
+        return tuple(
+            task
+            for task in self._tasks.values()
+            if is_live(task) and task.worker_id in self._workers
+        )
 
     async def refresh(self) -> None:
         """Reads the tasks that changed and, once a second, the workers.
@@ -94,6 +102,10 @@
         """Discards the report of an attempt whose end has been written."""
         self._tasks.pop((job_id, attempt), None)
 
+    def is_worker_listed(self, worker_id: str) -> bool:
+        """Whether the last list read from the platform has the worker."""
+        return worker_id in self._workers
+
     def is_worker_expired(self, worker_id: str) -> bool:
         """Whether the worker was absent until all leases on it had expired."""
         if worker_id in self._workers:
--- a/src/fireflywell/fleet/job_transitions.py
+++ b/src/fireflywell/fleet/job_transitions.py
@@ -61,17 +61,23 @@
 
 
 def decide_without_task(
-    record: jobs.JobRecord, is_worker_gone: bool
+    record: jobs.JobRecord, is_worker_listed: bool, is_worker_gone: bool
 ) -> JobTransition:
     """Returns the transition of a leased job whose attempt isn't reported.
 
     Args:
         record: The job.
+        is_worker_listed: Whether the platform lists the worker. If not, its
+            start isn't sent again: carried out without an answer, it would
+            begin an attempt whose lease lasts until after the worker counts as
+            gone.
         is_worker_gone: Whether the platform hasn't listed the worker for longer
             than a task's lease, so that the attempt can't be running.
     """
-    if not is_worker_gone:
+    if is_worker_listed:
         return ResendStart()
+    if not is_worker_gone:
+        return JobUnchanged()
     return _decide_interrupted(record, f"worker {record.worker_id} is gone")
 
 
--- a/tests/job_world.py
+++ b/tests/job_world.py
@@ -39,6 +39,10 @@
         self.clock = clock
         self.names = [f"w{number}" for number in range(count)]
         self.lost_workers: set[str] = set()
+        # Workers that aren't listed although they still get calls; what they
+        # report and answer is lost.
+        self.unlisted: set[str] = set()
+        self.rejects_starts = False
         self.failing: set[str] = set()
         self.tasks: dict[tuple[str, int], records.Task] = {}
         self.renewed: dict[tuple[str, int], datetime.timedelta] = {}
@@ -96,7 +100,7 @@
         return tuple(
             records.Worker(name, "a", "r1", CAPACITY, records.Resources())
             for name in self.names
-            if name not in self.lost_workers
+            if name not in self.lost_workers | self.unlisted
         )
 
     async def list_tasks(self, worker_id: str) -> tuple[records.Task, ...]:
@@ -112,7 +116,8 @@
             self.tasks[name]
             for name, revision in self.changes.items()
             if revision > after_revision
-            and self.tasks[name].worker_id not in self.lost_workers
+            and self.tasks[name].worker_id
+            not in self.lost_workers | self.unlisted
         )
         return records.TaskPage(changed, self.revision)
 
@@ -128,7 +133,7 @@
         self, worker_id: str, start: records.TaskStart
     ) -> records.Task:
         """Starts an attempt once; may lose the answer."""
-        if worker_id in self.lost_workers:
+        if worker_id in self.lost_workers or self.rejects_starts:
             raise errors.PlatformUnavailableError("the worker is away")
         name = (start.job_id, start.attempt)
         if name not in self.tasks:
@@ -144,6 +149,8 @@
             self.change(name, records.TaskState.RUNNING)
             if worker_id in self.failing:
                 self.change(name, records.TaskState.FAILED)
+        if worker_id in self.unlisted:
+            raise errors.AnswerLostError("the worker isn't listed")
         if self.lost_answers:
             self.lost_answers -= 1
             raise errors.AnswerLostError("lost by the test")
--- a/tests/test_jobs_placement.py
+++ b/tests/test_jobs_placement.py
@@ -5,6 +5,7 @@
 
 import anyio
 
+from fireflywell.control import task_tracker
 from fireflywell.fleet import fair_share
 from fireflywell.fleet import jobs
 from fireflywell.fleet import placement
@@ -358,3 +359,41 @@
             world.clock.advance(datetime.timedelta(seconds=1))
             await world.run_round()
         self.assertEqual(world.workers.begun, {"report": 2})
+
+    def test_start_is_not_sent_to_an_unlisted_worker(self) -> None:
+        """Fails if a job is begun elsewhere while its attempt runs.
+
+        The start was sent again until the worker counted as gone, and the last
+        one without an answer began an attempt with a lease of its own.
+        """
+        anyio.run(self.check_unlisted_worker, True)
+
+    def test_task_on_an_unlisted_worker_is_not_renewed(self) -> None:
+        """Fails if a job is begun elsewhere while its attempt runs.
+
+        The attempt's lease was renewed until its worker counted as gone.
+        """
+        anyio.run(self.check_unlisted_worker, False)
+
+    async def check_unlisted_worker(self, rejects_starts: bool) -> None:
+        """Hides the worker of a job for 90 s, though it gets calls."""
+        world = job_world.JobWorld()
+        world.workers.rejects_starts = rejects_starts
+        await world.submit(job_world.make_spec("report", "report"))
+        await world.run_round()
+        worker = (await world.read_jobs())["report"].worker_id
+        world.workers.unlisted.add(worker)
+        for second in range(90):
+            world.workers.rejects_starts = rejects_starts and second < 40
+            world.clock.advance(datetime.timedelta(seconds=1))
+            await world.run_round()
+            world.workers.advance_leases()
+            live = [
+                task
+                for task in world.workers.tasks.values()
+                if task_tracker.is_live(task)
+            ]
+            self.assertLessEqual(len(live), 1, second)
+        self.assertNotEqual(
+            (await world.read_jobs())["report"].worker_id, worker
+        )
