Let an owner read its row again before orders after its lease lapsed

A node that had been cut off from the store renewed its row and placed units before it heard that another node had claimed the service. On a worker that the new owner couldn't reach, and which hadn't seen the higher fencing token, the unit ran a second time. Only the fleet controller had the guard that reads the owner's row after a lapse.

Owners of services use the same guard now: starts and renewals stop after a lapse of the lease until the row was read again, and the owner stops if it has changed.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -10,7 +10,7 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
-from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import ownership_guard
 from fireflywell.node import progress_writer
 from fireflywell.node import worker_leases
 from fireflywell.scheduling import jobs as jobs_lib
@@ -63,7 +63,7 @@
         "_clock",
         "_command_receiver",
         "_command_sender",
-        "_heartbeat",
+        "_guard",
         "_leases",
         "_metrics",
         "_on_change",
@@ -79,7 +79,7 @@
         client: orders.WorkerClient,
         state: service_state.ServiceState,
         writer: progress_writer.ProgressWriter,
-        heartbeat: heartbeat_lib.Heartbeat,
+        guard: ownership_guard.OwnershipGuard,
         token: int,
         leases: worker_leases.WorkerLeases,
         clock: clock_lib.Clock,
@@ -90,7 +90,7 @@
         self._client = client
         self._state = state
         self._writer = writer
-        self._heartbeat = heartbeat
+        self._guard = guard
         self._token = token
         self._leases = leases
         self._clock = clock
@@ -134,7 +134,7 @@
     async def _start(self, run: jobs_lib.Run) -> None:
         if run.phase is not jobs_lib.RunPhase.SENDING:
             return
-        if not self._leases.has_clock or not self._heartbeat.is_valid:
+        if not self._leases.has_clock or not self._guard.permits_orders:
             self._state.refuse_start(run, orders.Refusal.NO_ROOM, self._now_s())
             return
         unit = run.unit
--- a/src/fireflywell/node/ownership_guard.py
+++ b/src/fireflywell/node/ownership_guard.py
@@ -1,4 +1,6 @@
-"""Blocks orders for VMs after this node's lease has expired."""
+"""Blocks orders to workers and for VMs after a node's lease has expired."""
+
+import datetime
 
 from fireflywell import clock as clock_lib
 from fireflywell.coordination import row_store
@@ -42,6 +44,19 @@
             and since <= self._confirmed_at
         )
 
+    def permits_renewals(self, grace: datetime.timedelta) -> bool:
+        """Whether leases of runs may be renewed, up to a time after the lapse.
+
+        A valid lease that was renewed after a lapse doesn't permit it before
+        ownership is confirmed.
+        """
+        since = self._heartbeat.valid_since
+        return (
+            since is not None
+            and since <= self._confirmed_at
+            and self._heartbeat.measure_lapse() < grace
+        )
+
     async def confirm(self) -> bool:
         """Reads the owner row if the lease has expired since the last check.
 
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -17,6 +17,7 @@
 from fireflywell.node import job_loader
 from fireflywell.node import order_sender
 from fireflywell.node import ownership
+from fireflywell.node import ownership_guard
 from fireflywell.node import progress_writer
 from fireflywell.node import settings as node_settings
 from fireflywell.node import table_follower
@@ -42,6 +43,10 @@
 # become due at times of day and workers' pauses end.
 _PLAN_INTERVAL_S = 0.2
 
+# How often it is checked whether ownership has to be confirmed after the node's
+# lease has lapsed.
+_CONFIRMATION_INTERVAL = datetime.timedelta(milliseconds=100)
+
 _SYNC_INTERVAL_S = 0.25
 
 # Without a changed drain request, the maintenance loop runs at this interval
@@ -91,6 +96,7 @@
         "_state",
         "_clock",
         "_evictions_start_s",
+        "_guard",
         "_heartbeat",
         "_is_stopped",
         "_list_instances",
@@ -138,6 +144,9 @@
         self._clock = clock
         self._random = rng
         self._heartbeat = heartbeat
+        self._guard = ownership_guard.OwnershipGuard(
+            tenure, store, heartbeat, clock
+        )
         self._list_instances = list_instances
         self._make_client = make_client
         self._is_stopped = False
@@ -230,6 +239,7 @@
             ),
             supervisor_lib.Child("sweep", self._writer.run_sweep, restart),
             supervisor_lib.Child("workers", self._sync_workers, restart),
+            supervisor_lib.Child("ownership", self._confirm_ownership, restart),
             supervisor_lib.Child("planner", self._run_planner, restart),
             supervisor_lib.Child("upkeep", self._run_maintenance, restart),
             supervisor_lib.Child("advice", self._advice.run, restart),
@@ -313,7 +323,7 @@
             self._make_client(instance),
             self._state,
             self._writer,
-            self._heartbeat,
+            self._guard,
             self._tenure.token,
             self._run_lease,
             self._clock,
@@ -378,6 +388,25 @@
     def _wake_planner(self) -> None:
         self._plan_wake.set()
 
+    async def _confirm_ownership(self) -> None:
+        """Stops the owner if another node has claimed the service.
+
+        After this node's lease has lapsed and was renewed, nothing is started
+        or renewed before the owner row has been read again.
+        """
+        while True:
+            try:
+                if not await self._guard.confirm():
+                    self.stop()
+                    return
+            except errors.PlatformError as error:
+                logs.log_event(
+                    "ownership.not_confirmed",
+                    service=self.service,
+                    error=str(error),
+                )
+            await self._clock.sleep(_CONFIRMATION_INTERVAL)
+
     async def _run_planner(self) -> None:
         while True:
             with anyio.move_on_after(_PLAN_INTERVAL_S):
@@ -389,7 +418,7 @@
             # drained VMs on which nothing may start.
             if (
                 self._state.has_waiting_units
-                and self._heartbeat.is_valid
+                and self._guard.permits_orders
                 and self._fleet_cache.is_loaded
             ):
                 self._plan()
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -8,8 +8,8 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
-from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import order_sender
+from fireflywell.node import ownership_guard
 from fireflywell.node import progress_writer
 from fireflywell.node import worker_leases
 from fireflywell.scheduling import orders
@@ -51,7 +51,7 @@
         "_client",
         "_clock",
         "_fetch_jobs",
-        "_heartbeat",
+        "_guard",
         "_leases",
         "_metrics",
         "_acknowledged_end",
@@ -71,7 +71,7 @@
         client: orders.WorkerClient,
         state: service_state.ServiceState,
         writer: progress_writer.ProgressWriter,
-        heartbeat: heartbeat_lib.Heartbeat,
+        guard: ownership_guard.OwnershipGuard,
         token: int,
         lease: datetime.timedelta,
         clock: clock_lib.Clock,
@@ -85,7 +85,7 @@
         self._client = client
         self._state = state
         self._writer = writer
-        self._heartbeat = heartbeat
+        self._guard = guard
         self._token = token
         self._clock = clock
         self._on_change = on_change
@@ -97,7 +97,7 @@
             client,
             state,
             writer,
-            heartbeat,
+            guard,
             token,
             self._leases,
             clock,
@@ -269,7 +269,7 @@
             await self._wake.wait()
 
     def _may_renew(self) -> bool:
-        return self._heartbeat.measure_lapse() < worker_leases.RENEWAL_GRACE
+        return self._guard.permits_renewals(worker_leases.RENEWAL_GRACE)
 
     def _mark_unreachable(self, reason: str) -> None:
         if self._worker.is_reachable:
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -98,17 +98,16 @@
         """Does nothing: there is no connection."""
 
 
-class FakeHeartbeat:
-    """A node's lease that is valid unless the test lets it lapse."""
+class FakeGuard:
+    """Permits all orders unless the test lets the node's lease lapse."""
 
     def __init__(self) -> None:
-        self.is_valid = True
+        self.permits_orders = True
 
-    def measure_lapse(self) -> datetime.timedelta:
-        """Returns how long ago the lease expired."""
-        if self.is_valid:
-            return datetime.timedelta()
-        return datetime.timedelta(hours=1)
+    def permits_renewals(self, grace: datetime.timedelta) -> bool:
+        """Returns whether leases may be renewed."""
+        del grace
+        return self.permits_orders
 
 
 class FakeWriter:
@@ -139,13 +138,13 @@
         # Units go to `w1` while `w2` accepts none.
         self.state.workers["w2"].is_cordoned = True
         self.client = ScriptedClient()
-        self.heartbeat = FakeHeartbeat()
+        self.guard = FakeGuard()
         self.session = worker_session.WorkerSession(
             self.worker,
             self.client,
             self.state,
             FakeWriter(),  # type: ignore[arg-type]
-            self.heartbeat,  # type: ignore[arg-type]
+            self.guard,  # type: ignore[arg-type]
             1,
             _LEASE,
             self.clock,
@@ -360,7 +359,7 @@
 
         async def run() -> None:
             world = SessionWorld()
-            world.heartbeat.is_valid = False
+            world.guard.permits_orders = False
             world.state.add_job(samples.make_job(_JOB))
             world.client.running = (samples.report_running(_UNIT),)
             async with world.run():
