Send each number of acknowledged ends to a worker only until it is received

Every request for a report repeated the number of the last acknowledged end. A worker that restarted under its id between two requests got the number of its former incarnation and discarded its own first ends, so their units ran again.

A number is now sent until a report shows that the worker has received it. After a lost answer nothing is acknowledged until the worker has reported again, as before.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -57,6 +57,7 @@
         "_acknowledged_end",
         "_on_change",
         "_order_sender",
+        "_received_end",
         "_token",
         "_wake",
         "_worker",
@@ -91,6 +92,8 @@
         self._on_change = on_change
         self._leases = worker_leases.WorkerLeases(clock, lease)
         self._acknowledged_end = 0
+        # Highest acknowledged number that the worker has received.
+        self._received_end = 0
         self._wake = anyio.Event()
         self._order_sender = order_sender.OrderSender(
             worker,
@@ -188,13 +191,19 @@
         if not is_first and not is_unreachable and self._may_renew():
             lease_until = self._leases.compute_end()
             self._leases.extend()
-        # A worker may restart under the same id and number its ends from 1
-        # again. The former incarnation's number would make it discard ends that
-        # no owner has stored.
-        acknowledged_end = 0 if is_unreachable else self._acknowledged_end
-        return await self._client.renew(
+        # A worker may restart under the same id, also between two calls, and
+        # number its ends from 1 again. The former incarnation's number would
+        # make it discard ends that no owner has stored, so each number is sent
+        # until the worker has received it and not again.
+        acknowledged_end = 0
+        if not is_unreachable and self._acknowledged_end > self._received_end:
+            acknowledged_end = self._acknowledged_end
+        answer = await self._client.renew(
             orders.RenewOrder(self._token, acknowledged_end, lease_until, wait)
         )
+        if isinstance(answer, orders.WorkerReport):
+            self._received_end = max(self._received_end, acknowledged_end)
+        return answer
 
     async def _apply_report(
         self, report: orders.WorkerReport, requested_s: float
@@ -301,6 +310,7 @@
             self._worker.worker_id, requested_s
         )
         self._acknowledged_end = 0
+        self._received_end = 0
         self._worker.is_reachable = False
         logs.log_event(
             "worker.restarted",
--- a/tests/test_node_takeover.py
+++ b/tests/test_node_takeover.py
@@ -119,6 +119,39 @@
 
         anyio.run(run)
 
+    def test_first_call_after_a_restart_acknowledges_nothing(self) -> None:
+        """Fails if ends of a restarted worker are acknowledged unseen.
+
+        The worker was idle and back before the next call, so no call failed.
+        That call carried the number of the former incarnation's last end, and
+        the new one forgot its own ends (rule TWICE).
+        """
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1", run_s=0.05)
+            async with anyio.create_task_group() as group:
+                node = world.make_node("node-a")
+                group.start_soon(node.run, anyio.Event())
+                await world.submit(node_world.make_step(8))
+                await world.wait_for_state("completed")
+                worker = world.workers["w1"]
+                with anyio.fail_after(3):
+                    while worker.noted < 8:
+                        await anyio.sleep(0.02)
+                await anyio.sleep(0.3)
+                worker.restart()
+                worker.run_s = 0.0
+                before = len(worker.starts)
+                others = [f"{number:016x}" for number in range(4)]
+                for job_id in others:
+                    await world.submit(node_world.make_step(), job_id=job_id)
+                for job_id in others:
+                    await world.wait_for_state("completed", job_id)
+                group.cancel_scope.cancel()
+            self.assertEqual(len(worker.starts) - before, len(others))
+
+        anyio.run(run)
+
     def test_cancelled_job_stops(self) -> None:
         """Fails if units of a cancelled job keep running."""
 
