Keep runs that a report with as many ends as fit doesn't list

A worker returns 500 ends at a time. A run whose end came later in its list was in neither list of the report, counted as never started, and its unit ran again although it had ended. An owner after a takeover also took such a report as a full account of the worker.

A report now says whether it lists all ends; without them no run is dropped and the recovery goes on waiting for the worker. The test of the service's state failed before (unit placed again); the one of the client checks the new field.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -257,7 +257,8 @@
             self.enqueue(
                 order_sender.ThrottleCommand(throttle.run, throttle.percent)
             )
-        self.has_reported = True
+        # Recovered units start once the workers have reported all their ends.
+        self.has_reported = self.has_reported or report.has_all_ends
         self._on_change()
         if last_end > self._acknowledged_end:
             self._log_ends(report)
--- a/src/fireflywell/platform/worker_calls.py
+++ b/src/fireflywell/platform/worker_calls.py
@@ -19,6 +19,9 @@
 # ends.
 _REPORT_TIMEOUT = datetime.timedelta(milliseconds=1200)
 
+# A worker returns this many ended runs at a time.
+_ENDS_PER_REPORT = 500
+
 
 class HttpWorkerClient:
     """Sends orders to one incarnation of a worker."""
@@ -162,19 +165,14 @@
     with _report_unreadable():
         item = json_values.parse_object(body)
         # `born` is the start of the incarnation, in Unix milliseconds.
+        running = json_values.read_list(item.get("running"), "running", [])
+        ended = json_values.read_list(item.get("ended"), "ended", [])
         return orders.WorkerReport(
             _read_integer(item, "clock_ms"),
             json_values.read_integer(item.get("born"), "born", 0),
-            tuple(
-                _decode_run(row)
-                for row in json_values.read_list(
-                    item.get("running"), "running", []
-                )
-            ),
-            tuple(
-                _decode_end(row)
-                for row in json_values.read_list(item.get("ended"), "ended", [])
-            ),
+            tuple(_decode_run(row) for row in running),
+            tuple(_decode_end(row) for row in ended),
+            has_all_ends=len(ended) < _ENDS_PER_REPORT,
         )
 
 
--- a/src/fireflywell/scheduling/orders.py
+++ b/src/fireflywell/scheduling/orders.py
@@ -164,12 +164,15 @@
         started_unix_ms: Start of this incarnation; 0 if it isn't reported.
         running: Active runs.
         ended: Ended runs that were not acknowledged yet.
+        has_all_ends: Whether `ended` lists all of them; a worker bounds the
+            size of its reports.
     """
 
     clock_ms: int
     started_unix_ms: int
     running: tuple[RunReport, ...]
     ended: tuple[EndReport, ...]
+    has_all_ends: bool = True
 
 
 class WorkerClient(Protocol):
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -303,7 +303,7 @@
         """Updates runs and units from a worker's report.
 
         A run that the report doesn't list is dropped, unless it was confirmed
-        after the report was requested.
+        after the report was requested or the report lacks ends.
 
         Args:
             worker_id: The worker that sent the report.
@@ -325,6 +325,8 @@
         for item in report.running:
             listed.add((item.unit, item.run))
             self._apply_running(worker, item, now_s)
+        if not report.has_all_ends:
+            return last_end
         for key, run in tuple(worker.runs.items()):
             if key in listed or run.confirmed_s >= requested_s:
                 continue
--- a/tests/scheduling_samples.py
+++ b/tests/scheduling_samples.py
@@ -47,9 +47,10 @@
 def make_report(
     running: tuple[orders.RunReport, ...] = (),
     ended: tuple[orders.EndReport, ...] = (),
+    has_all_ends: bool = True,
 ) -> orders.WorkerReport:
     """Returns a worker's report of active and ended runs."""
-    return orders.WorkerReport(1, 1, running, ended)
+    return orders.WorkerReport(1, 1, running, ended, has_all_ends)
 
 
 def report_running(
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -180,6 +180,21 @@
             ),
         )
 
+    def test_report_with_as_many_ends_as_fit_is_incomplete(self) -> None:
+        """Fails if runs whose ends come later count as never started."""
+        ends = [
+            [number, "a1.0.0.0", number, "done", ""] for number in range(500)
+        ]
+        answers = [
+            (200, json.dumps({"clock_ms": 5, "ended": rows}).encode())
+            for rows in (ends, ends[1:])
+        ]
+        reports = self.call(lambda client: client.renew(_RENEW), *answers)
+        self.assertEqual(
+            [report.has_all_ends for report in reports],  # type: ignore[attr-defined]
+            [False, True],
+        )
+
 
 class _StubClient:
     """Answers each call with the same response."""
--- a/tests/test_scheduling_service_state.py
+++ b/tests/test_scheduling_service_state.py
@@ -88,6 +88,19 @@
         self.assertEqual(self.state.plan(3.7), [])
         self.assertEqual(len(self.state.pending_stops), 1)
 
+    def test_run_whose_end_is_not_listed_yet_is_not_dropped(self) -> None:
+        """Fails if a unit starts again although its run has ended `done`.
+
+        A worker bounds the number of ends in a report. A run whose end comes
+        later is in neither list and was taken as never started.
+        """
+        (run,) = self.start(node_world.make_step(1))
+        self.state.confirm_start(run, 1.0)
+        report = samples.make_report(has_all_ends=False)
+        self.state.apply_report(run.worker_id, report, 2.0, 2.1)
+        self.assertIs(run.phase, jobs_lib.RunPhase.RUNNING)
+        self.assertEqual(self.state.plan(3.0), [])
+
     def test_failure_counts_once_when_it_is_reported_again(self) -> None:
         """Fails if a failure that is reported repeatedly uses up attempts.
 
