Let the emulator carry out orders late and reject them

Cause: the emulator could leave starts unanswered, but carried them out at once and never answered 429 or 503 to the repeat, so no order met two faults. A lease that named a time on a former life's clock was taken as it was. A unit whose lease had lapsed unseen counted as alive until its worker crashed, and an end that was acknowledged after the lease had lapsed counted as noted, which the users' platform doesn't hold against an owner.

Change: two faults of a worker. A share of its orders gets no answer and is carried out 2 to 12 s later by the usual rules (a lease that is over, an old run and a lower token are refused); a worker that restarts discards them. A share is answered 429 or 503 without effect. Leases are shortened to the longest one, and ends are judged by the lease.

Result: six tests of one emulated worker.

--- a/src/fireflywell/standins/emulator.py
+++ b/src/fireflywell/standins/emulator.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+import datetime
 import functools
 import json
 import pathlib
@@ -24,9 +25,9 @@
 from fireflywell.scheduling import model
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.standins import emulator_values as values
+from fireflywell.standins import emulator_worker
 from fireflywell.standins import platform_api
 from fireflywell.standins import row_store as row_store_standin
-from fireflywell.standins import unit_worker
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
 
@@ -46,27 +47,31 @@
 class EmulatedWorker:
     """One machine whose worker may live several times."""
 
-    __slots__ = ("_clock", "_lives", "_settings", "_unit_s", "api")
+    __slots__ = ("_clock", "_lives", "_max_hold", "_settings", "_unit_s", "api")
 
     def __init__(
         self,
         settings: values.WorkerSettings,
         clock: clock_lib.Clock,
         unit_s: float,
+        max_hold: datetime.timedelta,
     ) -> None:
         self._settings = settings
         self._clock = clock
         self._unit_s = unit_s
-        self._lives: list[unit_worker.UnitWorker] = []
-        self.api = platform_api.WorkerApi(self.begin_life())
+        self._max_hold = max_hold
+        self._lives: list[emulator_worker.WorkerLife] = []
+        self.api = emulator_worker.FaultyWorkerApi(
+            self.begin_life(), clock, random.Random()
+        )
 
     @property
-    def current(self) -> unit_worker.UnitWorker:
+    def current(self) -> emulator_worker.WorkerLife:
         """The life that serves orders."""
         return self._lives[-1]
 
     @property
-    def lives(self) -> tuple[unit_worker.UnitWorker, ...]:
+    def lives(self) -> tuple[emulator_worker.WorkerLife, ...]:
         """All lives, in order."""
         return tuple(self._lives)
 
@@ -76,7 +81,7 @@
         life = self.current.instance.instance_id
         return row_store.RowKey("servers", "", life)
 
-    def begin_life(self, keeps_id: bool = False) -> unit_worker.UnitWorker:
+    def begin_life(self, keeps_id: bool = False) -> emulator_worker.WorkerLife:
         """Starts another life; the former ones end."""
         settings = self._settings
         for life in self._lives:
@@ -95,7 +100,9 @@
             started_unix_ms=int(self._clock.now().timestamp() * 1000),
             vm_id=settings.name,
         )
-        life = unit_worker.UnitWorker(instance, self._clock, self._unit_s)
+        life = emulator_worker.WorkerLife(
+            instance, self._clock, self._unit_s, self._max_hold
+        )
         self._lives.append(life)
         if len(self._lives) > 1:
             self.api.worker = life
@@ -140,7 +147,12 @@
         self._changes: list[values.ChangeSeen] = []
         self._store = row_store_standin.MemoryRowStore(clock)
         self._workers = {
-            item.name: EmulatedWorker(item, clock, settings.unit_s)
+            item.name: EmulatedWorker(
+                item,
+                clock,
+                settings.unit_s,
+                datetime.timedelta(seconds=settings.max_hold_s),
+            )
             for item in settings.workers
         }
         served: list[tuple[str, asgi.Application]] = [
@@ -276,6 +288,11 @@
                 worker_life.fails = False
             case values.StartsUnanswered(worker=name, count=count):
                 self._workers[name].current.lose_answers += count
+            case values.OrdersLate() | values.OrdersRejected():
+                api = self._workers[fault.worker].api
+                api.faults.append(fault)
+                await anyio.sleep(fault.seconds)
+                api.faults.remove(fault)
 
     async def _change_configuration(
         self, series: values.ConfigurationSeries
@@ -322,7 +339,7 @@
                         item.run,
                         str(item.kind),
                         item.at_s,
-                        0 < item.number <= life.noted,
+                        life.is_noted(item),
                     )
                     for item in life.ends
                 )
--- a/src/fireflywell/standins/emulator_values.py
+++ b/src/fireflywell/standins/emulator_values.py
@@ -38,6 +38,7 @@
         services: Services; each has a queue of the same name.
         workers: Workers.
         unit_s: How long a unit of a job runs.
+        max_hold_s: Longest lease that workers grant.
     """
 
     store_address: str
@@ -45,6 +46,7 @@
     services: tuple[str, ...]
     workers: tuple[WorkerSettings, ...]
     unit_s: float = 0.4
+    max_hold_s: float = 6.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,6 +115,37 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrdersLate:
+    """A worker carries out some orders seconds later, without an answer.
+
+    Attributes:
+        worker: Name of its machine.
+        seconds: For how long orders are affected.
+        share: Share of the affected orders, except report requests.
+        report_share: Share of the affected report requests. It is smaller, as
+            a worker that doesn't report gets no starts.
+    """
+
+    worker: str
+    seconds: float
+    share: float
+    report_share: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrdersRejected:
+    """A worker answers 429 or 503 to some orders and does nothing.
+
+    Its attributes are those of `OrdersLate`.
+    """
+
+    worker: str
+    seconds: float
+    share: float
+    report_share: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigurationSeries:
     """Configurations follow each other; each adds a queue.
@@ -140,6 +173,8 @@
     | WorkerDrain
     | WorkerFails
     | StartsUnanswered
+    | OrdersLate
+    | OrdersRejected
 )
 
 _KINDS: dict[str, type[Fault]] = {
@@ -154,6 +189,8 @@
         WorkerDrain,
         WorkerFails,
         StartsUnanswered,
+        OrdersLate,
+        OrdersRejected,
     )
 }
 
@@ -178,7 +215,8 @@
         run: Number of the run.
         kind: How it ended; `broken` if the worker ended.
         at_s: Monotonic time.
-        is_noted: Whether an owner has taken note of it.
+        is_noted: Whether an owner has taken note of it before the worker's
+            lease lapsed.
     """
 
     life: str
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,17 +1,27 @@
-"""The soak: a short seeded run, and checks that find what they look for."""
+"""The soak: a short seeded run, its faults, and checks that find breaches."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+import json
 import pathlib
+import random
 import tempfile
 import unittest
 
 import anyio
+import anyio.lowlevel
 from tools import soak
 from tools import soak_checks
 from tools import soak_clients
 from tools import soak_configuration
 from tools import soak_plan
 
+from fireflywell import asgi
+from fireflywell import clock as clock_lib
 from fireflywell.standins import emulator_values as values
+from fireflywell.standins import emulator_worker
+from tests import node_world
 
 _ID = "00000000000000a1"
 _UNIT = f"{_ID}.0.0.0"
@@ -48,6 +58,154 @@
         self.assertGreater(outcome.probes, 0)
 
 
+class EmulatedWorkerTest(unittest.TestCase):
+    """Faults of orders, and the lease rules, of one emulated worker."""
+
+    def setUp(self) -> None:
+        """Makes a worker without faults."""
+        self._clock = clock_lib.ManualClock()
+        self._life = self._make_life()
+        self._api = emulator_worker.FaultyWorkerApi(
+            self._life, self._clock, random.Random(1)
+        )
+
+    def _make_life(self) -> emulator_worker.WorkerLife:
+        return emulator_worker.WorkerLife(
+            node_world.make_instance("w1"),
+            self._clock,
+            0.4,
+            datetime.timedelta(seconds=6),
+        )
+
+    async def _call(self, path: str, token: int = 1, **fields: object) -> int:
+        """Sends an order; returns the status, 0 if there was no answer."""
+        document = {"task": _UNIT, "run": 1, "fencing_token": token, **fields}
+        messages: list[asgi.Message] = [
+            {"type": "http.request", "body": json.dumps(document).encode()},
+            {"type": "http.disconnect"},
+        ]
+        status = 0
+
+        async def receive() -> asgi.Message:
+            return messages.pop(0)
+
+        async def send(message: asgi.Message) -> None:
+            nonlocal status
+            status = message.get("status", status)
+
+        scope = {"path": path, "headers": []}
+        await self._api(scope, receive, send)
+        return status
+
+    async def _start(self, lease_s: float = 60.0) -> int:
+        """Sends a start at the beginning of the worker's life."""
+        fields = {"specification": "s", "deadline_ms": int(lease_s * 1000)}
+        return await self._call("/run-start", **fields)
+
+    async def _advance(self, seconds: float) -> None:
+        await anyio.wait_all_tasks_blocked()
+        self._clock.advance(datetime.timedelta(seconds=seconds))
+        await anyio.wait_all_tasks_blocked()
+
+    def _count_late_starts(
+        self, step: Callable[[], Awaitable[object]], lease_s: float = 60.0
+    ) -> int:
+        """Sends a start that is late; returns the starts carried out.
+
+        Args:
+            step: Is awaited while the order waits at the worker.
+            lease_s: Time from the order to the end of its lease.
+        """
+
+        async def send_start() -> None:
+            self.assertEqual(await self._start(lease_s), 0)
+
+        async def scenario() -> None:
+            self._api.faults.append(values.OrdersLate("w1", 1.0, 1.0, 0.0))
+            async with anyio.create_task_group() as group:
+                group.start_soon(send_start)
+                await self._advance(1.9)
+                self.assertEqual(self._life.starts, [])
+                self._api.faults.clear()
+                await step()
+                await self._advance(10.2)
+
+        anyio.run(scenario)
+        return len(self._life.starts)
+
+    def test_late_start_is_carried_out_without_an_answer(self) -> None:
+        """Fails if an order without an answer never takes effect."""
+        self.assertEqual(self._count_late_starts(anyio.lowlevel.checkpoint), 1)
+
+    def test_late_start_keeps_the_rules_of_the_worker(self) -> None:
+        """Fails if a late order takes effect that the platform would refuse."""
+
+        async def stop() -> None:
+            self.assertEqual(await self._call("/run-stop"), 200)
+
+        async def fence() -> None:
+            self.assertEqual(await self._call("/hold", token=2), 200)
+
+        async def restart() -> None:
+            self._life.crash()
+            self._api.worker = self._life = self._make_life()
+
+        for step, lease_s in (
+            (anyio.lowlevel.checkpoint, 1.95),
+            (stop, 60.0),
+            (fence, 60.0),
+            (restart, 60.0),
+        ):
+            with self.subTest(step=step.__name__):
+                self.setUp()
+                self.assertEqual(self._count_late_starts(step, lease_s), 0)
+
+    def test_rejected_order_has_no_effect(self) -> None:
+        """Fails if an order that was answered 429 or 503 takes effect."""
+        self._api.faults.append(values.OrdersRejected("w1", 1.0, 1.0, 0.0))
+        found = {anyio.run(self._start) for _ in range(20)}
+        self.assertEqual(found, {429, 503})
+        self.assertEqual(anyio.run(self._call, "/hold"), 200)
+        self._clock.advance(datetime.timedelta(seconds=13))
+        self.assertEqual(self._life.starts, [])
+
+    def test_lease_in_the_far_future_is_shortened(self) -> None:
+        """Fails if a unit outlives the longest lease after a restart.
+
+        An owner that hasn't seen the restart names a time on the clock of the
+        former life.
+        """
+        self._life.run_s = None
+        anyio.run(self._start, 1000.0)
+        self._clock.advance(datetime.timedelta(seconds=5.9))
+        self.assertEqual(self._life.active_units, [_UNIT])
+        self._clock.advance(datetime.timedelta(seconds=0.2))
+        self.assertEqual(self._life.active_units, [])
+
+    def test_end_counts_only_if_noted_before_the_lease_lapsed(self) -> None:
+        """Fails if the check forbids a start that an owner had to make."""
+        for pause_s, is_noted in ((1.0, True), (7.0, False)):
+            with self.subTest(pause_s=pause_s):
+                self.setUp()
+                anyio.run(self._start, 6.0)
+                self._clock.advance(datetime.timedelta(seconds=pause_s))
+
+                async def acknowledge() -> int:
+                    return await self._call("/hold", last_seen=1)
+
+                self.assertEqual(anyio.run(acknowledge), 200)
+                (end,) = self._life.ends
+                self.assertEqual(self._life.is_noted(end), is_noted)
+
+    def test_crash_keeps_ends_from_before(self) -> None:
+        """Fails if a run that was over counts as alive until a crash."""
+        anyio.run(self._start)
+        self._clock.advance(datetime.timedelta(seconds=1))
+        self._life.crash()
+        (end,) = self._life.ends
+        self.assertEqual(end.at_s, 0.4)
+
+
 class CheckTest(unittest.TestCase):
     """Checks on made-up records."""
 
