Let late orders, rejections and restarts meet in the soak

Cause: in the soak at most one fault met an order, so it could not find that a unit runs twice when the repeat of an order without an answer is rejected.

Change: seeds from 1000 on also have series in which orders of the same workers come late, are rejected, and the workers restart under their ids, often while a node is killed or paused. The series are chosen apart from the other faults; seeds below 1000 keep their plans. A unit that starts again after it was done is shown with both runs.

A test of the plan shows that each of 20 seeds lets all three faults meet on one worker.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -206,6 +206,28 @@
         self.assertEqual(end.at_s, 0.4)
 
 
+class PlanTest(unittest.TestCase):
+    """Which faults a seed has."""
+
+    def test_faults_of_orders_meet_on_one_worker(self) -> None:
+        """Fails if no order can meet a delay, a rejection and a restart."""
+        shape = soak_plan.Shape()
+        self.assertEqual(soak_plan.plan_order_faults(50, shape), [])
+        first = soak_plan.FIRST_ORDERS_SEED
+        for seed in range(first, first + 20):
+            kinds: dict[str, set[str]] = {}
+            for item in soak_plan.plan_order_faults(seed, shape):
+                match item.fault:
+                    case soak_plan.PlatformFault(
+                        fault=values.OrdersLate()
+                        | values.OrdersRejected()
+                        | values.WorkerCrash() as fault
+                    ):
+                        name = type(fault).__name__
+                        kinds.setdefault(fault.worker, set()).add(name)
+            self.assertIn(3, map(len, kinds.values()), seed)
+
+
 class CheckTest(unittest.TestCase):
     """Checks on made-up records."""
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -95,7 +95,11 @@
     ]
     changes = soak_plan.plan_changes(seed, shape)
     planned = sorted(
-        (*soak_plan.plan_faults(seed, shape), *changes),
+        (
+            *soak_plan.plan_faults(seed, shape),
+            *changes,
+            *soak_plan.plan_order_faults(seed, shape),
+        ),
         key=lambda item: item.at_s,
     )
     watcher = soak_configuration.Watcher(
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -98,4 +98,8 @@
                     f"{later.run} on {later.life} from {later.at_s}"
                 )
             elif end.kind == _DONE and end.is_noted:
-                yield f"unit {unit} started again after it was done"
+                yield (
+                    f"unit {unit} started again after it was done: run "
+                    f"{earlier.run} on {earlier.life} until {end.at_s}, run "
+                    f"{later.run} on {later.life} from {later.at_s}"
+                )
--- a/tools/soak_plan.py
+++ b/tools/soak_plan.py
@@ -1,5 +1,6 @@
 """Which faults a soak makes, and when, chosen from its seed."""
 
+from collections.abc import Iterator
 import dataclasses
 import random
 
@@ -18,6 +19,20 @@
 _MOST_CHANGES = 30
 _MEAN_SERIES_GAP_S = 5.0
 
+# Seeds from here on also have faults of orders; earlier ones keep their plans.
+FIRST_ORDERS_SEED = 1000
+
+# Late and rejected orders come together on most workers of a service, so that
+# the repeat of an order without an answer often meets another fault.
+_ORDERS_SHARES = (0.3, 0.6)
+_REPORTS_SHARES = (0.0, 0.15)
+_ORDERS_FAULT_S = (2.5, 5.0)
+_MEAN_ORDERS_GAP_S = 1.0
+_FAULTY_WORKERS = (2, 5)
+_LONGEST_RESTART_S = 0.8
+_MOST_RESTARTS = 2
+_NODE_FAULT_SHARE = 0.7
+
 # Several faults overlap: their mean distance is shorter than they last.
 _MEAN_GAP_S = 0.9
 _LONGEST_FAULT_S = 4.0
@@ -173,6 +188,46 @@
     return planned
 
 
+def plan_order_faults(seed: int, shape: Shape) -> list[Planned]:
+    """Returns series of faults of orders, and what overlaps with them.
+
+    Late orders, rejected orders and restarts under the same id meet on the same
+    workers, often while a node is killed or paused.
+    """
+    planned: list[Planned] = []
+    if seed < FIRST_ORDERS_SEED:
+        return planned
+    rng = random.Random(f"orders {seed}")
+    at_s = FIRST_FAULT_S
+    while at_s < shape.fault_s:
+        seconds = round(rng.uniform(*_ORDERS_FAULT_S), 2)
+        for worker in rng.sample(shape.workers, rng.randint(*_FAULTY_WORKERS)):
+            planned += _plan_worker_series(rng, worker, at_s, seconds)
+        if rng.random() < _NODE_FAULT_SHARE:
+            node = rng.randrange(shape.nodes)
+            down_s = round(rng.uniform(0.3, seconds), 2)
+            fault = rng.choice(
+                (KillNode(node, down_s / 2), PauseNode(node, down_s))
+            )
+            planned.append(Planned(at_s + rng.uniform(0.0, seconds), fault))
+        at_s += seconds + rng.expovariate(1 / _MEAN_ORDERS_GAP_S)
+    return planned
+
+
+def _plan_worker_series(
+    rng: random.Random, worker: str, at_s: float, seconds: float
+) -> Iterator[Planned]:
+    for kind in (emulator_values.OrdersLate, emulator_values.OrdersRejected):
+        share = round(rng.uniform(*_ORDERS_SHARES), 2)
+        report_share = round(rng.uniform(*_REPORTS_SHARES), 2)
+        fault = kind(worker, seconds, share, report_share)
+        yield Planned(at_s + rng.uniform(0.0, 1.0), PlatformFault(fault))
+    for _ in range(rng.randint(0, _MOST_RESTARTS)):
+        down_s = round(rng.uniform(0.0, _LONGEST_RESTART_S), 2)
+        crash = emulator_values.WorkerCrash(worker, down_s, keeps_id=True)
+        yield Planned(at_s + rng.uniform(0.0, seconds), PlatformFault(crash))
+
+
 def _choose_fault(rng: random.Random, shape: Shape) -> Fault:
     node = rng.randrange(shape.nodes)
     link = rng.choice(shape.links)
