--- a/tools/soak_seeds.py
+++ b/tools/soak_seeds.py
@@ -22,4 +22,19 @@
     KnownSeed(
         303, "a node that was behind asked for each configuration it had missed"
     ),
+    KnownSeed(
+        1002,
+        "a worker that came back under its id was told to forget ends up to a "
+        "number of its former life, before its owner saw the restart",
+    ),
+    KnownSeed(
+        1003,
+        "a start without an answer was carried out after its repeat had been "
+        "rejected and its unit placed again",
+    ),
+    KnownSeed(
+        1101,
+        "the runs of a worker that came back under its id were dropped while "
+        "their starts were still on their way to it",
+    ),
 )
