Repeat a throttle until its worker accepts it

A throttle that a worker refused with 429, 503 or 409 counted as accepted, so a filling unit kept its share beside a serving unit that was over its target. One without an answer counted as refused; carried out late, it left the unit at a lower share for good, since the owner believed in the full one.

A run now remembers whether the worker accepted its share, and each report repeats an order that wasn't accepted. The test failed before for both cases.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -115,8 +115,7 @@
                     run, orders.Refusal.NO_ROOM, self._now_s()
                 )
             case ThrottleCommand(run=run) if is_full:
-                # Resets the share, so that a later report sends it again.
-                run.share_percent = 100
+                run.is_share_confirmed = False
             case _:
                 self._command_sender.send_nowait(command)
 
@@ -226,17 +225,27 @@
         order = orders.ThrottleOrder(
             run.unit.name, run.number, percent, self._token
         )
+        # Without an answer the worker may have either share, and a late order
+        # may change it again, so the order is repeated until it is accepted.
+        run.is_share_confirmed = False
         try:
-            await self._client.throttle(order)
+            outcome = await self._client.throttle(order)
         except errors.PlatformError as error:
-            # Resets the share, so that the next report sends a throttle again.
-            run.share_percent = 100
-            logs.log_event(
-                "worker.pace_failed",
-                worker=self._worker.worker_id,
-                unit=run.unit.name,
-                error=str(error),
-            )
+            self._log_failed_throttle(run, str(error))
+            return
+        match outcome:
+            case orders.Accepted():
+                run.is_share_confirmed = run.share_percent == percent
+            case _:
+                self._log_failed_throttle(run, repr(outcome))
+
+    def _log_failed_throttle(self, run: jobs_lib.Run, reason: str) -> None:
+        logs.log_event(
+            "worker.pace_failed",
+            worker=self._worker.worker_id,
+            unit=run.unit.name,
+            error=reason,
+        )
 
     def _has_run(self, unit: str, number: int) -> bool:
         return (unit, number) in self._worker.runs
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -41,6 +41,7 @@
 
     __slots__ = (
         "confirmed_s",
+        "is_share_confirmed",
         "load",
         "number",
         "percent",
@@ -71,6 +72,8 @@
         self.percent = 0
         # Share of the worker that a filling unit was last ordered to use.
         self.share_percent = 100
+        # Whether the worker accepted the last order on the share.
+        self.is_share_confirmed = True
         # Tail latency in ms of a serving unit, CPU usage of any other.
         self.load = 0.0
 
--- a/src/fireflywell/scheduling/throttling.py
+++ b/src/fireflywell/scheduling/throttling.py
@@ -34,7 +34,8 @@
 
     Halves the shares when a serving unit's latency comes near its target, sets
     them to 0 when it reaches the target, and raises them in steps of
-    `_RECOVERY_STEP_PERCENT` when it is well below.
+    `_RECOVERY_STEP_PERCENT` when it is well below. A share that its worker
+    hasn't accepted is returned also if it is unchanged.
     """
     latency_ratio = 0.0
     filling_runs: list[jobs.Run] = []
@@ -49,6 +50,7 @@
         for run in filling_runs
         if (percent := _choose_percent(run.share_percent, latency_ratio))
         != run.share_percent
+        or not run.is_share_confirmed
     ]
 
 
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -21,6 +21,7 @@
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
 from fireflywell.telemetry import metrics as metrics_lib
+from tests import node_world
 from tests import scheduling_samples as samples
 
 _JOB = "00000000000000a1"
@@ -44,10 +45,13 @@
 
     Attributes:
         outcomes: Answers to the next starts, or errors to raise.
+        throttle_outcomes: Answers to the next throttles, accepted if empty.
+        throttles: Throttles that were sent.
         starts: Starts that were sent.
         stops: Stops that were sent.
         before_start: Called when a start is sent.
         running: Runs that the next reports list.
+        running_after_throttle: Replaces `running` once a throttle is sent.
         started_unix_ms: Incarnation that reports.
         is_silent: Whether report requests get no answer.
     """
@@ -56,10 +60,15 @@
         self.outcomes: collections.deque[orders.OrderOutcome | Exception] = (
             collections.deque()
         )
+        self.throttle_outcomes: collections.deque[
+            orders.OrderOutcome | Exception
+        ] = collections.deque()
+        self.throttles: list[orders.ThrottleOrder] = []
         self.starts: list[orders.StartOrder] = []
         self.stops: list[orders.StopOrder] = []
         self.before_start = anyio.lowlevel.checkpoint
         self.running: tuple[orders.RunReport, ...] = ()
+        self.running_after_throttle: tuple[orders.RunReport, ...] = ()
         self.started_unix_ms = 1
         self.is_silent = False
 
@@ -80,9 +89,15 @@
     async def throttle(
         self, order: orders.ThrottleOrder
     ) -> orders.OrderOutcome:
-        """Accepts the share."""
-        del order
-        return orders.Accepted(1)
+        """Answers with the next outcome."""
+        self.throttles.append(order)
+        self.running = self.running_after_throttle or self.running
+        if not self.throttle_outcomes:
+            return orders.Accepted(1)
+        outcome = self.throttle_outcomes.popleft()
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
 
     async def renew(
         self, order: orders.RenewOrder
@@ -278,6 +293,49 @@
         anyio.run(run)
 
 
+class ThrottleTest(unittest.TestCase):
+    """Throttles of filling runs that a worker doesn't accept."""
+
+    def test_throttle_is_repeated_until_it_is_accepted(self) -> None:
+        """Fails if a filling run keeps a share that the owner didn't choose.
+
+        A refused throttle counted as accepted; one without an answer counted as
+        refused although the worker may carry it out late.
+        """
+        for failure in (orders.Unhealthy(), errors.AnswerLostError("lost")):
+            with self.subTest(failure=repr(failure)):
+                anyio.run(self.fail_throttle, failure)
+
+    async def fail_throttle(
+        self, failure: orders.OrderOutcome | Exception
+    ) -> None:
+        """Checks that a throttle is sent again after a failure."""
+        world = SessionWorld()
+        filling = node_world.make_step(1, is_filling=True)
+        serving = node_world.make_step(1, is_long_running=True, target_ms=100.0)
+        world.client.outcomes.extend([orders.Accepted(1)] * 2)
+        world.client.throttle_outcomes.append(failure)
+        async with world.run():
+            world.state.add_job(samples.make_job(_JOB, filling, serving))
+            runs = world.state.plan(world.clock.monotonic().total_seconds())
+            for run in runs:
+                world.session.enqueue(order_sender.StartCommand(run))
+            await wait_until(
+                lambda: all(
+                    run.phase is jobs_lib.RunPhase.RUNNING for run in runs
+                )
+            )
+            # The first latency halves shares, the second one keeps them.
+            world.client.running_after_throttle, world.client.running = (
+                tuple(
+                    samples.report_running(run.unit.name, load=load)
+                    for run in runs
+                )
+                for load in (70.0, 90.0)
+            )
+            await wait_until(lambda: len(world.client.throttles) > 1)
+
+
 class FullQueueTest(unittest.TestCase):
     """Sessions with more queued orders than they accept."""
 
