Send no queued starts to a worker that has stopped answering

Starts that were queued before a worker became unreachable were still sent. Each one extended the time after which the worker's leases are over, so the units of a silent worker with a long queue started elsewhere seconds later than necessary. The session now refuses them as it does without a lease of the node.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -133,7 +133,12 @@
     async def _start(self, run: jobs_lib.Run) -> None:
         if run.phase is not jobs_lib.RunPhase.SENDING:
             return
-        if not self._leases.has_clock or not self._guard.permits_orders:
+        can_start = (
+            self._worker.is_reachable
+            and self._leases.has_clock
+            and self._guard.permits_orders
+        )
+        if not can_start:
             self._state.refuse_start(run, orders.Refusal.NO_ROOM, self._now_s())
             return
         unit = run.unit
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 import contextlib
 import datetime
+import functools
 import random
 import unittest
 
@@ -19,6 +20,7 @@
 from fireflywell.node import order_sender
 from fireflywell.node import worker_session
 from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import model
 from fireflywell.scheduling import orders
 from fireflywell.telemetry import metrics as metrics_lib
 from tests import node_world
@@ -336,6 +338,32 @@
             await wait_until(lambda: len(world.client.throttles) > 1)
 
 
+class SilentWorkerTest(unittest.TestCase):
+    """Workers that stop answering while starts are queued."""
+
+    def test_queued_starts_are_not_sent_to_an_unreachable_worker(self) -> None:
+        """Fails if queued starts delay the end of a silent worker's leases."""
+
+        async def run() -> None:
+            world = SessionWorld()
+            world.client.before_start = functools.partial(anyio.sleep, 0.2)
+            lost = errors.AnswerLostError("the worker is silent")
+            world.client.outcomes.extend([lost] * 80)
+            async with world.run():
+                world.client.is_silent = True
+                step = node_world.make_step(
+                    40, demand=model.ResourceAmounts(10, 1)
+                )
+                world.state.add_job(samples.make_job(_JOB, step))
+                now_s = world.clock.monotonic().total_seconds()
+                for item in world.state.plan(now_s):
+                    world.session.enqueue(order_sender.StartCommand(item))
+                await wait_until(lambda: not world.worker.runs)
+            self.assertLess(len(world.client.starts), 40)
+
+        anyio.run(run)
+
+
 class FullQueueTest(unittest.TestCase):
     """Sessions with more queued orders than they accept."""
 
