Wait for the longest lease of a restarted worker that may run late starts

A start on its way to a worker that comes back under its id names the end of its lease on the clock of the former incarnation.

The comment on the margin no longer says that the time of the last report lengthens leases; it shortens them.

--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -325,7 +325,11 @@
             self._writer,
             self._guard,
             self._tenure.token,
-            self._run_lease,
+            worker_leases.WorkerLeases(
+                self._clock,
+                self._run_lease,
+                self._settings.bounds.longest_run_lease,
+            ),
             self._clock,
             self._handle_session_change,
             self._loader.fetch_unknown,
--- a/src/fireflywell/node/worker_leases.py
+++ b/src/fireflywell/node/worker_leases.py
@@ -25,15 +25,27 @@
         "_clock",
         "_expire_s",
         "_lease",
+        "_longest_lease",
         "_worker_clock_ms",
         "_worker_clock_read_s",
     )
 
     def __init__(
-        self, clock: clock_lib.Clock, lease: datetime.timedelta
+        self,
+        clock: clock_lib.Clock,
+        lease: datetime.timedelta,
+        longest_lease: datetime.timedelta,
     ) -> None:
+        """Starts without a lease.
+
+        Args:
+            clock: The owner's clock.
+            lease: Duration of the leases that the owner grants.
+            longest_lease: Duration to which a worker shortens longer leases.
+        """
         self._clock = clock
         self._lease = lease
+        self._longest_lease = longest_lease
         self._worker_clock_ms = 0
         self._worker_clock_read_s: float | None = None
         # Monotonic time after which all leases that were sent to the worker
@@ -64,10 +76,19 @@
 
     def extend(self) -> None:
         """Records that a lease is granted now."""
-        # The margin covers an order that arrives late, and the time that the
-        # last report was on its way, by which the worker's clock may be ahead
-        # of the estimate.
-        span = self._lease.total_seconds() * (1 + CLOCK_DRIFT)
+        self._extend_by(self._lease)
+
+    def extend_to_longest(self) -> None:
+        """Records that a lease may end as late as the worker allows.
+
+        That is so if a restarted worker receives the end of a lease on the
+        clock of its former incarnation.
+        """
+        self._extend_by(self._longest_lease)
+
+    def _extend_by(self, lease: datetime.timedelta) -> None:
+        # The margin covers an order that arrives late.
+        span = lease.total_seconds() * (1 + CLOCK_DRIFT)
         self._expire_s = max(
             self._expire_s, self._now_s() + span + _EXPIRY_MARGIN_S
         )
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -74,7 +74,7 @@
         writer: progress_writer.ProgressWriter,
         guard: ownership_guard.OwnershipGuard,
         token: int,
-        lease: datetime.timedelta,
+        leases: worker_leases.WorkerLeases,
         clock: clock_lib.Clock,
         on_change: Callable[[], None],
         fetch_jobs: Callable[[frozenset[str]], Awaitable[None]],
@@ -90,7 +90,7 @@
         self._token = token
         self._clock = clock
         self._on_change = on_change
-        self._leases = worker_leases.WorkerLeases(clock, lease)
+        self._leases = leases
         self._acknowledged_end = 0
         # Highest acknowledged number that the worker has received.
         self._received_end = 0
@@ -102,7 +102,7 @@
             writer,
             guard,
             token,
-            self._leases,
+            leases,
             clock,
             on_change,
             metrics,
@@ -232,6 +232,8 @@
             self._handle_new_incarnation(
                 "the worker has restarted", requested_s
             )
+            if self._worker.runs:
+                self._leases.extend_to_longest()
         self.incarnation_start_unix_ms = (
             report.started_unix_ms or self.incarnation_start_unix_ms
         )
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -18,6 +18,7 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.node import order_sender
+from fireflywell.node import worker_leases
 from fireflywell.node import worker_session
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
@@ -29,6 +30,7 @@
 _JOB = "00000000000000a1"
 _UNIT = f"{_JOB}.0.0.0"
 _LEASE = datetime.timedelta(seconds=1)
+_LONGEST_LEASE = datetime.timedelta(seconds=2)
 
 # Each refusal that says nothing about an earlier transmission of the order.
 _REFUSALS = (
@@ -163,7 +165,7 @@
             FakeWriter(),  # type: ignore[arg-type]
             self.guard,  # type: ignore[arg-type]
             1,
-            _LEASE,
+            worker_leases.WorkerLeases(self.clock, _LEASE, _LONGEST_LEASE),
             self.clock,
             lambda: None,
             self.fetch_jobs,
@@ -413,6 +415,35 @@
 
         anyio.run(run)
 
+    def test_lease_may_end_by_the_clock_of_the_former_incarnation(self) -> None:
+        """Fails if a unit starts elsewhere while a start's lease runs.
+
+        The start named the end of its lease on the clock of the worker's former
+        incarnation; the next one shortened it to its own longest lease.
+        """
+
+        async def run() -> None:
+            world = SessionWorld()
+            may_answer = anyio.Event()
+            world.client.before_start = may_answer.wait
+            world.client.outcomes.append(orders.Accepted(1))
+            async with world.run():
+                world.begin_start()
+                await wait_until(lambda: world.client.starts)
+                world.client.started_unix_ms = 2
+                await anyio.sleep(0.1)
+                may_answer.set()
+                started_s = world.clock.monotonic().total_seconds()
+                world.guard.permits_orders = False
+                world.client.is_silent = True
+                await wait_until(lambda: world.state.has_waiting_units)
+                waited_s = world.clock.monotonic().total_seconds() - started_s
+                self.assertGreaterEqual(
+                    waited_s, _LONGEST_LEASE.total_seconds()
+                )
+
+        anyio.run(run)
+
     def test_runs_of_the_former_incarnation_start_again(self) -> None:
         """Fails if units wait although the worker that ran them restarted."""
 
