Make each write of a need of spare VMs conditional on the row's version

A write of the need without an answer could be applied after a newer one. The owner took the newer need as stored and never wrote it again, so spare VMs stayed in a pool that didn't need them. The write now has a condition on the version of the row, and a conflict is followed by another write.

--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -105,6 +105,7 @@
         "_demand_estimator",
         "_metrics",
         "_need",
+        "_need_version",
         "_plan_wake",
         "_random",
         "_assigned_workers",
@@ -158,6 +159,8 @@
         self._demand_estimator = capacity.DemandEstimator()
         # Number of wanted VMs that was stored last.
         self._need: int | None = None
+        # Version of the row that holds it, as far as this owner knows.
+        self._need_version = 0
         self._plan_wake = anyio.Event()
         self._sessions: dict[str, _RunningSession] = {}
         self._scope = anyio.CancelScope()
@@ -457,14 +460,23 @@
         if need == self._need:
             return
         row_key = fleet_cache.locate_need(ownership.FLEET_SERVICE, self.service)
+        # Without the condition, a write that the store applies late would
+        # replace a newer need.
         try:
-            await self._store.transact(
+            result = await self._store.transact(
                 row_store.Transaction(
-                    (), (row_store.Put(row_key, str(need).encode()),)
+                    (row_store.Condition(row_key, self._need_version),),
+                    (row_store.Put(row_key, str(need).encode()),),
                 )
             )
         except errors.PlatformError:
             return
+        match result:
+            case row_store.Conflict() as conflict:
+                self._need_version = conflict.find_version(row_key)
+                return
+            case row_store.Committed(version=version):
+                self._need_version = version
         logs.log_event(
             "capacity.need",
             service=self.service,
--- a/tests/test_waiting_counts.py
+++ b/tests/test_waiting_counts.py
@@ -14,6 +14,7 @@
 from fireflywell.standins import row_store as store_standin
 from fireflywell.telemetry import metrics as metrics_lib
 from tests import node_world
+from tests import partitioned_world
 
 _JOBS = tables.name_jobs_table(node_world.SERVICE)
 _OTHER_QUEUE = model.QueuePolicy("added", node_world.SERVICE, 0, 4, 1.6, 0.6)
@@ -120,5 +121,35 @@
         self.assertEqual(anyio.run(run), 0)
 
 
+class WaitingCountTest(unittest.TestCase):
+    """Counts of an owner that reads new jobs late."""
+
+    def test_counts_of_an_owner_that_is_behind_are_not_used(self) -> None:
+        """Fails if another node gives under half of the waiting jobs.
+
+        An owner on a squeezed link stored counts with the present time though
+        it hadn't read the jobs of the last seconds (rule MIXED).
+        """
+
+        async def run() -> int:
+            world = partitioned_world.PartitionedWorld()
+            async with anyio.create_task_group() as group:
+                node = world.make_node("node-a")
+                group.start_soon(node.run, anyio.Event())
+                await anyio.sleep(1.5)
+                jobs_table = tables.name_jobs_table(node_world.SERVICE)
+                world.views["node-a"].held = {jobs_table}
+                # Until the pending call of the follower has ended.
+                await anyio.sleep(1.2)
+                for number in range(6):
+                    await world.submit(job_id=f"{number:016x}")
+                await anyio.sleep(5)
+                count = await world.frontend.count_waiting(node_world.POLICY)
+                group.cancel_scope.cancel()
+            return count
+
+        self.assertGreaterEqual(anyio.run(run), 3)
+
+
 if __name__ == "__main__":
     unittest.main()
