--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -183,6 +183,7 @@
     async def _send_start(
         self, run: jobs_lib.Run, order: orders.StartOrder
     ) -> orders.OrderOutcome | None:
+        """Returns the first answer; None if the order may be carried out."""
         for _ in range(_START_ATTEMPTS):
             if run.phase is not jobs_lib.RunPhase.SENDING:
                 break
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -32,7 +32,7 @@
     RUNNING = enum.auto()  # The worker confirmed or reported the run.
     START_UNKNOWN = enum.auto()  # The worker may still start the run.
     STOPPING = enum.auto()  # A stop was requested.
-    AWAITING_REPORT = enum.auto()  # Can't start any more; a report decides.
+    AWAITING_REPORT = enum.auto()  # This incarnation can't start it; a report decides.
     ENDED = enum.auto()  # The run has ended or was never started.
 
 
@@ -65,8 +65,9 @@
         # A report requested later that doesn't list the run means that it has
         # ended.
         self.confirmed_s = started_s
-        # Transmissions of the start order without an answer. The worker may
-        # carry out each of them until the lease in the order has expired.
+        # Transmissions of the start order that are in flight or had no answer.
+        # The worker may carry out each of them until the lease in the order has
+        # expired.
         self.unanswered_starts = 0
         # Progress; 0 until a report lists the run.
         self.percent = 0
--- a/src/fireflywell/scheduling/orders.py
+++ b/src/fireflywell/scheduling/orders.py
@@ -88,19 +88,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refused:
-    """The order was not carried out and won't be."""
+    """This transmission of the order was not carried out and won't be."""
 
     reason: Refusal
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Unhealthy:
-    """The worker accepts no orders now; the order was not carried out."""
+    """The worker accepts no orders now; this transmission had no effect."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class IncarnationMismatch:
-    """Another incarnation responded; the order was not carried out."""
+    """A worker with another id responded; this transmission had no effect."""
 
 
 OrderOutcome = Accepted | Refused | Unhealthy | IncarnationMismatch
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -363,11 +363,11 @@
     def end_incarnation(
         self, worker_id: str, requested_s: float
     ) -> tuple[DroppedRun, ...]:
-        """Ends the runs of a worker's former incarnation.
+        """Drops the runs that only a worker's former incarnation can have had.
 
-        Runs that the next incarnation may carry out stay. Those with an
-        unanswered start are stopped; the next report decides about those that
-        were confirmed after this report was requested.
+        Runs with an unanswered start stay and are stopped, because the next
+        incarnation may carry it out. Runs that were confirmed after this report
+        was requested stay until the next report.
 
         Args:
             worker_id: The worker.
@@ -582,7 +582,7 @@
         return run
 
     def _stop_unknown_start(self, run: jobs_lib.Run) -> None:
-        # While the phase is `START_UNKNOWN`, a stop is requested or repeated.
+        # While the phase is `START_UNKNOWN`, a stop is queued or being sent.
         if run.phase is jobs_lib.RunPhase.START_UNKNOWN:
             return
         run.phase = jobs_lib.RunPhase.START_UNKNOWN
