Share the store that applies writes late between tests

Two test modules had a copy each. The emulator's module names incarnations of workers as the rest of the code does. No statement of the product changes.

--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -32,7 +32,8 @@
     RUNNING = enum.auto()  # The worker confirmed or reported the run.
     START_UNKNOWN = enum.auto()  # The worker may still start the run.
     STOPPING = enum.auto()  # A stop was requested.
-    AWAITING_REPORT = enum.auto()  # This incarnation can't start it; a report decides.
+    # Can't start on this incarnation of the worker; a report decides.
+    AWAITING_REPORT = enum.auto()
     ENDED = enum.auto()  # The run has ended or was never started.
 
 
--- a/src/fireflywell/standins/emulator.py
+++ b/src/fireflywell/standins/emulator.py
@@ -60,18 +60,18 @@
         self._clock = clock
         self._unit_s = unit_s
         self._max_hold = max_hold
-        self._lives: list[emulator_worker.WorkerLife] = []
+        self._lives: list[emulator_worker.WorkerIncarnation] = []
         self.api = emulator_worker.FaultyWorkerApi(
             self.begin_life(), clock, random.Random()
         )
 
     @property
-    def current(self) -> emulator_worker.WorkerLife:
+    def current(self) -> emulator_worker.WorkerIncarnation:
         """The life that serves orders."""
         return self._lives[-1]
 
     @property
-    def lives(self) -> tuple[emulator_worker.WorkerLife, ...]:
+    def lives(self) -> tuple[emulator_worker.WorkerIncarnation, ...]:
         """All lives, in order."""
         return tuple(self._lives)
 
@@ -81,7 +81,9 @@
         life = self.current.instance.instance_id
         return row_store.RowKey("servers", "", life)
 
-    def begin_life(self, keeps_id: bool = False) -> emulator_worker.WorkerLife:
+    def begin_life(
+        self, keeps_id: bool = False
+    ) -> emulator_worker.WorkerIncarnation:
         """Starts another life; the former ones end."""
         settings = self._settings
         for life in self._lives:
@@ -100,7 +102,7 @@
             started_unix_ms=int(self._clock.now().timestamp() * 1000),
             vm_id=settings.name,
         )
-        life = emulator_worker.WorkerLife(
+        life = emulator_worker.WorkerIncarnation(
             instance, self._clock, self._unit_s, self._max_hold
         )
         self._lives.append(life)
--- a/src/fireflywell/standins/emulator_worker.py
+++ b/src/fireflywell/standins/emulator_worker.py
@@ -1,4 +1,4 @@
-"""Workers of the emulator: lives that keep the lease rules; late orders."""
+"""Workers of the emulator: rules of leases, late and rejected orders."""
 
 import dataclasses
 import datetime
@@ -22,11 +22,11 @@
 _LONGEST_DELAY_S = 12.0
 
 
-class WorkerLife(unit_worker.UnitWorker):
-    """One life of a worker, with the platform's rules for long leases.
+class WorkerIncarnation(unit_worker.UnitWorker):
+    """One incarnation of a worker, which shortens long leases.
 
-    A lease is at most `max_hold` long: an order for the former life under the
-    same id names a time on that life's clock, which may be far ahead.
+    A lease is at most `max_hold` long: an order for the former incarnation
+    under the same id names a time on that one's clock, which may be far ahead.
     """
 
     __slots__ = ("_forfeited", "_max_hold_ms")
@@ -66,7 +66,8 @@
         """Extends leases and reports; see `WorkerClient.renew`."""
         self._forfeit_lapsed_ends()
         if order.last_acknowledged_end > self._count:
-            # The number is of a former life; ends up to it will be forgotten.
+            # The number is of a former incarnation; ends up to it will be
+            # forgotten.
             logs.log_event(
                 "emulator.foreign_acknowledgement",
                 worker=self.instance.instance_id,
@@ -105,7 +106,10 @@
     __slots__ = ("_clock", "_random", "faults")
 
     def __init__(
-        self, worker: WorkerLife, clock: clock_lib.Clock, rng: random.Random
+        self,
+        worker: WorkerIncarnation,
+        clock: clock_lib.Clock,
+        rng: random.Random,
     ) -> None:
         super().__init__(worker)
         self._clock = clock
@@ -139,14 +143,14 @@
     async def _serve_late(
         self, scope: asgi.Scope, receive: asgi.Receive
     ) -> None:
-        life = self.worker
+        incarnation = self.worker
         body = await asgi.read_body(receive, _BODY_LIMIT_BYTES)
         delay_s = self._random.triangular(
             _SHORTEST_DELAY_S, _LONGEST_DELAY_S, _SHORTEST_DELAY_S
         )
         await self._clock.sleep(datetime.timedelta(seconds=delay_s))
         # The worker has lost what waited there if it ended in the meantime.
-        if self.worker is life:
+        if self.worker is incarnation:
             exchange = _UnansweredExchange(body)
             await super().__call__(scope, exchange.receive, exchange.send)
             self._log("emulator.order_late", scope, body, exchange.status)
--- a/tests/test_node_assigned_workers.py
+++ b/tests/test_node_assigned_workers.py
@@ -7,44 +7,16 @@
 import msgpack
 
 from fireflywell import clock as clock_lib
-from fireflywell import errors
-from fireflywell.coordination import row_store
 from fireflywell.node import assigned_workers
 from fireflywell.node import ownership
 from fireflywell.node import tables
 from fireflywell.scheduling import service_state
-from fireflywell.standins import row_store as store_standin
+from tests import late_store
 
 _SERVICE = "desk"
 _ROW_KEY = tables.locate_assigned_workers(_SERVICE)
 
 
-class LateStore(store_standin.MemoryRowStore):
-    """A store that may apply a transaction late and without an answer."""
-
-    def __init__(self, clock: clock_lib.Clock) -> None:
-        super().__init__(clock)
-        self.is_late = False
-        self.late: list[row_store.Transaction] = []
-
-    async def transact(
-        self,
-        transaction: row_store.Transaction,
-        timeout: datetime.timedelta | None = None,
-    ) -> row_store.Committed | row_store.Conflict:
-        """Applies a transaction, or keeps it for `apply_late`."""
-        if self.is_late:
-            self.late.append(transaction)
-            raise errors.AnswerLostError("no answer")
-        return await super().transact(transaction, timeout)
-
-    async def apply_late(self) -> None:
-        """Applies the transactions that had no answer, and all later ones."""
-        self.is_late = False
-        for transaction in self.late:
-            await super().transact(transaction)
-
-
 class AssignedWorkersTest(unittest.TestCase):
     """An owner whose write of the list has no answer."""
 
@@ -55,7 +27,7 @@
         applied, so that the worker's return seemed to need no write.
         """
         clock = clock_lib.ManualClock()
-        store = LateStore(clock)
+        store = late_store.LateStore(clock)
 
         async def run() -> None:
             version = store.put(tables.locate_owner(_SERVICE), b"owner")
@@ -79,7 +51,7 @@
 
         anyio.run(run)
 
-    def _read(self, store: LateStore) -> dict[str, int]:
+    def _read(self, store: late_store.LateStore) -> dict[str, int]:
         row = store.get(_ROW_KEY)
         assert row is not None
         incarnations, _ = msgpack.unpackb(row.value)
--- a/tests/test_node_late_writes.py
+++ b/tests/test_node_late_writes.py
@@ -8,7 +8,6 @@
 import anyio
 
 from fireflywell import clock as clock_lib
-from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import fleet_cache
 from fireflywell.node import ownership
@@ -16,8 +15,8 @@
 from fireflywell.node import tables
 from fireflywell.scheduling import maintenance
 from fireflywell.scheduling import model
-from fireflywell.standins import row_store as store_standin
 from fireflywell.telemetry import metrics as metrics_lib
+from tests import late_store
 from tests import node_world
 
 
@@ -89,33 +88,9 @@
         anyio.run(run)
 
 
-class LateStore(store_standin.MemoryRowStore):
-    """A store that may apply a transaction late and without an answer."""
-
-    def __init__(self, clock: clock_lib.Clock) -> None:
-        super().__init__(clock)
-        self.is_late = False
-        self._late: list[row_store.Transaction] = []
-
-    async def transact(
-        self,
-        transaction: row_store.Transaction,
-        timeout: datetime.timedelta | None = None,
-    ) -> row_store.Committed | row_store.Conflict:
-        """Applies a transaction, or keeps it for `apply_late`."""
-        if self.is_late:
-            self._late.append(transaction)
-            raise errors.AnswerLostError("no answer")
-        return await super().transact(transaction, timeout)
-
-    async def apply_late(self) -> None:
-        """Applies the transactions that had no answer."""
-        self.is_late = False
-        for transaction in self._late:
-            await super().transact(transaction)
-
-
 class _ValidHeartbeat:
+    """A node's lease that is always valid."""
+
     is_valid = True
     incarnation = "i"
     valid_since = datetime.timedelta()
@@ -126,6 +101,7 @@
 
 
 class _Needs:
+    """Needs that the service has one after the other."""
 
     def __init__(self, *needs: int) -> None:
         self._needs = list(needs)
@@ -151,7 +127,7 @@
 
         async def run() -> bytes:
             clock = clock_lib.SystemClock()
-            store = LateStore(clock)
+            store = late_store.LateStore(clock)
             world = node_world.NodeWorld()
             cache = fleet_cache.FleetCache()
             cache.spare_pool_vms = frozenset({"m-1"})
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -69,8 +69,8 @@
             self._life, self._clock, random.Random(1)
         )
 
-    def _make_life(self) -> emulator_worker.WorkerLife:
-        return emulator_worker.WorkerLife(
+    def _make_life(self) -> emulator_worker.WorkerIncarnation:
+        return emulator_worker.WorkerIncarnation(
             node_world.make_instance("w1"),
             self._clock,
             0.4,
--- a/tools/soak_seeds.py
+++ b/tools/soak_seeds.py
@@ -25,7 +25,7 @@
     KnownSeed(
         1002,
         "a worker that came back under its id was told to forget ends up to a "
-        "number of its former life, before its owner saw the restart",
+        "number of its former incarnation, before its owner saw the restart",
     ),
     KnownSeed(
         1003,
