--- /dev/null
+++ b/tests/session_world.py
@@ -0,0 +1,193 @@
+"""A session with one worker whose answers the test sets."""
+
+import collections
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import contextlib
+import datetime
+import random
+
+import anyio
+import anyio.lowlevel
+
+from fireflywell import clock as clock_lib
+from fireflywell import errors
+from fireflywell.node import order_sender
+from fireflywell.node import worker_leases
+from fireflywell.node import worker_session
+from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import orders
+from fireflywell.telemetry import metrics as metrics_lib
+from tests import scheduling_samples as samples
+
+JOB_ID = "00000000000000a1"
+UNIT = f"{JOB_ID}.0.0.0"
+LEASE = datetime.timedelta(seconds=1)
+LONGEST_LEASE = datetime.timedelta(seconds=2)
+
+
+class ScriptedClient:
+    """A worker's client whose answers the test sets.
+
+    Attributes:
+        outcomes: Answers to the next starts, or errors to raise.
+        throttle_outcomes: Answers to the next throttles, accepted if empty.
+        throttles: Throttles that were sent.
+        starts: Starts that were sent.
+        stops: Stops that were sent.
+        before_start: Called when a start is sent.
+        running: Runs that the next reports list.
+        running_after_throttle: Replaces `running` once a throttle is sent.
+        started_unix_ms: Incarnation that reports.
+        is_silent: Whether report requests get no answer.
+    """
+
+    def __init__(self) -> None:
+        self.outcomes: collections.deque[orders.OrderOutcome | Exception] = (
+            collections.deque()
+        )
+        self.throttle_outcomes: collections.deque[
+            orders.OrderOutcome | Exception
+        ] = collections.deque()
+        self.throttles: list[orders.ThrottleOrder] = []
+        self.starts: list[orders.StartOrder] = []
+        self.stops: list[orders.StopOrder] = []
+        self.before_start = anyio.lowlevel.checkpoint
+        self.running: tuple[orders.RunReport, ...] = ()
+        self.running_after_throttle: tuple[orders.RunReport, ...] = ()
+        self.started_unix_ms = 1
+        self.is_silent = False
+
+    async def start(self, order: orders.StartOrder) -> orders.OrderOutcome:
+        """Answers with the next outcome."""
+        self.starts.append(order)
+        await self.before_start()
+        outcome = self.outcomes.popleft()
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+    async def stop(self, order: orders.StopOrder) -> orders.OrderOutcome:
+        """Accepts the stop."""
+        self.stops.append(order)
+        return orders.Accepted(1)
+
+    async def throttle(
+        self, order: orders.ThrottleOrder
+    ) -> orders.OrderOutcome:
+        """Answers with the next outcome."""
+        self.throttles.append(order)
+        self.running = self.running_after_throttle or self.running
+        if not self.throttle_outcomes:
+            return orders.Accepted(1)
+        outcome = self.throttle_outcomes.popleft()
+        if isinstance(outcome, Exception):
+            raise outcome
+        return outcome
+
+    async def renew(
+        self, order: orders.RenewOrder
+    ) -> orders.WorkerReport | orders.OrderOutcome:
+        """Reports the runs that the test set."""
+        del order
+        await anyio.sleep(0.01)
+        if self.is_silent:
+            raise errors.AnswerLostError("the worker is silent")
+        return orders.WorkerReport(1, self.started_unix_ms, self.running, ())
+
+    async def close(self) -> None:
+        """Does nothing: there is no connection."""
+
+
+class FakeGuard:
+    """Permits all orders unless the test lets the node's lease lapse."""
+
+    def __init__(self) -> None:
+        self.permits_orders = True
+
+    def permits_renewals(self, grace: datetime.timedelta) -> bool:
+        """Returns whether leases may be renewed."""
+        del grace
+        return self.permits_orders
+
+
+class FakeWriter:
+    """Stores nothing."""
+
+    def __init__(self) -> None:
+        self.random = random.Random(1)
+
+    def check_tenure(self) -> None:
+        """Accepts that a worker has seen a higher fencing token."""
+
+    async def wait_until_stored(
+        self, job_ids: frozenset[str], timeout: datetime.timedelta
+    ) -> bool:
+        """Reports the jobs as stored."""
+        del job_ids, timeout
+        return True
+
+
+class SessionWorld:
+    """A service with two workers, one of which has a session."""
+
+    def __init__(self) -> None:
+        self.clock = clock_lib.SystemClock()
+        self.state = samples.make_state("w1", "w2")
+        self.worker = self.state.workers["w1"]
+        self.worker.is_reachable = False
+        # Units go to `w1` while `w2` accepts none.
+        self.state.workers["w2"].is_cordoned = True
+        self.client = ScriptedClient()
+        self.guard = FakeGuard()
+        self.session = worker_session.WorkerSession(
+            self.worker,
+            self.client,
+            self.state,
+            FakeWriter(),  # type: ignore[arg-type]
+            self.guard,  # type: ignore[arg-type]
+            1,
+            worker_leases.WorkerLeases(self.clock, LEASE, LONGEST_LEASE),
+            self.clock,
+            lambda: None,
+            self.fetch_jobs,
+            metrics_lib.NullMetrics(),
+        )
+
+    async def fetch_jobs(self, job_ids: frozenset[str]) -> None:
+        """Adds nothing: all jobs are loaded."""
+
+    @contextlib.asynccontextmanager
+    async def run(self) -> AsyncIterator[None]:
+        """Runs the session until the block is left."""
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as group:
+                group.start_soon(self.session.run)
+                await wait_until(lambda: self.worker.is_reachable)
+                yield
+                group.cancel_scope.cancel()
+
+    def place(self) -> list[jobs_lib.Run]:
+        """Returns the runs that may be placed now."""
+        self.state.workers["w2"].is_cordoned = False
+        return self.state.plan(self.clock.monotonic().total_seconds())
+
+    def begin_start(self) -> jobs_lib.Run:
+        """Adds a job with one unit, places it on `w1` and sends the start."""
+        self.state.add_job(samples.make_job(JOB_ID))
+        (run,) = self.state.plan(self.clock.monotonic().total_seconds())
+        self.session.enqueue(order_sender.StartCommand(run))
+        return run
+
+    def send_stops(self) -> None:
+        """Sends the requested stops to the worker."""
+        stops = self.state.pending_stops
+        while stops:
+            item = stops.popleft()
+            self.session.enqueue(order_sender.StopCommand(item.unit, item.run))
+
+
+async def wait_until(condition: Callable[[], object]) -> None:
+    """Waits until a condition holds."""
+    while not condition():
+        await anyio.sleep(0.005)
