Log why accepted work waits beside free workers

While accepted work waited although workers had room, the logs of its owner showed nothing: the cause had to be guessed from what was absent, and three causes looked alike (inherited work blocked by a silent worker, starts without an answer, and rank, cordons or the spare pool that keep work off workers).

The planner task now looks at the waiting work once a second. While ready work with nothing running has waited for more than 2 s and free capacity holds its unit twice, it logs work.waiting with the unit, its wait and the reason, counts node.work.delayed.<reason>, and sets gauges of the waiting units and the longest wait of each service. The reservations of the last pass are kept for that.

Any character of a service's name may now stand in the name of a metric; names of services become parts of names for the first time.

--- a/src/fireflywell/node/assigned_workers.py
+++ b/src/fireflywell/node/assigned_workers.py
@@ -58,6 +58,11 @@
         # store's clock, which all owners share.
         self._recovery_deadline_s = 0.0
 
+    @property
+    def unreported_workers(self) -> tuple[str, ...]:
+        """Workers whose reports the recovery waits for."""
+        return tuple(sorted(self._unreported))
+
     async def load(self, orphan_timeout: datetime.timedelta) -> None:
         """Reads the list that earlier owners stored.
 
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -22,6 +22,7 @@
 from fireflywell.node import settings as node_settings
 from fireflywell.node import table_follower
 from fireflywell.node import tables
+from fireflywell.node import wait_reporter
 from fireflywell.node import worker_leases
 from fireflywell.node import worker_session
 from fireflywell.scheduling import capacity
@@ -118,6 +119,7 @@
         "_tree",
         "_fleet_cache",
         "_maintenance_wake",
+        "_wait_reporter",
         "_writer",
     )
 
@@ -189,6 +191,9 @@
         self._advice = advice_requester.AdviceRequester(
             self._state, advice, clock, self._wake_planner
         )
+        self._wait_reporter = wait_reporter.WaitReporter(
+            tenure.service, self._state, metrics
+        )
         self._tree = self._build_tree()
 
     @property
@@ -220,6 +225,7 @@
                 await self._tree.run_until_cancelled()
         finally:
             end_subscription()
+            self._wait_reporter.close()
         logs.log_event(
             "ownership.ended", service=self.service, token=self._tenure.token
         )
@@ -423,12 +429,16 @@
             self._state.queue_due_steps(self._read_unix_ms())
             # The drain requests must be loaded first: a former owner may have
             # drained VMs on which nothing may start.
-            if (
-                self._state.has_waiting_units
-                and self._guard.permits_orders
-                and self._fleet_cache.is_loaded
-            ):
+            is_planning = (
+                self._guard.permits_orders and self._fleet_cache.is_loaded
+            )
+            if self._state.has_waiting_units and is_planning:
                 self._plan()
+            self._wait_reporter.report(
+                self._now_s(),
+                self._assigned_workers.unreported_workers,
+                is_planning=is_planning,
+            )
             self._writer.wake()
             await self._clock.sleep(_PLAN_DELAY)
 
--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -62,8 +62,14 @@
         self, worker: workers_lib.Worker, step: jobs.StepOccurrence
     ) -> bool:
         """Returns whether a worker is reserved for another step."""
+        return self.find_other_holder(worker, step) is not None
+
+    def find_other_holder(
+        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
+    ) -> jobs.StepOccurrence | None:
+        """Returns the other step that a worker is reserved for, or None."""
         holder = self._steps_by_worker.get(worker.worker_id)
-        return holder is not None and holder is not step
+        return None if holder is step else holder
 
     def reserve(
         self, worker: workers_lib.Worker, step: jobs.StepOccurrence
@@ -77,6 +83,7 @@
     workers: Sequence[workers_lib.Worker],
     now_s: float,
     limit: int,
+    reservations: Reservations,
 ) -> list[Placement]:
     """Places waiting units, those of the best rank first.
 
@@ -89,13 +96,13 @@
         now_s: Monotonic time.
         limit: Maximum number of placements. A gang that starts below it may
             exceed it.
+        reservations: Reservations of this pass, empty at first.
 
     Returns:
         The placements in order of rank.
     """
     usable = [worker for worker in workers if worker.accepts_runs(now_s)]
     capacity = _RemainingCapacity(usable)
-    reservations = Reservations()
     placements: list[Placement] = []
     for item in ranked:
         if len(placements) >= limit:
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -82,6 +82,7 @@
         "is_recovery_complete",
         "jobs",
         "pending_stops",
+        "reservations",
         "workers",
     )
 
@@ -102,6 +103,8 @@
         self.finished: dict[str, FinishedJob] = {}
         # Stops that haven't been sent yet, oldest first.
         self.pending_stops: collections.deque[StopRequest] = collections.deque()
+        # Reservations of the last planning pass.
+        self.reservations = placement.Reservations()
         # When the stop of a run without a matching unit was last requested.
         self._orphan_stop_times: dict[StopRequest, float] = {}
         # Whether all units that a previous owner left running were found. Until
@@ -218,8 +221,13 @@
             rank = ranking.rank_step(step, now_s, step.job.arrived_s, mean)
             ranked.append(placement.RankedStep(rank, step))
         ranked.sort(key=lambda item: item.rank)
+        self.reservations = placement.Reservations()
         placements = placement.place_units(
-            ranked, tuple(self.workers.values()), now_s, _PLACEMENTS_PER_PASS
+            ranked,
+            tuple(self.workers.values()),
+            now_s,
+            _PLACEMENTS_PER_PASS,
+            self.reservations,
         )
         return self._begin_runs(placements, now_s)
 
--- a/src/fireflywell/telemetry/prometheus_metrics.py
+++ b/src/fireflywell/telemetry/prometheus_metrics.py
@@ -1,6 +1,7 @@
 """Metrics held in memory and served in the Prometheus text format."""
 
 import datetime
+import re
 
 import prometheus_client
 
@@ -10,6 +11,8 @@
 # milliseconds, jobs seconds.
 _BUCKETS_S = (0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
 
+_INVALID_CHARACTER = re.compile(r"[^a-zA-Z0-9_]")
+
 _PREFIX = "fireflywell_"
 
 
@@ -74,4 +77,5 @@
 
 
 def _format_metric_name(name: str) -> str:
-    return _PREFIX + name.replace(".", "_").replace("-", "_")
+    # Names of services become parts of names and may hold any character.
+    return _PREFIX + _INVALID_CHARACTER.sub("_", name)
