Wait once for each worker incarnation after a takeover

Inherited units were started only once every worker on the stored list had reported or the longest lease had passed, and each owner counted that lease from its own claim. While owners changed, one silent worker held all inherited work up without a bound.

The stored list now holds for each incarnation its VM and the end of the time in which it may have runs. Entries in use get the longest lease from the claim; an entry with a time keeps it under all later owners. A worker that doesn't answer for a second is stored with the end of its leases. An owner grants no lease and sends no start before the list surely holds the worker as in use; entries that are in use already need no write, and workers that report at once share one. A worker isn't waited for if its VM runs a later worker, or if another incarnation answers at its address. Lists of the former form are read as workers in use.

The shorter time after a handover is gone: an owner before the last one may have been cut off and have renewed leases after the handover. An unreadable list now makes the next owner wait, too. `worker.restarted` is written once for each change instead of every 150 ms.

--- a/src/fireflywell/node/assigned_workers.py
+++ b/src/fireflywell/node/assigned_workers.py
@@ -1,37 +1,61 @@
 """Stores which worker incarnations may run units of a service."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
 import datetime
-import math
 
-import msgpack
+import anyio
 
+from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import row_store
+from fireflywell.node import assigned_worker_rows as rows
 from fireflywell.node import ownership
 from fireflywell.node import tables
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import workers as workers_lib
 from fireflywell.telemetry import logs
 
+# Workers that report within this time after the first one share its write.
+_BATCH_DELAY = datetime.timedelta(milliseconds=50)
+
+# How often changes that nothing waits for are written, and writes repeated.
+_WRITE_INTERVAL_S = 0.25
+
+# The estimate of the store's clock is behind it by the time that an answer
+# takes, which is at most this long.
+_STORE_CLOCK_MARGIN_S = 1.5
+
 
 class AssignedWorkers:
-    """Tracks the worker incarnations that owners of a service sent orders to.
+    """Tracks the worker incarnations that may run units of a service.
 
-    The list is stored before the first order to a worker, so that a successor
-    can wait for their reports before it starts a unit that may already run.
+    Starts aren't stored. A successor therefore starts a unit that it inherits
+    only once each incarnation on the stored list has reported or can have no
+    runs any more. An incarnation is stored as in use before an owner grants
+    the first lease to it. Once it is lost, the end of its last lease is stored
+    instead, so that later owners don't wait any longer.
     """
 
     __slots__ = (
-        "_state",
-        "_incarnations",
-        "_is_list_unknown",
+        "_are_deadlines_due",
+        "_changed",
+        "_claimed_at",
+        "_clock",
+        "_inherited",
         "_is_row_known",
+        "_lost",
         "_on_recovered",
+        "_out_of_reach",
+        "_state",
         "_store",
+        "_stored",
         "_tenure",
-        "_unreported",
-        "_recovery_deadline_s",
+        "_unlisted_until_s",
+        "_used",
         "_version",
+        "_wake",
     )
 
     def __init__(
@@ -39,152 +63,310 @@
         tenure: ownership.Tenure,
         state: service_state.ServiceState,
         store: row_store.RowStore,
+        clock: clock_lib.Clock,
         on_recovered: Callable[[], None],
     ) -> None:
         self._tenure = tenure
         self._state = state
         self._store = store
+        self._clock = clock
         self._on_recovered = on_recovered
-        # Incarnations that the stored list surely holds.
-        self._incarnations: dict[str, int] = {}
-        # Whether the list of earlier owners couldn't be read.
-        self._is_list_unknown = False
-        # Whether the stored list holds nothing else. A write without an answer
-        # may be applied at any time until a later one is.
+        self._claimed_at = clock.monotonic()
+        # What the stored list surely holds. A write without an answer may be
+        # applied at any time until a later one is.
+        self._stored: dict[str, rows.AssignedWorker] = {}
+        # Whether the stored list holds nothing else.
         self._is_row_known = True
         self._version = 0
-        self._unreported: dict[str, int] = {}
-        # Recovery ends at this time without the missing reports. It is on the
-        # store's clock, which all owners share.
-        self._recovery_deadline_s = 0.0
+        self._unlisted_until_s = 0.0
+        # Incarnations of earlier owners that haven't reported to this one, with
+        # the time until which they are waited for.
+        self._inherited: dict[str, rows.AssignedWorker] = {}
+        # Workers that were waited for in vain.
+        self._out_of_reach: list[str] = []
+        # Incarnations to which this owner grants leases.
+        self._used: dict[str, rows.AssignedWorker] = {}
+        # Incarnations that this owner has lost, until their leases are over.
+        self._lost: dict[str, rows.AssignedWorker] = {}
+        # Whether the times of `_inherited` replace the entries of workers that
+        # earlier owners stored as in use.
+        self._are_deadlines_due = False
+        self._wake = anyio.Event()
+        self._changed = anyio.Event()
 
     @property
     def unreported_workers(self) -> tuple[str, ...]:
         """Workers whose reports the recovery waits for."""
-        return tuple(sorted(self._unreported))
+        return tuple(sorted(self._inherited))
 
     async def load(self, orphan_timeout: datetime.timedelta) -> None:
         """Reads the list that earlier owners stored.
 
         Args:
-            orphan_timeout: After this time, no run of an earlier owner can
-                still be active on a worker that this owner can't reach.
+            orphan_timeout: This time after the claim, no lease that an earlier
+                owner granted can be left.
 
         Raises:
             PlatformError: The store doesn't answer.
         """
         row_key = tables.locate_assigned_workers(self._tenure.service)
+        requested_at = self._clock.monotonic()
         page = await self._store.read(row_key.table, row_key.partition)
+        # The duration of the read isn't subtracted, because the estimate of
+        # the store's clock may be behind by as much.
+        waited = requested_at - self._claimed_at
+        latest_s = (
+            self._store.now_s() + (orphan_timeout - waited).total_seconds()
+        )
         for row in page.rows:
             if row.row_key == row_key:
                 self._version = row.version
-                self._decode_row(row)
-        self._unreported = dict(self._incarnations)
-        self._recovery_deadline_s = max(
-            self._recovery_deadline_s,
-            self._store.now_s() + orphan_timeout.total_seconds(),
-        )
+                self._apply_row(row, latest_s)
+        self._log_inheritance()
         self.check_recovery()
 
-    def _decode_row(self, row: row_store.Row) -> None:
+    def _apply_row(self, row: row_store.Row, latest_s: float) -> None:
         try:
-            incarnations, deadline_s = msgpack.unpackb(row.value)
-            decoded = {str(key): int(n) for key, n in incarnations.items()}
-            if not math.isfinite(deadline_s):
-                raise ValueError(f"the deadline is {deadline_s}")
-            self._incarnations = decoded
-            self._recovery_deadline_s = float(deadline_s)
+            stored = rows.decode(row.value)
         except Exception as error:
-            self._is_list_unknown = True
+            self._unlisted_until_s = latest_s
             logs.log_event(
                 "assigned_workers.unreadable",
                 service=self._tenure.service,
                 error=repr(error),
             )
+            return
+        self._stored = stored.workers
+        self._unlisted_until_s = min(stored.unlisted_until_s, latest_s)
+        self._inherited = {
+            worker_id: dataclasses.replace(
+                item,
+                runs_until_s=latest_s
+                if item.runs_until_s is None
+                else min(item.runs_until_s, latest_s),
+            )
+            for worker_id, item in stored.workers.items()
+        }
+
+    def _log_inheritance(self) -> None:
+        if not self._inherited:
+            return
+        now_s = self._store.now_s()
+        longest_s = max(self._get_end(w) for w in self._inherited) - now_s
+        logs.log_event(
+            "ownership.inheritance_awaited",
+            service=self._tenure.service,
+            workers=len(self._inherited),
+            in_use=sum(w.runs_until_s is None for w in self._stored.values()),
+            longest_s=round(max(0.0, longest_s), 3),
+        )
+
+    async def run(self) -> None:
+        """Stores the changes of the list until cancelled."""
+        while True:
+            with anyio.move_on_after(_WRITE_INTERVAL_S):
+                await self._wake.wait()
+            self._wake = anyio.Event()
+            await self._clock.sleep(_BATCH_DELAY)
+            await self.store_changes()
+
+    async def acquire(
+        self,
+        instance: workers_lib.WorkerInstance,
+        started_unix_ms: int,
+        timeout: datetime.timedelta,
+    ) -> bool:
+        """Waits until an incarnation is stored as in use.
+
+        Args:
+            instance: The worker as it is listed.
+            started_unix_ms: Start of the incarnation that reported.
+            timeout: How long to wait at most.
+
+        Returns:
+            Whether leases may be granted to its runs now.
+        """
+        worker_id = instance.instance_id
+        wanted = rows.AssignedWorker(started_unix_ms, instance.vm_id)
+        if self._used.get(worker_id) != wanted:
+            self._used[worker_id] = wanted
+            self._wake.set()
+        with anyio.move_on_after(timeout.total_seconds()):
+            while not self._is_stored(worker_id, wanted):
+                await self._changed.wait()
+        return self._is_stored(worker_id, wanted)
+
+    def _is_stored(self, worker_id: str, wanted: rows.AssignedWorker) -> bool:
+        return wanted.is_interchangeable_with(self._stored.get(worker_id))
+
+    def mark_lost(self, worker_id: str, lease: datetime.timedelta) -> None:
+        """Records that a worker doesn't answer and gets no more leases.
+
+        Args:
+            worker_id: The worker.
+            lease: Time until its leases are over.
+        """
+        used = self._used.pop(worker_id, None)
+        if used is None:
+            return
+        end_s = self._store.now_s() + max(0.0, lease.total_seconds())
+        end_s += _STORE_CLOCK_MARGIN_S
+        if worker_id in self._inherited:
+            end_s = max(end_s, self._get_end(worker_id))
+        self._lost[worker_id] = dataclasses.replace(used, runs_until_s=end_s)
 
-    def mark_reported(self, worker_id: str, started_unix_ms: int) -> None:
-        """Records that an incarnation of a worker has reported all its runs.
+    def mark_unreported_lost(self) -> None:
+        """Stores until when the workers that haven't reported may have runs.
 
-        A report of another incarnation than the listed one proves that the
-        listed one has ended.
+        Called once the workers have had the time to report. Otherwise each
+        takeover would store all workers twice.
         """
-        # Any report accounts for all earlier incarnations of the id.
-        del started_unix_ms
-        if self._unreported.pop(worker_id, None) is not None:
+        self._are_deadlines_due = True
+
+    def forget(self, worker_id: str) -> None:
+        """Removes a worker to which this owner's runs have all ended."""
+        self._used.pop(worker_id, None)
+        self._lost.pop(worker_id, None)
+
+    def mark_reported(self, worker_id: str) -> None:
+        """Records that all runs of earlier owners on a worker are known.
+
+        A report accounts for all earlier incarnations of the id.
+        """
+        if self._inherited.pop(worker_id, None) is not None:
             self.check_recovery()
 
+    def mark_replaced(
+        self, instances: Iterable[workers_lib.WorkerInstance]
+    ) -> None:
+        """Stops waiting for workers whose VMs have started again since.
+
+        A VM runs one worker at a time, and the new one accepts no order that
+        names the former one. A worker that came back under its own id may
+        still carry out an earlier owner's order; it has to report.
+
+        Args:
+            instances: All listed workers, of any service.
+        """
+        if not self._inherited:
+            return
+        latest: dict[str, int] = {}
+        listed = set()
+        for instance in instances:
+            listed.add(instance.instance_id)
+            latest[instance.vm_id] = max(
+                latest.get(instance.vm_id, 0), instance.started_unix_ms
+            )
+        for worker_id, item in tuple(self._inherited.items()):
+            # While both are listed, their order would rest on the VM's date.
+            if (
+                item.vm_id
+                and worker_id not in listed
+                and latest.get(item.vm_id, 0) > item.started_unix_ms > 0
+            ):
+                self.mark_reported(worker_id)
+
     def check_recovery(self) -> None:
         """Completes the recovery once no unreported run can be active.
 
-        That is so once all listed workers have reported, or after the deadline.
-        If the list can't be read, any worker may have runs until the deadline.
-        Recovered units may be started again from then on.
+        That is so once each inherited worker has reported or is past its time.
+        If the list can't be read, any worker may have runs for as long as an
+        earlier owner's lease. Recovered units may be started from then on.
         """
-        if self._state.is_recovery_complete:
+        now_s = self._store.now_s()
+        for worker_id in tuple(self._inherited):
+            if now_s > self._get_end(worker_id):
+                del self._inherited[worker_id]
+                self._out_of_reach.append(worker_id)
+        if self._state.is_recovery_complete or self._inherited:
             return
-        is_past_deadline = self._store.now_s() > self._recovery_deadline_s
-        is_waiting = bool(self._unreported) or self._is_list_unknown
-        if is_waiting and not is_past_deadline:
+        if now_s < self._unlisted_until_s:
             return
+        waited = self._clock.monotonic() - self._claimed_at
         logs.log_event(
             "ownership.inheritance_settled",
             service=self._tenure.service,
-            out_of_reach=sorted(self._unreported),
+            out_of_reach=sorted(self._out_of_reach),
+            waited_s=round(waited.total_seconds(), 3),
         )
-        # The leases of unreachable workers have expired, so a successor needn't
-        # wait for them again.
-        self._unreported = {}
         self._state.is_recovery_complete = True
         self._on_recovered()
 
-    async def store_incarnations(self, incarnations: dict[str, int]) -> bool:
-        """Stores the workers in use if they have changed.
-
-        An incarnation that has ended is removed from the list, so that a
-        successor doesn't wait for it.
-
-        Args:
-            incarnations: Start of the current incarnation in Unix ms by worker
-                id, for all workers that may have runs.
+    async def store_changes(self) -> bool:
+        """Stores the list if it has changed.
 
         Returns:
-            Whether all of them are stored, so that orders may be sent to them.
+            Whether the stored list holds what it should.
         """
-        wanted = {**self._unreported, **incarnations}
-        if self._is_row_known and wanted == self._incarnations:
+        wanted = self._list_wanted()
+        if self._is_row_known and wanted == self._stored:
             return True
-        has_new = any(
-            self._incarnations.get(key) != started_unix_ms
-            for key, started_unix_ms in incarnations.items()
-        )
-        value = msgpack.packb([wanted, self._recovery_deadline_s])
-        row_key = tables.locate_assigned_workers(self._tenure.service)
+        stored, is_row_known = self._stored, self._is_row_known
+        # Until the answer is there, the row may hold the old or the new list.
+        self._is_row_known = False
+        self._stored = {
+            worker_id: item
+            for worker_id, item in stored.items()
+            if item.is_interchangeable_with(wanted.get(worker_id))
+        }
         try:
-            result = await self._store.transact(
-                row_store.Transaction(
-                    (
-                        self._tenure.make_condition(),
-                        row_store.Condition(row_key, self._version),
-                    ),
-                    (row_store.Put(row_key, bytes(value)),),
-                )
-            )
+            result = await self._store.transact(self._make_write(wanted))
         except errors.PlatformUnavailableError:
-            return not has_new
+            self._stored, self._is_row_known = stored, is_row_known
         except errors.PlatformError:
-            self._is_row_known = False
-            self._incarnations = dict(
-                self._incarnations.items() & wanted.items()
-            )
-            return not has_new
-        match result:
-            case row_store.Committed(version=version):
-                self._version = version
-                self._incarnations = wanted
-                self._is_row_known = True
-                return True
-            case row_store.Conflict() as conflict:
-                # An earlier write of this owner, whose answer was lost, was
-                # applied.
-                self._version = conflict.find_version(row_key)
-                return not has_new
+            return False
+        else:
+            match result:
+                case row_store.Committed(version=version):
+                    self._version = version
+                    self._stored, self._is_row_known = wanted, True
+                case row_store.Conflict() as conflict:
+                    # An earlier write of this owner, whose answer was lost,
+                    # was applied.
+                    self._version = conflict.find_version(
+                        tables.locate_assigned_workers(self._tenure.service)
+                    )
+                    self._stored, self._is_row_known = stored, False
+        self._signal_change()
+        return self._stored is wanted
+
+    def _make_write(
+        self, wanted: dict[str, rows.AssignedWorker]
+    ) -> row_store.Transaction:
+        row_key = tables.locate_assigned_workers(self._tenure.service)
+        value = rows.encode(
+            rows.AssignedWorkerList(wanted, self._unlisted_until_s)
+        )
+        return row_store.Transaction(
+            (
+                self._tenure.make_condition(),
+                row_store.Condition(row_key, self._version),
+            ),
+            (row_store.Put(row_key, value),),
+        )
+
+    def _list_wanted(self) -> dict[str, rows.AssignedWorker]:
+        now_s = self._store.now_s()
+        self._lost = {
+            worker_id: item
+            for worker_id, item in self._lost.items()
+            if worker_id not in self._used
+            and item.runs_until_s is not None
+            and item.runs_until_s >= now_s
+        }
+        inherited = self._inherited
+        if not self._are_deadlines_due:
+            inherited = {
+                worker_id: self._stored.get(worker_id, item)
+                for worker_id, item in inherited.items()
+            }
+        return {**inherited, **self._lost, **self._used}
+
+    def _get_end(self, worker_id: str) -> float:
+        end_s = self._inherited[worker_id].runs_until_s
+        assert end_s is not None
+        return end_s
+
+    def _signal_change(self) -> None:
+        changed, self._changed = self._changed, anyio.Event()
+        changed.set()
--- a/src/fireflywell/node/instance_registry.py
+++ b/src/fireflywell/node/instance_registry.py
@@ -10,16 +10,26 @@
 class InstanceRegistry:
     """Holds the listed workers; entries that can't be decoded are left out."""
 
-    __slots__ = ("_decode", "_instances", "_reported")
+    __slots__ = ("_decode", "_instances", "_is_loaded", "_reported")
 
     def __init__(
         self, decode: Callable[[str, bytes], workers_lib.WorkerInstance]
     ) -> None:
         self._decode = decode
         self._instances: dict[str, workers_lib.WorkerInstance] = {}
+        self._is_loaded = False
         # Workers whose malformed entry was logged; each is logged once.
         self._reported: set[str] = set()
 
+    @property
+    def is_loaded(self) -> bool:
+        """Whether the workers were read and are kept up to date."""
+        return self._is_loaded
+
+    def list_all(self) -> tuple[workers_lib.WorkerInstance, ...]:
+        """Returns the workers of all services."""
+        return tuple(self._instances.values())
+
     def list_instances(
         self, service: str
     ) -> tuple[workers_lib.WorkerInstance, ...]:
@@ -31,10 +41,12 @@
     def clear(self) -> None:
         """Drops all workers, for when nothing keeps them up to date."""
         self._instances = {}
+        self._is_loaded = False
 
     def replace_all(self, rows: tuple[row_store.Row, ...]) -> None:
         """Replaces all workers by those of a full read."""
         self._instances = {}
+        self._is_loaded = True
         self.apply_rows(rows)
 
     def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -348,7 +348,7 @@
             self._clock,
             self._random,
             self._heartbeat,
-            self._registry.list_instances,
+            self._registry,
             self._dependencies.make_client,
             self._fleet_cache,
             self._dependencies.metrics,
--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -54,15 +54,12 @@
         token: Fencing token; workers reject orders with a lower one.
         version: Version of the owner's row, a condition of all writes.
         is_first: Whether the service never had an owner before.
-        is_handover: Whether the former owner released the service and
-            therefore gives no more orders.
     """
 
     service: str
     token: int
     version: int
     is_first: bool
-    is_handover: bool = False
 
     def make_condition(self) -> row_store.Condition:
         """Returns a condition that fails once the owner's row has changed."""
@@ -288,7 +285,6 @@
                     token,
                     committed,
                     is_first=cached is None,
-                    is_handover=cached is not None and not previous,
                 )
                 self._metrics.count("node.takeovers")
                 logs.log_event(
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -14,6 +14,7 @@
 from fireflywell.node import assigned_workers
 from fireflywell.node import fleet_cache
 from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import instance_registry
 from fireflywell.node import job_loader
 from fireflywell.node import order_sender
 from fireflywell.node import ownership
@@ -64,11 +65,15 @@
 # Time for each worker to send a first report after a takeover.
 _EVICTION_MARGIN = datetime.timedelta(seconds=2)
 
+# A worker that hasn't answered for this long is stored with the end of its
+# leases, and as in use again before it gets another. Nearly all workers answer
+# sooner, also after a call that was lost, and need no write.
+_LOST_DELAY_S = 1.0
+
 # Added to the longest lease that an earlier owner can have granted.
 _ORPHAN_MARGIN = datetime.timedelta(milliseconds=500)
 
 MakeClient = Callable[[workers_lib.WorkerInstance], orders.WorkerClient]
-ListInstances = Callable[[str], tuple[workers_lib.WorkerInstance, ...]]
 
 
 class _RunningSession:
@@ -100,7 +105,6 @@
         "_guard",
         "_heartbeat",
         "_is_stopped",
-        "_list_instances",
         "_loader",
         "_make_client",
         "_demand_estimator",
@@ -109,12 +113,14 @@
         "_need_version",
         "_plan_wake",
         "_random",
+        "_registry",
         "_assigned_workers",
         "_scope",
         "_sessions",
         "_settings",
         "_store",
         "_sync_wake",
+        "_synced_since_s",
         "_tenure",
         "_tree",
         "_fleet_cache",
@@ -131,7 +137,7 @@
         clock: clock_lib.Clock,
         rng: random.Random,
         heartbeat: heartbeat_lib.Heartbeat,
-        list_instances: ListInstances,
+        registry: instance_registry.InstanceRegistry,
         make_client: MakeClient,
         cache: fleet_cache.FleetCache,
         metrics: metrics_lib.Metrics,
@@ -150,7 +156,7 @@
         self._guard = ownership_guard.OwnershipGuard(
             tenure, store, heartbeat, clock
         )
-        self._list_instances = list_instances
+        self._registry = registry
         self._make_client = make_client
         self._is_stopped = False
         # An earlier owner may have stopped runs that are still listed as
@@ -165,6 +171,8 @@
         self._need_version = 0
         self._plan_wake = anyio.Event()
         self._sessions: dict[str, _RunningSession] = {}
+        # When each worker that was listed at first had got its session.
+        self._synced_since_s: float | None = None
         self._scope = anyio.CancelScope()
         self._state = service_state.ServiceState(tenure.token)
         self._writer = progress_writer.ProgressWriter(
@@ -177,7 +185,7 @@
             self.stop,
         )
         self._assigned_workers = assigned_workers.AssignedWorkers(
-            tenure, self._state, store, self._wake_planner
+            tenure, self._state, store, clock, self._wake_planner
         )
         self._loader = job_loader.JobLoader(
             tenure.service,
@@ -247,6 +255,9 @@
                 "waiting-counts", self._writer.run_waiting_counts, restart
             ),
             supervisor_lib.Child("sweep", self._writer.run_sweep, restart),
+            supervisor_lib.Child(
+                "assigned-workers", self._assigned_workers.run, restart
+            ),
             supervisor_lib.Child("workers", self._sync_workers, restart),
             supervisor_lib.Child("ownership", self._confirm_ownership, restart),
             supervisor_lib.Child("planner", self._run_planner, restart),
@@ -258,10 +269,13 @@
         )
 
     async def _load(self) -> None:
-        orphan_timeout = self._run_lease * (1 + worker_leases.CLOCK_DRIFT)
-        orphan_timeout += _ORPHAN_MARGIN
-        if not self._tenure.is_handover:
-            orphan_timeout += worker_leases.RENEWAL_GRACE
+        # After a handover, too: an owner before the last one may have been cut
+        # off and have renewed leases until shortly after it was replaced.
+        orphan_timeout = (
+            self._run_lease * (1 + worker_leases.CLOCK_DRIFT)
+            + worker_leases.RENEWAL_GRACE
+            + _ORPHAN_MARGIN
+        )
         while True:
             try:
                 await self._assigned_workers.load(orphan_timeout)
@@ -281,23 +295,33 @@
         while True:
             listed = {
                 item.instance_id: item
-                for item in self._list_instances(self.service)
-            }
-            incarnations = {
-                key: running.session.worker.instance.started_unix_ms
-                for key, running in self._sessions.items()
-            }
-            incarnations |= {
-                key: item.started_unix_ms for key, item in listed.items()
+                for item in self._registry.list_instances(self.service)
             }
-            if await self._assigned_workers.store_incarnations(incarnations):
-                self._start_sessions(listed)
+            self._start_sessions(listed)
             self._end_sessions(listed)
-            self._assigned_workers.check_recovery()
+            self._update_assigned_workers()
             with anyio.move_on_after(_SYNC_INTERVAL_S):
                 await self._sync_wake.wait()
             self._sync_wake = anyio.Event()
 
+    def _update_assigned_workers(self) -> None:
+        """Passes on which workers don't answer and which have ended."""
+        now_s = self._now_s()
+        for worker_id, running in self._sessions.items():
+            session = running.session
+            since_s = session.lost_since_s
+            if since_s is not None and now_s - since_s > _LOST_DELAY_S:
+                self._assigned_workers.mark_lost(
+                    worker_id, session.remaining_lease
+                )
+        if self._registry.is_loaded:
+            if self._synced_since_s is None:
+                self._synced_since_s = now_s
+            if now_s - self._synced_since_s > _LOST_DELAY_S:
+                self._assigned_workers.mark_unreported_lost()
+            self._assigned_workers.mark_replaced(self._registry.list_all())
+        self._assigned_workers.check_recovery()
+
     def _start_sessions(
         self, listed: dict[str, workers_lib.WorkerInstance]
     ) -> None:
@@ -343,6 +367,7 @@
             self._handle_session_change,
             self._loader.fetch_unknown,
             self._metrics,
+            self._assigned_workers,
         )
         running = _RunningSession(session)
         self._sessions[instance.instance_id] = running
@@ -380,14 +405,13 @@
         running = self._sessions.pop(worker_id)
         running.scope.cancel()
         self._state.remove_worker(worker_id)
+        self._assigned_workers.forget(worker_id)
         logs.log_event("worker.dropped", worker=worker_id, reason=reason)
 
     def _handle_session_change(self) -> None:
         for worker_id, running in self._sessions.items():
             if running.session.has_reported:
-                self._assigned_workers.mark_reported(
-                    worker_id, running.session.incarnation_start_unix_ms
-                )
+                self._assigned_workers.mark_reported(worker_id)
         self._writer.wake()
         self._wake_planner()
 
--- a/src/fireflywell/node/worker_leases.py
+++ b/src/fireflywell/node/worker_leases.py
@@ -62,6 +62,13 @@
         """Whether no run can still be active or start by a granted lease."""
         return self._now_s() > self._expire_s
 
+    @property
+    def remaining(self) -> datetime.timedelta:
+        """Time until no run can be active by a granted lease."""
+        return datetime.timedelta(
+            seconds=max(0.0, self._expire_s - self._now_s())
+        )
+
     def record_clock(self, clock_ms: int) -> None:
         """Records the time on the worker's clock, in ms."""
         self._worker_clock_ms = clock_ms
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -8,6 +8,7 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
+from fireflywell.node import assigned_workers
 from fireflywell.node import order_sender
 from fireflywell.node import ownership_guard
 from fireflywell.node import progress_writer
@@ -55,6 +56,8 @@
         "_leases",
         "_metrics",
         "_acknowledged_end",
+        "_assigned_workers",
+        "_has_ended",
         "_on_change",
         "_order_sender",
         "_received_end",
@@ -64,6 +67,7 @@
         "_writer",
         "incarnation_start_unix_ms",
         "has_reported",
+        "lost_since_s",
     )
 
     def __init__(
@@ -79,8 +83,10 @@
         on_change: Callable[[], None],
         fetch_jobs: Callable[[frozenset[str]], Awaitable[None]],
         metrics: metrics_lib.Metrics,
+        assigned: assigned_workers.AssignedWorkers,
     ) -> None:
         self._metrics = metrics
+        self._assigned_workers = assigned
         self._fetch_jobs = fetch_jobs
         self._worker = worker
         self._client = client
@@ -108,13 +114,22 @@
             metrics,
         )
         self.incarnation_start_unix_ms = worker.instance.started_unix_ms
+        # Whether another incarnation answers the calls, which is logged once.
+        self._has_ended = False
         self.has_reported = False
+        # Monotonic time of the first call without a report since the last one.
+        self.lost_since_s: float | None = None
 
     @property
     def worker(self) -> workers_lib.Worker:
         """State of the worker that this session talks to."""
         return self._worker
 
+    @property
+    def remaining_lease(self) -> datetime.timedelta:
+        """Time until the leases that this owner granted are over."""
+        return self._leases.remaining
+
     def enqueue(self, command: order_sender.Command) -> None:
         """Queues an order; see `OrderSender.enqueue`."""
         self._order_sender.enqueue(command)
@@ -161,10 +176,7 @@
                 case orders.WorkerReport():
                     await self._apply_report(report, requested_s)
                 case orders.IncarnationMismatch():
-                    self._handle_new_incarnation(
-                        "another incarnation answered", requested_s
-                    )
-                    self.expire_runs()
+                    self._handle_mismatch(requested_s)
                     await self._clock.sleep(_RETRY_DELAY)
                 case orders.Refused(reason=reason):
                     self._mark_unreachable(f"renewal refused: {reason}")
@@ -224,6 +236,8 @@
                 await self._clock.sleep(_RETRY_DELAY)
                 return
         now_s = self._now_s()
+        self._has_ended = False
+        self.lost_since_s = None
         if (
             self.incarnation_start_unix_ms
             and report.started_unix_ms
@@ -243,14 +257,6 @@
             # first request.
             self._leases.extend()
         self._leases.record_clock(report.clock_ms)
-        if not self._worker.is_reachable:
-            self._worker.is_reachable = True
-            logs.log_event(
-                "worker.reached",
-                worker=self._worker.worker_id,
-                runs=len(report.running),
-                ends=len(report.ended),
-            )
         last_end = self._state.apply_report(
             self._worker.worker_id, report, requested_s, now_s
         )
@@ -262,6 +268,8 @@
         # Recovered units start once the workers have reported all their ends.
         self.has_reported = self.has_reported or report.has_all_ends
         self._on_change()
+        if not await self._reach_worker(report):
+            return
         if last_end > self._acknowledged_end:
             self._log_ends(report)
             changed = frozenset(
@@ -273,6 +281,31 @@
         elif not is_first and not self._worker.runs:
             await self._sleep_idle()
 
+    async def _reach_worker(self, report: orders.WorkerReport) -> bool:
+        """Makes a worker that has reported usable, unless it is.
+
+        Returns:
+            Whether it is usable. Otherwise it is asked for another report.
+        """
+        if self._worker.is_reachable:
+            return True
+        # A successor has to wait for this worker before it gets a lease.
+        if not await self._assigned_workers.acquire(
+            self._worker.instance,
+            self.incarnation_start_unix_ms,
+            _REPORT_WAIT,
+        ):
+            return False
+        self._worker.is_reachable = True
+        logs.log_event(
+            "worker.reached",
+            worker=self._worker.worker_id,
+            runs=len(report.running),
+            ends=len(report.ended),
+        )
+        self._on_change()
+        return True
+
     async def _sleep_idle(self) -> None:
         self._wake = anyio.Event()
         if self._worker.runs:
@@ -284,6 +317,8 @@
         return self._guard.permits_renewals(worker_leases.RENEWAL_GRACE)
 
     def _mark_unreachable(self, reason: str) -> None:
+        if self.lost_since_s is None:
+            self.lost_since_s = self._now_s()
         if self._worker.is_reachable:
             self._worker.is_reachable = False
             logs.log_event(
@@ -308,6 +343,18 @@
             )
             self._on_change()
 
+    def _handle_mismatch(self, requested_s: float) -> None:
+        """Ends an incarnation in whose place another one answers."""
+        if self.lost_since_s is None:
+            self.lost_since_s = self._now_s()
+        # Orders that name this incarnation are never carried out any more.
+        self.has_reported = True
+        self._handle_new_incarnation(
+            "another incarnation answered", requested_s
+        )
+        self._has_ended = True
+        self.expire_runs()
+
     def _handle_new_incarnation(self, reason: str, requested_s: float) -> None:
         dropped = self._state.end_incarnation(
             self._worker.worker_id, requested_s
@@ -315,6 +362,8 @@
         self._acknowledged_end = 0
         self._received_end = 0
         self._worker.is_reachable = False
+        if self._has_ended and not dropped:
+            return
         logs.log_event(
             "worker.restarted",
             worker=self._worker.worker_id,
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -17,6 +17,7 @@
 from fireflywell.node import worker_session
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import workers as workers_lib
 from fireflywell.telemetry import metrics as metrics_lib
 from tests import scheduling_samples as samples
 
@@ -40,6 +41,8 @@
         running_after_throttle: Replaces `running` once a throttle is sent.
         started_unix_ms: Incarnation that reports.
         is_silent: Whether report requests get no answer.
+        is_replaced: Whether another incarnation answers report requests.
+        renewals: Report requests that were sent.
     """
 
     def __init__(self) -> None:
@@ -57,6 +60,8 @@
         self.running_after_throttle: tuple[orders.RunReport, ...] = ()
         self.started_unix_ms = 1
         self.is_silent = False
+        self.is_replaced = False
+        self.renewals: list[orders.RenewOrder] = []
 
     async def start(self, order: orders.StartOrder) -> orders.OrderOutcome:
         """Answers with the next outcome."""
@@ -89,10 +94,12 @@
         self, order: orders.RenewOrder
     ) -> orders.WorkerReport | orders.OrderOutcome:
         """Reports the runs that the test set."""
-        del order
+        self.renewals.append(order)
         await anyio.sleep(0.01)
         if self.is_silent:
             raise errors.AnswerLostError("the worker is silent")
+        if self.is_replaced:
+            return orders.IncarnationMismatch()
         return orders.WorkerReport(1, self.started_unix_ms, self.running, ())
 
     async def close(self) -> None:
@@ -128,6 +135,32 @@
         return True
 
 
+class FakeAssignedWorkers:
+    """Stores each incarnation as in use, unless the test says otherwise.
+
+    Attributes:
+        is_store_down: Whether nothing can be stored.
+        stored: Incarnations that are stored as in use.
+    """
+
+    def __init__(self) -> None:
+        self.is_store_down = False
+        self.stored: set[tuple[str, int]] = set()
+
+    async def acquire(
+        self,
+        instance: workers_lib.WorkerInstance,
+        started_unix_ms: int,
+        timeout: datetime.timedelta,
+    ) -> bool:
+        """Stores the incarnation as in use, or waits in vain."""
+        if self.is_store_down:
+            await anyio.sleep(timeout.total_seconds())
+            return False
+        self.stored.add((instance.instance_id, started_unix_ms))
+        return True
+
+
 class SessionWorld:
     """A service with two workers, one of which has a session."""
 
@@ -140,6 +173,7 @@
         self.state.workers["w2"].is_cordoned = True
         self.client = ScriptedClient()
         self.guard = FakeGuard()
+        self.assigned_workers = FakeAssignedWorkers()
         self.session = worker_session.WorkerSession(
             self.worker,
             self.client,
@@ -152,6 +186,7 @@
             lambda: None,
             self.fetch_jobs,
             metrics_lib.NullMetrics(),
+            self.assigned_workers,  # type: ignore[arg-type]
         )
 
     async def fetch_jobs(self, job_ids: frozenset[str]) -> None:
--- a/tests/test_node_assigned_workers.py
+++ b/tests/test_node_assigned_workers.py
@@ -7,18 +7,227 @@
 import msgpack
 
 from fireflywell import clock as clock_lib
+from fireflywell.node import assigned_worker_rows
 from fireflywell.node import assigned_workers
 from fireflywell.node import ownership
 from fireflywell.node import tables
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import workers as workers_lib
 from tests import late_store
+from tests import node_world
 
-_SERVICE = "desk"
+_SERVICE = node_world.SERVICE
 _ROW_KEY = tables.locate_assigned_workers(_SERVICE)
 
+# Longest time for which leases of an earlier owner last after a claim.
+_ORPHAN_TIMEOUT = datetime.timedelta(seconds=8)
+
+_NO_TIME = datetime.timedelta()
+
+
+class _Owner:
+    """An owner that has claimed the service and read the list."""
+
+    def __init__(self, world: "_World", token: int) -> None:
+        self._world = world
+        self.state = service_state.ServiceState(token)
+        version = world.store.put(tables.locate_owner(_SERVICE), b"owner")
+        self.workers = assigned_workers.AssignedWorkers(
+            ownership.Tenure(_SERVICE, token, version, is_first=token == 1),
+            self.state,
+            world.store,
+            world.clock,
+            lambda: None,
+        )
+
+    def is_settled(self) -> bool:
+        """Returns whether recovered units may be started."""
+        self.workers.check_recovery()
+        return self.state.is_recovery_complete
+
+    async def use(self, *names: str, started_unix_ms: int = 1) -> None:
+        """Stores workers as in use after their first report."""
+        for name in names:
+            self.workers.mark_reported(name)
+            await self.acquire(name, started_unix_ms)
+        await self.workers.store_changes()
+        for name in names:
+            assert await self.acquire(name, started_unix_ms)
+
+    async def acquire(self, name: str, started_unix_ms: int = 1) -> bool:
+        """Returns whether leases may be granted to a worker's runs now."""
+        return await self.workers.acquire(
+            node_world.make_instance(name), started_unix_ms, _NO_TIME
+        )
+
+    async def give_up(self) -> None:
+        """Stores until when the workers that haven't reported may have runs."""
+        self.workers.mark_unreported_lost()
+        await self.workers.store_changes()
+
+
+class _World:
+    """A store whose clock the test advances."""
+
+    def __init__(self) -> None:
+        self.clock = clock_lib.ManualClock()
+        self.store = late_store.LateStore(self.clock)
+        self._token = 0
+
+    def advance(self, seconds: float) -> None:
+        """Advances the clock."""
+        self.clock.advance(datetime.timedelta(seconds=seconds))
+
+    async def claim(self) -> _Owner:
+        """Returns the next owner."""
+        self._token += 1
+        owner = _Owner(self, self._token)
+        await owner.workers.load(_ORPHAN_TIMEOUT)
+        return owner
+
+    async def claim_after(self, *names: str) -> _Owner:
+        """Returns the owner after one that used some workers."""
+        first = await self.claim()
+        await first.use(*names)
+        return await self.claim()
+
+    def read(self) -> dict[str, assigned_worker_rows.AssignedWorker]:
+        """Returns the stored list."""
+        row = self.store.get(_ROW_KEY)
+        assert row is not None
+        return assigned_worker_rows.decode(row.value).workers
+
 
 class AssignedWorkersTest(unittest.TestCase):
-    """An owner whose write of the list has no answer."""
+    """Owners that follow each other."""
+
+    def test_later_owners_keep_the_time_of_the_first(self) -> None:
+        """Fails if each owner gives a silent worker a new time.
+
+        Inherited work then waits beside free workers as long as owners
+        change (issue 25).
+        """
+
+        async def run() -> None:
+            world = _World()
+            second = await world.claim_after("w1", "w2")
+            await second.use("w1")
+            await second.give_up()
+            world.advance(3)
+            third = await world.claim()
+            await third.use("w1")
+            world.advance(3)
+            fourth = await world.claim()
+            await fourth.use("w1")
+            self.assertFalse(fourth.is_settled())
+            world.advance(1.9)
+            self.assertFalse(fourth.is_settled())
+            world.advance(0.2)
+            self.assertTrue(fourth.is_settled())
+            await fourth.workers.store_changes()
+            self.assertEqual(set(world.read()), {"w1"})
+
+        anyio.run(run)
+
+    def test_worker_that_is_used_again_gets_a_new_time(self) -> None:
+        """Fails if a unit starts elsewhere while it runs on a silent worker.
+
+        The owner that stored the worker's time reached it later and granted
+        leases (rule TWICE).
+        """
+
+        async def run() -> None:
+            world = _World()
+            second = await world.claim_after("w1")
+            await second.give_up()
+            world.advance(5)
+            await second.use("w1")
+            third = await world.claim()
+            await third.give_up()
+            world.advance(7.9)
+            self.assertFalse(third.is_settled())
+            self.assertFalse((await world.claim()).is_settled())
+            world.advance(0.2)
+            self.assertTrue(third.is_settled())
+
+        anyio.run(run)
+
+    def test_worker_gets_no_lease_before_it_is_stored_as_in_use(self) -> None:
+        """Fails if a successor can take a worker with runs for an idle one."""
+
+        async def run() -> None:
+            world = _World()
+            second = await world.claim_after("w1")
+            await second.give_up()
+            second.workers.mark_reported("w1")
+            world.store.is_down = True
+            self.assertFalse(await second.acquire("w1"))
+            await second.workers.store_changes()
+            self.assertFalse(await second.acquire("w1"))
+            world.store.is_down = False
+            await second.workers.store_changes()
+            self.assertTrue(await second.acquire("w1"))
+            self.assertIsNone(world.read()["w1"].runs_until_s)
+
+        anyio.run(run)
+
+    def test_takeover_of_sound_workers_needs_no_write(self) -> None:
+        """Fails if a slow store holds up the renewal of running units."""
+
+        async def run() -> None:
+            world = _World()
+            second = await world.claim_after("w1")
+            calls = world.store.calls
+            second.workers.mark_reported("w1")
+            self.assertTrue(await second.acquire("w1"))
+            await second.workers.store_changes()
+            self.assertTrue(second.is_settled())
+            self.assertEqual(world.store.calls, calls)
+
+        anyio.run(run)
+
+    def test_successor_waits_for_the_leases_of_a_lost_worker_only(self) -> None:
+        """Fails if the end of a lost worker's leases isn't handed on."""
+
+        async def run() -> None:
+            world = _World()
+            first = await world.claim()
+            await first.use("w1")
+            first.workers.mark_lost("w1", datetime.timedelta(seconds=2))
+            await first.workers.store_changes()
+            world.advance(1)
+            second = await world.claim()
+            world.advance(0.9)
+            self.assertFalse(second.is_settled())
+            world.advance(2)
+            self.assertTrue(second.is_settled())
+
+        anyio.run(run)
+
+    def test_worker_is_not_used_while_its_loss_is_being_stored(self) -> None:
+        """Fails if a worker gets a lease that the stored list denies.
+
+        The worker answered again while the write of the end of its leases was
+        on its way.
+        """
+
+        async def run() -> None:
+            world = _World()
+            first = await world.claim()
+            await first.use("w1")
+            first.workers.mark_lost("w1", _NO_TIME)
+            world.store.delay_s = 0.05
+            async with anyio.create_task_group() as group:
+                group.start_soon(first.workers.store_changes)
+                await anyio.sleep(0.01)
+                self.assertFalse(await first.acquire("w1"))
+            self.assertFalse(await first.acquire("w1"))
+            self.assertIsNotNone(world.read()["w1"].runs_until_s)
+            await first.workers.store_changes()
+            self.assertTrue(await first.acquire("w1"))
+            self.assertIsNone(world.read()["w1"].runs_until_s)
+
+        anyio.run(run)
 
     def test_worker_that_comes_back_is_stored_again(self) -> None:
         """Fails if a successor doesn't wait for a worker that runs units.
@@ -26,36 +235,130 @@
         The write that removed the worker had no answer and was taken as not
         applied, so that the worker's return seemed to need no write.
         """
-        clock = clock_lib.ManualClock()
-        store = late_store.LateStore(clock)
-
-        async def run() -> None:
-            version = store.put(tables.locate_owner(_SERVICE), b"owner")
-            workers = assigned_workers.AssignedWorkers(
-                ownership.Tenure(_SERVICE, 1, version, is_first=True),
-                service_state.ServiceState(1),
-                store,
-                lambda: None,
-            )
-            await workers.load(datetime.timedelta())
-            both = {"w1": 1, "w2": 1}
-            self.assertTrue(await workers.store_incarnations(both))
-            store.is_late = True
-            self.assertTrue(await workers.store_incarnations({"w1": 1}))
-            may_send = await workers.store_incarnations(both)
-            await store.apply_late()
-            self.assertFalse(may_send)
-            while not await workers.store_incarnations(both):
-                pass
-            self.assertEqual(self._read(store), both)
-
-        anyio.run(run)
-
-    def _read(self, store: late_store.LateStore) -> dict[str, int]:
-        row = store.get(_ROW_KEY)
-        assert row is not None
-        incarnations, _ = msgpack.unpackb(row.value)
-        return dict(incarnations)
+
+        async def run() -> None:
+            world = _World()
+            first = await world.claim()
+            await first.use("w1", "w2")
+            world.store.is_late = True
+            first.workers.forget("w2")
+            await first.workers.store_changes()
+            may_use = await first.acquire("w2")
+            self.assertTrue(await first.acquire("w1"))
+            await first.workers.store_changes()
+            await world.store.apply_late()
+            self.assertFalse(may_use)
+            while not await first.workers.store_changes():
+                self.assertFalse(await first.acquire("w2"))
+            self.assertTrue(await first.acquire("w2"))
+            self.assertEqual(set(world.read()), {"w1", "w2"})
+
+        anyio.run(run)
+
+    def test_restarted_worker_is_stored_before_it_is_used(self) -> None:
+        """Fails if the list names a former incarnation of a worker in use."""
+
+        async def run() -> None:
+            world = _World()
+            first = await world.claim()
+            await first.use("w1")
+            self.assertFalse(await first.acquire("w1", started_unix_ms=2))
+            await first.workers.store_changes()
+            self.assertTrue(await first.acquire("w1", started_unix_ms=2))
+            self.assertEqual(world.read()["w1"].started_unix_ms, 2)
+
+        anyio.run(run)
+
+
+class ReplacedWorkersTest(unittest.TestCase):
+    """Workers whose VMs run another worker."""
+
+    def test_worker_whose_vm_started_again_is_not_waited_for(self) -> None:
+        """Fails if work waits for a worker that has surely ended."""
+        successor = _make_worker("w2", "m-w1", 5)
+        self.assertTrue(self._is_settled(successor))
+
+    def test_other_workers_prove_nothing(self) -> None:
+        """Fails if a unit starts while it may run on a silent worker.
+
+        Neither a worker that came back under its id, which may carry out a
+        late order, nor an older one on the VM, nor one of another VM ends the
+        wait (rule TWICE).
+        """
+        own = _make_worker("w1", "m-w1", 5)
+        for instances in (
+            (own,),
+            (own, _make_worker("w2", "m-w1", 6)),
+            (_make_worker("w2", "m-w1", 1),),
+            (_make_worker("w2", "m-w1", 0),),
+            (_make_worker("w2", "m-w2", 5),),
+            (_make_worker("w2", "", 5),),
+        ):
+            with self.subTest(instances=instances):
+                self.assertFalse(self._is_settled(*instances))
+
+    def _is_settled(self, *instances: workers_lib.WorkerInstance) -> bool:
+        async def run() -> bool:
+            second = await _World().claim_after("w1")
+            second.workers.mark_replaced(instances)
+            return second.is_settled()
+
+        return anyio.run(run)
+
+
+class StoredFormTest(unittest.TestCase):
+    """Lists that other versions have stored, and unreadable ones."""
+
+    def test_workers_of_the_former_version_are_in_use(self) -> None:
+        """Fails if an upgrade forgets which workers may have runs."""
+
+        async def run() -> None:
+            world = _World()
+            world.store.put(_ROW_KEY, msgpack.packb([{"w1": 1, "w2": 1}, 0.0]))
+            owner = await world.claim()
+            owner.workers.mark_reported("w1")
+            self.assertTrue(await owner.acquire("w1"))
+            await owner.give_up()
+            world.advance(7.9)
+            self.assertFalse(owner.is_settled())
+            self.assertFalse((await world.claim()).is_settled())
+            world.advance(0.2)
+            self.assertTrue(owner.is_settled())
+
+        anyio.run(run)
+
+    def test_successor_waits_after_an_unreadable_list_too(self) -> None:
+        """Fails if the next owner takes the workers in use for all of them."""
+
+        async def run() -> None:
+            world = _World()
+            world.store.put(_ROW_KEY, b"\xc1")
+            first = await world.claim()
+            await first.use("w1")
+            world.advance(4)
+            second = await world.claim()
+            await second.use("w1")
+            self.assertFalse(second.is_settled())
+            world.advance(4.1)
+            self.assertTrue(second.is_settled())
+
+        anyio.run(run)
+
+
+def _make_worker(
+    worker_id: str, vm_id: str, started_unix_ms: int
+) -> workers_lib.WorkerInstance:
+    return workers_lib.WorkerInstance(
+        worker_id,
+        _SERVICE,
+        "127.0.0.1:9000",
+        "a",
+        "",
+        (),
+        node_world.make_instance(worker_id).capacity,
+        started_unix_ms=started_unix_ms,
+        vm_id=vm_id,
+    )
 
 
 if __name__ == "__main__":
--- a/tests/test_node_late_writes.py
+++ b/tests/test_node_late_writes.py
@@ -10,9 +10,11 @@
 from fireflywell import clock as clock_lib
 from fireflywell.coordination import row_store
 from fireflywell.node import fleet_cache
+from fireflywell.node import instance_registry
 from fireflywell.node import ownership
 from fireflywell.node import service_owner
 from fireflywell.node import tables
+from fireflywell.platform import instances
 from fireflywell.scheduling import maintenance
 from fireflywell.scheduling import model
 from fireflywell.telemetry import metrics as metrics_lib
@@ -139,7 +141,7 @@
                 clock,
                 random.Random(1),
                 _ValidHeartbeat(),  # type: ignore[arg-type]
-                lambda _: (),
+                instance_registry.InstanceRegistry(instances.decode_instance),
                 world._connect,
                 cache,
                 metrics_lib.NullMetrics(),
--- a/tests/test_node_succession.py
+++ b/tests/test_node_succession.py
@@ -5,8 +5,11 @@
 
 import anyio
 
+from fireflywell.node import assigned_worker_rows
 from fireflywell.node import tables
 from fireflywell.node import worker_leases
+from fireflywell.scheduling import orders
+from fireflywell.standins import unit_worker
 from tests import node_world
 from tests import test_node_takeover
 
@@ -57,6 +60,87 @@
         may_start_s = max(claims_s[0] + _LEASE_BOUND_S, claim_s)
         self.assertLess(started_s - may_start_s, _LEASE_BOUND_S / 2)
 
+    def test_unit_waits_for_a_worker_that_two_owners_dont_reach(self) -> None:
+        """Fails if a unit runs twice beside takeovers (rule TWICE).
+
+        The silent worker runs the unit until its lease is over.
+        """
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1", run_s=None)
+            async with self.run_node(world, "node-a"):
+                await world.submit()
+                await _wait_for_start(world.workers["w1"])
+            world.workers["w1"].is_silent = True
+            world.add_worker("w2")
+            async with self.run_node(world, "node-b"):
+                await _wait_for_claim(world, "node-b")
+                await anyio.sleep(_TENURE_S)
+            async with self.run_node(world, "node-c"):
+                await world.wait_for_state("completed", seconds=12)
+            _assert_one_run_at_a_time(self, world)
+
+        anyio.run(run)
+
+    def test_unit_waits_for_a_worker_that_the_last_owner_reached(self) -> None:
+        """Fails if a unit runs twice after a worker was reached late.
+
+        One owner stores until when the silent worker may have runs of its
+        predecessor, reaches it afterwards and starts the unit there. Its
+        successor finds the worker silent again (rule TWICE).
+        """
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1")
+            worker = world.workers["w1"]
+            async with self.run_node(world, "node-a"):
+                await world.submit(job_id="00000000000000b2")
+                await world.wait_for_state("completed", "00000000000000b2")
+            worker.is_silent = True
+            worker.run_s = None
+            async with self.run_node(world, "node-b"):
+                with anyio.fail_after(8):
+                    while not _has_deadline(world, "w1"):
+                        await anyio.sleep(0.02)
+                worker.is_silent = False
+                before = len(worker.starts)
+                await world.submit()
+                await _wait_for_start(worker, before)
+            worker.is_silent = True
+            world.add_worker("w2")
+            async with self.run_node(world, "node-c"):
+                await world.wait_for_state("completed", seconds=12)
+            _assert_one_run_at_a_time(self, world)
+
+        anyio.run(run)
+
+
+def _assert_one_run_at_a_time(
+    case: unittest.TestCase, world: node_world.NodeWorld
+) -> None:
+    """Asserts that a unit moved from `w1` to `w2` after its lease there."""
+    former = world.workers["w1"]
+    case.assertEqual(former.active_units, [])
+    (second,) = world.workers["w2"].starts
+    case.assertEqual(second.unit, former.starts[-1].unit)
+    case.assertEqual(former.ends[-1].kind, orders.EndKind.LAPSED)
+    case.assertLess(former.ends[-1].at_s, second.at_s)
+
+
+def _has_deadline(world: node_world.NodeWorld, worker_id: str) -> bool:
+    row = world.store.get(tables.locate_assigned_workers(node_world.SERVICE))
+    assert row is not None
+    item = assigned_worker_rows.decode(row.value).workers.get(worker_id)
+    return item is not None and item.runs_until_s is not None
+
+
+async def _wait_for_start(
+    worker: unit_worker.UnitWorker, before: int = 0
+) -> None:
+    with anyio.fail_after(8):
+        while len(worker.starts) <= before:
+            await anyio.sleep(0.01)
+
 
 async def _wait_for_claim(world: node_world.NodeWorld, name: str) -> float:
     """Returns the time at which a node has claimed the service."""
