Give a tenth of the placed capacity to the oldest overdue work

The order put work past three times its objective behind all other work, by cost, for good. A unit larger than any worker's free CPU was left out of each pass before it could reserve a worker, a gang reserved one worker only, and a reservation could be on a worker that a long-running unit never leaves.

While overdue work waits, its oldest step that a worker can hold now has a turn after nine parts of other placed capacity. A unit or gang that doesn't fit keeps its turn and reserves as many workers as hold it once their short units have ended. So the wait of each accepted job is bounded as long as runs are placed: other work becomes overdue by itself, whatever its queue's priority. Large units are ranked in each pass that can place anything; the rest of the order stays.

--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -136,6 +136,7 @@
         "tickets_until_s",
         "units",
         "waiting",
+        "waiting_since_s",
     )
 
     def __init__(
@@ -149,6 +150,9 @@
         self.observed_unit_duration_s: float | None = None
         # Monotonic time of the first planning pass that included the step.
         self.ready_since_s: float | None = None
+        # Monotonic time of the first planning pass since units of the step wait
+        # without a break.
+        self.waiting_since_s: float | None = None
         # Tickets of the advice service by worker, which permit starts there,
         # and the monotonic time at which they expire.
         self.tickets: dict[str, str] = {}
--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -1,17 +1,15 @@
 """Places the waiting units of ready steps on workers."""
 
-from collections.abc import Iterable
+import collections
 from collections.abc import Sequence
 import dataclasses
 
 from fireflywell.scheduling import jobs
+from fireflywell.scheduling import overdue_share
 from fireflywell.scheduling import ranking
+from fireflywell.scheduling import reservations as reservations_lib
 from fireflywell.scheduling import workers as workers_lib
 
-# After waiting this long without fitting anywhere, a step reserves the next
-# worker that it could fit on, so that small units don't take each freed core.
-_RESERVE_AFTER_S = 0.4
-
 # Added to a worker's fit cost if it is on another rack than the step's data.
 _OTHER_RACK_COST = 1_000_000
 
@@ -50,44 +48,18 @@
     step: jobs.StepOccurrence
 
 
-class Reservations:
-    """Workers reserved for one step each during one pass."""
-
-    __slots__ = ("_steps_by_worker",)
-
-    def __init__(self) -> None:
-        self._steps_by_worker: dict[str, jobs.StepOccurrence] = {}
-
-    def is_reserved_for_other(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
-    ) -> bool:
-        """Returns whether a worker is reserved for another step."""
-        return self.find_other_holder(worker, step) is not None
-
-    def find_other_holder(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
-    ) -> jobs.StepOccurrence | None:
-        """Returns the other step that a worker is reserved for, or None."""
-        holder = self._steps_by_worker.get(worker.worker_id)
-        return None if holder is step else holder
-
-    def reserve(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
-    ) -> None:
-        """Reserves a worker for a step unless it is reserved already."""
-        self._steps_by_worker.setdefault(worker.worker_id, step)
-
-
 def place_units(
-    ranked: Iterable[RankedStep],
+    ranked: Sequence[RankedStep],
     workers: Sequence[workers_lib.Worker],
     now_s: float,
     limit: int,
-    reservations: Reservations,
+    reservations: reservations_lib.Reservations,
+    share: overdue_share.OverdueShare,
 ) -> list[Placement]:
     """Places waiting units, those of the best rank first.
 
-    The workers aren't changed: the caller must add a run to the worker for each
+    A share of the capacity goes to the overdue steps, the oldest first. The
+    workers aren't changed: the caller must add a run to the worker for each
     placement.
 
     Args:
@@ -97,33 +69,148 @@
         limit: Maximum number of placements. A gang that starts below it may
             exceed it.
         reservations: Reservations of this pass, empty at first.
+        share: Share of the overdue steps, which is updated.
 
     Returns:
-        The placements in order of rank.
+        The placements in their order.
     """
     usable = [worker for worker in workers if worker.accepts_runs(now_s)]
-    capacity = _RemainingCapacity(usable)
-    placements: list[Placement] = []
+    planning_pass = _PlanningPass(
+        ranked, usable, now_s, limit, reservations, share
+    )
     for item in ranked:
-        if len(placements) >= limit:
-            break
+        planning_pass.place_step(item)
+    return planning_pass.placements
+
+
+class _PlanningPass:
+    """Placements and reservations of one pass over the ready steps."""
+
+    __slots__ = (
+        "_capacity",
+        "_is_turn_over",
+        "_limit",
+        "_now_s",
+        "_overdue",
+        "_placed_counts",
+        "_reservations",
+        "_share",
+        "_usable",
+        "placements",
+    )
+
+    def __init__(
+        self,
+        ranked: Sequence[RankedStep],
+        usable: Sequence[workers_lib.Worker],
+        now_s: float,
+        limit: int,
+        reservations: reservations_lib.Reservations,
+        share: overdue_share.OverdueShare,
+    ) -> None:
+        self._usable = usable
+        self._now_s = now_s
+        self._limit = limit
+        self._share = share
+        self._capacity = _RemainingCapacity(usable)
+        self._reservations = reservations
+        self._placed_counts: collections.Counter[str] = collections.Counter()
+        # Overdue steps that may have a turn in this pass, oldest first.
+        self._overdue = collections.deque(
+            sorted(
+                (
+                    item
+                    for item in ranked
+                    if item.rank.band is ranking.Band.OVERDUE
+                ),
+                key=lambda item: item.rank.arrived_s,
+            )
+        )
+        # Whether the step whose turn it is waits for its reserved workers.
+        self._is_turn_over = False
+        self.placements: list[Placement] = []
+
+    @property
+    def _is_full(self) -> bool:
+        return len(self.placements) >= self._limit
+
+    def place_step(self, item: RankedStep) -> None:
+        """Places the units of a step, with the turns that are due meanwhile."""
         step = item.step
-        if not step.waiting:
-            continue
-        if not step.spec.is_filling and not capacity.has_enough_cpu(step):
-            _reserve_worker(step, usable, reservations, now_s, item.rank)
-            continue
+        is_serving = item.rank.band is ranking.Band.SERVING
+        while True:
+            if not is_serving:
+                self._take_turns()
+            if self._is_full or not self._list_waiting(step):
+                return
+            max_units = self._limit - len(self.placements)
+            if not is_serving and self._has_overdue:
+                max_units = min(
+                    max_units, self._share.count_until_due(step.spec)
+                )
+            count = self._place(step, max_units)
+            if not count:
+                if reservations_lib.may_reserve(step, item.rank, self._now_s):
+                    self._reserve(step)
+                return
+            if not is_serving:
+                self._share.record_other(step.spec, count)
+
+    @property
+    def _has_overdue(self) -> bool:
+        return bool(self._overdue) and not self._is_turn_over
+
+    def _take_turns(self) -> None:
+        """Places units of the oldest overdue steps while their turn is due.
+
+        If the oldest doesn't fit now, it reserves workers and keeps its turn. A
+        step that no worker could hold loses it to the next oldest.
+        """
+        while self._has_overdue and self._share.is_due and not self._is_full:
+            step = self._overdue[0].step
+            if not self._list_waiting(step):
+                self._overdue.popleft()
+                continue
+            count = self._place(step, 1)
+            if count:
+                self._share.record_turn(step.spec, count)
+            elif self._reserve(step):
+                self._is_turn_over = True
+            else:
+                self._overdue.popleft()
+
+    def _list_waiting(self, step: jobs.StepOccurrence) -> list[jobs.Unit]:
+        """Returns the units of a step that this pass hasn't placed."""
+        # The last unit is next, because `StepOccurrence.waiting` is a stack.
+        count = len(step.waiting) - self._placed_counts[step.key]
+        return step.waiting[:count][::-1]
+
+    def _place(self, step: jobs.StepOccurrence, max_units: int) -> int:
+        """Places up to `max_units` units of a step, or a whole gang."""
+        if not step.spec.is_filling and not self._capacity.has_enough_cpu(step):
+            return 0
+        units = self._list_waiting(step)
         if step.spec.is_gang:
-            chosen = _place_gang(step, usable, reservations, capacity)
+            chosen = _place_gang(
+                step, units, self._usable, self._reservations, self._capacity
+            )
         else:
-            remaining_limit = limit - len(placements)
             chosen = _place_singles(
-                step, usable, reservations, capacity, remaining_limit
+                step,
+                units[:max_units],
+                self._usable,
+                self._reservations,
+                self._capacity,
             )
-        placements.extend(chosen)
-        if len(chosen) < len(step.waiting):
-            _reserve_worker(step, usable, reservations, now_s, item.rank)
-    return placements
+        self._placed_counts[step.key] += len(chosen)
+        self.placements.extend(chosen)
+        return len(chosen)
+
+    def _reserve(self, step: jobs.StepOccurrence) -> bool:
+        if step.spec.is_gang and len(step.waiting) < step.spec.count:
+            # The gang can't start before its last run has ended.
+            return False
+        return self._reservations.reserve(step, self._usable)
 
 
 class _RemainingCapacity:
@@ -245,16 +332,13 @@
 
 def _place_singles(
     step: jobs.StepOccurrence,
+    units: Sequence[jobs.Unit],
     workers: Sequence[workers_lib.Worker],
-    reservations: Reservations,
+    reservations: reservations_lib.Reservations,
     capacity: _RemainingCapacity,
-    limit: int,
 ) -> list[Placement]:
     placements: list[Placement] = []
-    # The last unit is next, because `StepOccurrence.waiting` is a stack.
-    for unit in reversed(step.waiting):
-        if len(placements) >= limit:
-            break
+    for unit in units:
         worker = _choose_worker(step, workers, reservations, capacity, "")
         if worker is None:
             break
@@ -265,8 +349,9 @@
 
 def _place_gang(
     step: jobs.StepOccurrence,
+    units: Sequence[jobs.Unit],
     workers: Sequence[workers_lib.Worker],
-    reservations: Reservations,
+    reservations: reservations_lib.Reservations,
     capacity: _RemainingCapacity,
 ) -> list[Placement]:
     """Places all units of a gang or none.
@@ -274,14 +359,14 @@
     A gang with `needs_single_rack` is placed on one rack if it fits there, else
     on any racks.
     """
-    if len(step.waiting) < step.spec.count:
+    if len(units) < step.spec.count:
         return []
     racks = sorted({worker.instance.rack for worker in workers})
     if not step.spec.needs_single_rack:
         racks = []
     for rack in (*racks, ""):
         placements = []
-        for unit in reversed(step.waiting):
+        for unit in units:
             worker = _choose_worker(step, workers, reservations, capacity, rack)
             if worker is None:
                 break
@@ -297,7 +382,7 @@
 def _choose_worker(
     step: jobs.StepOccurrence,
     workers: Sequence[workers_lib.Worker],
-    reservations: Reservations,
+    reservations: reservations_lib.Reservations,
     capacity: _RemainingCapacity,
     only_rack: str,
 ) -> workers_lib.Worker | None:
@@ -322,58 +407,3 @@
             best = worker
             best_cost = cost
     return best
-
-
-def _reserve_worker(
-    step: jobs.StepOccurrence,
-    workers: Sequence[workers_lib.Worker],
-    reservations: Reservations,
-    now_s: float,
-    rank: ranking.Rank,
-) -> None:
-    """Reserves the suitable worker with the most free CPU for a step.
-
-    Only for long-running steps, and for steps that can still meet their
-    objective and have waited longer than `_RESERVE_AFTER_S`.
-    """
-    if step.spec.is_filling or step.ready_since_s is None:
-        return
-    is_serving = rank.band is ranking.Band.SERVING
-    has_waited = now_s - step.ready_since_s > _RESERVE_AFTER_S
-    if not is_serving and not (
-        has_waited and rank.band is ranking.Band.FEASIBLE
-    ):
-        return
-    best: workers_lib.Worker | None = None
-    for worker in workers:
-        if reservations.is_reserved_for_other(worker, step):
-            continue
-        if step.spec.max_per_worker and (
-            worker.units_per_step.get(step.key, 0) >= step.spec.max_per_worker
-        ):
-            continue
-        label = step.spec.required_label
-        if label and label not in worker.instance.labels:
-            continue
-        if step.job.policy.advice and worker.worker_id not in step.tickets:
-            continue
-        if not _fits_empty_worker(step, worker):
-            continue
-        if worker.is_from_spare_pool and step.spec.is_long_running:
-            continue
-        if best is None or worker.free_cpu > best.free_cpu:
-            best = worker
-    if best is not None:
-        reservations.reserve(best, step)
-
-
-def _fits_empty_worker(
-    step: jobs.StepOccurrence, worker: workers_lib.Worker
-) -> bool:
-    demand = step.spec.demand
-    capacity = worker.instance.capacity
-    return (
-        demand.cpu_millis <= capacity.cpu_millis
-        and demand.memory_mb <= capacity.memory_mb
-        and demand.accelerators <= capacity.accelerators
-    )
--- a/src/fireflywell/scheduling/ranking.py
+++ b/src/fireflywell/scheduling/ranking.py
@@ -3,7 +3,8 @@
 Designed for bursts in which a queue demands several times the capacity of its
 pool for some seconds, with little demand in between. Steps that can still meet
 their objective come first, those with the most value per core-second before
-the others. Jobs that can't meet it are kept and run after the burst.
+the others. Jobs that can't meet it are kept and run after the burst, or in the
+share of the overdue work; see `overdue_share`.
 """
 
 import dataclasses
--- /dev/null
+++ b/src/fireflywell/scheduling/reservations.py
@@ -0,0 +1,92 @@
+"""Workers that are kept free of other work until a step fits on them."""
+
+from collections.abc import Sequence
+
+from fireflywell.scheduling import jobs
+from fireflywell.scheduling import ranking
+from fireflywell.scheduling import workers as workers_lib
+
+# After waiting this long without fitting anywhere, a step reserves the next
+# worker that it could fit on, so that small units don't take each freed core.
+_RESERVE_AFTER_S = 0.4
+
+
+class Reservations:
+    """Workers reserved for one step each during one pass."""
+
+    __slots__ = ("_steps_by_worker",)
+
+    def __init__(self) -> None:
+        self._steps_by_worker: dict[str, jobs.StepOccurrence] = {}
+
+    def is_reserved_for_other(
+        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
+    ) -> bool:
+        """Returns whether a worker is reserved for another step."""
+        return self.find_other_holder(worker, step) is not None
+
+    def find_other_holder(
+        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
+    ) -> jobs.StepOccurrence | None:
+        """Returns the other step that a worker is reserved for, or None."""
+        holder = self._steps_by_worker.get(worker.worker_id)
+        return None if holder is step else holder
+
+    def reserve(
+        self, step: jobs.StepOccurrence, workers: Sequence[workers_lib.Worker]
+    ) -> bool:
+        """Reserves the suitable workers with the most free capacity.
+
+        That is one worker for a single unit and, for a gang, as many as hold
+        all its units once the short units there have ended.
+
+        Returns:
+            Whether the step fits on the reserved workers then. If not, none is
+            reserved.
+        """
+        missing = step.spec.count if step.spec.is_gang else 1
+        chosen: list[workers_lib.Worker] = []
+        for worker in sorted(
+            workers, key=lambda item: _get_free(item, step), reverse=True
+        ):
+            if self.is_reserved_for_other(worker, step):
+                continue
+            if step.job.policy.advice and (
+                worker.worker_id not in step.tickets
+            ):
+                continue
+            count = worker.count_holdable(step)
+            if count <= 0:
+                continue
+            chosen.append(worker)
+            missing -= count
+            if missing <= 0:
+                for item in chosen:
+                    self._steps_by_worker[item.worker_id] = step
+                return True
+        return False
+
+
+def may_reserve(
+    step: jobs.StepOccurrence, rank: ranking.Rank, now_s: float
+) -> bool:
+    """Returns whether a step that doesn't fit reserves workers by its rank.
+
+    These are long-running steps, and steps that can still meet their objective
+    and have waited longer than `_RESERVE_AFTER_S`. Overdue steps reserve
+    workers in their turn instead; see `overdue_share`.
+    """
+    match rank.band:
+        case ranking.Band.SERVING:
+            return True
+        case ranking.Band.FEASIBLE:
+            return step.waiting_since_s is not None and (
+                now_s - step.waiting_since_s > _RESERVE_AFTER_S
+            )
+        case _:
+            return False
+
+
+def _get_free(worker: workers_lib.Worker, step: jobs.StepOccurrence) -> int:
+    # Filling units need no CPU of their own.
+    return worker.free_memory if step.spec.is_filling else worker.free_cpu
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -12,8 +12,10 @@
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import overdue_share
 from fireflywell.scheduling import placement
 from fireflywell.scheduling import ranking
+from fireflywell.scheduling import reservations
 from fireflywell.scheduling import workers as workers_lib
 
 # Run numbers of a unit that belong to one fencing token. Each owner starts
@@ -74,6 +76,7 @@
         "_first_run_number",
         "_mean_work_by_queue",
         "_orphan_stop_times",
+        "_overdue_share",
         "_recurring_job_ids",
         "_waiting_steps",
         "dirty",
@@ -89,6 +92,7 @@
     def __init__(self, token: int) -> None:
         self._first_run_number = (token - 1) * _RUNS_PER_FENCING_TOKEN + 1
         self._mean_work_by_queue: dict[str, ranking.MeanWork] = {}
+        self._overdue_share = overdue_share.OverdueShare()
         # Ready steps with waiting units.
         self._waiting_steps: dict[str, jobs_lib.StepOccurrence] = {}
         # Jobs whose steps become ready at times set by their recurrence.
@@ -104,7 +108,7 @@
         # Stops that haven't been sent yet, oldest first.
         self.pending_stops: collections.deque[StopRequest] = collections.deque()
         # Reservations of the last planning pass.
-        self.reservations = placement.Reservations()
+        self.reservations = reservations.Reservations()
         # When the stop of a run without a matching unit was last requested.
         self._orphan_stop_times: dict[StopRequest, float] = {}
         # Whether all units that a previous owner left running were found. Until
@@ -205,29 +209,33 @@
             ),
             default=-1,
         )
+        for step in candidates:
+            if step.waiting_since_s is None:
+                step.waiting_since_s = now_s
+        if not any(
+            _get_cpu_demand(step) <= largest_free_cpu for step in candidates
+        ):
+            # Nothing can take the capacity that a larger step waits for. Only
+            # long-running steps reserve workers all the same.
+            candidates = [s for s in candidates if s.spec.is_long_running]
         ranked = []
         for step in candidates:
             if step.ready_since_s is None:
                 step.ready_since_s = now_s
             if step.job.policy.advice and now_s >= step.tickets_until_s:
                 step.tickets = {}
-            demand_cpu = (
-                0 if step.spec.is_filling else step.spec.demand.cpu_millis
-            )
-            is_long_running = step.spec.is_long_running
-            if demand_cpu > largest_free_cpu and not is_long_running:
-                continue
             mean = self._mean_work_by_queue[step.job.policy.queue].value
             rank = ranking.rank_step(step, now_s, step.job.arrived_s, mean)
             ranked.append(placement.RankedStep(rank, step))
         ranked.sort(key=lambda item: item.rank)
-        self.reservations = placement.Reservations()
+        self.reservations = reservations.Reservations()
         placements = placement.place_units(
             ranked,
             tuple(self.workers.values()),
             now_s,
             _PLACEMENTS_PER_PASS,
             self.reservations,
+            self._overdue_share,
         )
         return self._begin_runs(placements, now_s)
 
@@ -653,6 +661,8 @@
             # Gang members can't make progress without this one.
             for member in step.units:
                 self._stop_runs(member)
+        if step.key not in self._waiting_steps:
+            step.waiting_since_s = None
         self._waiting_steps[step.key] = step
 
     def _stop_runs(self, unit: jobs_lib.Unit) -> None:
@@ -686,6 +696,10 @@
                 self._stop_runs(unit)
 
 
+def _get_cpu_demand(step: jobs_lib.StepOccurrence) -> int:
+    return 0 if step.spec.is_filling else step.spec.demand.cpu_millis
+
+
 def make_job(
     submission: model.Submission, store_now_s: float, now_s: float
 ) -> jobs_lib.Job:
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -125,6 +125,36 @@
             or self.units_per_step.get(step.key, 0) < spec.max_per_worker
         )
 
+    def count_holdable(self, step: jobs.StepOccurrence) -> int:
+        """Returns how many units of a step fit once all short units ended.
+
+        Long-running units keep their capacity.
+        """
+        spec = step.spec
+        if spec.required_label and (
+            spec.required_label not in self.instance.labels
+        ):
+            return 0
+        cpu, memory = self.free_cpu, self.free_memory
+        accelerators = self.free_accelerators
+        for run in self.runs.values():
+            other = run.unit.step.spec
+            if other.is_long_running:
+                continue
+            cpu += 0 if other.is_filling else other.demand.cpu_millis
+            memory += other.demand.memory_mb
+            accelerators += other.demand.accelerators
+        limits = [spec.max_per_worker or spec.count]
+        if spec.max_per_worker:
+            limits[0] -= self.units_per_step.get(step.key, 0)
+        if spec.demand.cpu_millis and not spec.is_filling:
+            limits.append(cpu // spec.demand.cpu_millis)
+        if spec.demand.memory_mb:
+            limits.append(memory // spec.demand.memory_mb)
+        if spec.demand.accelerators:
+            limits.append(accelerators // spec.demand.accelerators)
+        return max(0, min(limits))
+
     def add_run(self, run: jobs.Run) -> None:
         """Adds a run and allocates its resources."""
         step = run.unit.step
--- a/tests/test_waiting_work.py
+++ b/tests/test_waiting_work.py
@@ -216,7 +216,7 @@
         steps = []
         for number, worker in enumerate(self.state.workers.values()):
             job = self.add_job(job_id=f"{number:016x}", arrived_s=_LATE_S)
-            self.state.reservations.reserve(worker, job.steps[0])
+            self.state.reservations.reserve(job.steps[0], [worker])
             steps.append(job.steps[0].key)
         self.add_job()
         self.assertEqual(
