Use workers again whose drain requests are refused or withdrawn

A VM that was up in its pool got no work until its worker's session or its owner ended, if the platform refused its move, if its maintenance was refused as not of the wave, or if operators withdrew the wave: nothing reset the worker's cordon, and the requests stayed open. A refused maintenance was ordered again every 0.7 s. A new controller listed no VMs while no service needed one, so that the moves that its predecessor had left open were never ordered.

A cordon now follows from the VM's drain request and ends with it. Once the request is closed, a worker that still reports two seconds later is used again. The controller closes requests that no wave asks for, or whose order was refused; they then belong to no wave, so that the VM doesn't count as maintained. A request whose order may still be carried out, also by a former controller, stays open until a repeat of the order is accepted or refused. A move is withdrawn if the VM's pool needs it again before it is empty, and isn't asked for again for 30 s after a refusal. A VM maintained for an earlier wave is maintained again for it if a later wave is withdrawn while the earlier one is still running.

Two tests of test_node_takeover stored a drain request for a wave that no operator requests, which now counts as withdrawn; they store the wave, too, and check the same.

--- a/src/fireflywell/node/fleet_controller.py
+++ b/src/fireflywell/node/fleet_controller.py
@@ -21,6 +21,7 @@
 from fireflywell.node import maintenance_waves
 from fireflywell.node import ownership
 from fireflywell.node import ownership_guard
+from fireflywell.node import request_closer
 from fireflywell.node import tables
 from fireflywell.node import vm_orders
 from fireflywell.scheduling import capacity
@@ -34,6 +35,9 @@
 # The list of VMs is read at most this often, unless a fresh one is forced.
 _LIST_REFRESH_INTERVAL = datetime.timedelta(milliseconds=700)
 
+# After a refused move, a VM works for this time before it is drained again.
+_REFUSED_MOVE_PAUSE = datetime.timedelta(seconds=30)
+
 # A new owner waits for this multiple of the lease before its first order. By
 # then the former owner's lease has expired and it gives no more orders.
 _START_DELAY_SHARE = 1.1
@@ -49,6 +53,7 @@
         "_fleet_cache",
         "_client",
         "_clock",
+        "_closer",
         "_completed_waves",
         "_down",
         "_find_spare_pool",
@@ -60,6 +65,7 @@
         "_orders",
         "_list_pools",
         "_random",
+        "_refused_at",
         "_scope",
         "_started_waves",
         "_store",
@@ -96,11 +102,16 @@
         self._orders = vm_orders.VmOrders(
             client, self._guard, tenure.token, clock
         )
+        self._closer = request_closer.RequestCloser(
+            cache, waves, self._orders, self._store_request, clock
+        )
         self._list_pools = list_pools
         self._find_spare_pool = find_spare_pool
         self._wake = anyio.Event()
         # Target pool of each VM that is being moved.
         self._moving: dict[str, str] = {}
+        # When the move of each drained VM was refused last.
+        self._refused_at: dict[str, datetime.timedelta] = {}
         self._idle_since_s: dict[str, float] = {}
         self._lease = lease
         self._clock = clock
@@ -155,6 +166,7 @@
                     self.stop()
                     return
                 await self._advance_moves()
+                await self._closer.close_withdrawn()
                 for _, wave in sorted(self._waves.waves.items()):
                     if wave.number not in self._completed_waves:
                         await self._advance_wave(wave)
@@ -170,6 +182,9 @@
             await self._refresh_vms()
             await self._store_spare_pool_vms(spare)
             return
+        if not self._vms:
+            # A former owner may have left VMs in other pools, or moves open.
+            await self._refresh_vms()
         needs = self._fleet_cache.get_needs()
         is_active = self._moving or any(
             vm.pool != spare
@@ -207,9 +222,16 @@
             and vm.name not in self._down
             and vm.state is maintenance.VmState.UP
             and not has_open_request
+            and not self._was_refused_lately(vm.name)
         )
         return capacity.SparePoolVm(vm.name, pool, is_movable, idle_s)
 
+    def _was_refused_lately(self, name: str) -> bool:
+        refused_at = self._refused_at.get(name)
+        return refused_at is not None and (
+            self._clock.monotonic() - refused_at < _REFUSED_MOVE_PAUSE
+        )
+
     async def _begin_move(self, move: capacity.Move, spare: str) -> None:
         vm = self._vms[move.name]
         request = maintenance.DrainRequest(
@@ -243,6 +265,8 @@
                 # transmission without an answer may still move it.
                 self._moving.setdefault(name, request.target)
                 if await self._order_move(name, request.target):
+                    if name not in self._moving:
+                        self._refused_at[name] = self._clock.monotonic()
                     await self._store_request(
                         dataclasses.replace(
                             request, phase=maintenance.DrainPhase.DONE
@@ -250,11 +274,42 @@
                     )
             elif request.phase is maintenance.DrainPhase.DUE:
                 self._moving.setdefault(name, request.target)
+                if self._is_needed_in_pool(vm):
+                    await self._withdraw_move(request)
             elif self._moving.get(name) == vm.pool and (
                 vm.state is maintenance.VmState.UP
             ):
                 del self._moving[name]
 
+    def _is_needed_in_pool(self, vm: maintenance.Vm) -> bool:
+        """Returns whether a VM's pool needs it again before it has moved."""
+        if self._orders.is_unanswered(vm.name):
+            return False
+        names = self._fleet_cache.spare_pool_vms
+        targets = capacity.compute_targets(
+            self._fleet_cache.get_needs(), len(names)
+        )
+        staying = sum(
+            self._moving.get(name, item.pool) == vm.pool
+            for name, item in self._vms.items()
+            if name in names
+        )
+        return staying < targets.get(vm.pool, 0)
+
+    async def _withdraw_move(self, request: maintenance.DrainRequest) -> None:
+        """Closes the request of a move that hasn't been ordered."""
+        closed = dataclasses.replace(
+            request, phase=maintenance.DrainPhase.DONE, target=""
+        )
+        if await self._store_request(closed):
+            self._moving.pop(request.vm_id, None)
+            logs.log_event(
+                "upkeep.closed",
+                machine=request.vm_id,
+                wave=request.wave,
+                reason="its pool needs the VM",
+            )
+
     async def _order_move(self, name: str, pool: str) -> bool:
         """Orders a move, unless an order for the VM was just sent.
 
@@ -393,11 +448,17 @@
             await self._store_request(request)
 
     def _needs_request(self, wave: maintenance.Wave, vm_id: str) -> bool:
+        if self._closer.is_refused(wave, vm_id):
+            return False
         request = self._fleet_cache.find(vm_id)
         if request is None:
             return True
         is_pending = request.phase is not maintenance.DrainPhase.DONE
-        if is_pending and (request.target or self._is_running(request.wave)):
+        if is_pending and (
+            request.target
+            or self._is_running(request.wave)
+            or self._closer.may_be_ordered(request)
+        ):
             # The pending move or the maintenance of an earlier wave is
             # completed first.
             return False
@@ -446,13 +507,20 @@
         outcome = await self._orders.begin_maintenance(
             request.vm_id, wave.number
         )
-        if outcome is not vm_orders.OrderOutcome.BEGUN:
-            return False
-        self._down.add(request.vm_id)
-        await self._store_request(
-            dataclasses.replace(request, phase=maintenance.DrainPhase.DONE)
-        )
-        return True
+        match outcome:
+            case vm_orders.OrderOutcome.BEGUN:
+                self._down.add(request.vm_id)
+                await self._store_request(
+                    dataclasses.replace(
+                        request, phase=maintenance.DrainPhase.DONE
+                    )
+                )
+                return True
+            case vm_orders.OrderOutcome.REFUSED:
+                await self._closer.close_refused(wave, request)
+                return False
+            case vm_orders.OrderOutcome.POSTPONED:
+                return False
 
     def _are_all_maintained(self, wave: maintenance.Wave) -> bool:
         return all(self._is_maintained(wave, name) for name in wave.vm_ids)
@@ -469,6 +537,8 @@
         )
 
     async def _store_request(self, request: maintenance.DrainRequest) -> bool:
+        if request.phase is maintenance.DrainPhase.DUE:
+            self._closer.record_due(request.vm_id)
         return await fleet_cache.store_drain_request(
             self._store,
             self._fleet_cache,
--- a/src/fireflywell/node/maintenance_waves.py
+++ b/src/fireflywell/node/maintenance_waves.py
@@ -12,10 +12,19 @@
     """Holds the requested waves and computes their deadlines.
 
     Attributes:
+        is_loaded: Whether all rows were read, so that a wave that isn't held
+            isn't requested.
         waves: The waves by number.
     """
 
-    __slots__ = ("_decode", "_first_seen_at_s", "_store", "waves")
+    __slots__ = (
+        "_decode",
+        "_first_seen_at_s",
+        "_numbers_by_key",
+        "_store",
+        "is_loaded",
+        "waves",
+    )
 
     def __init__(
         self,
@@ -25,18 +34,34 @@
         self._decode = decode
         self._store = store
         self._first_seen_at_s: dict[int, float] = {}
+        self._numbers_by_key: dict[str, int] = {}
+        self.is_loaded = False
         self.waves: dict[int, maintenance.Wave] = {}
 
+    def load_rows(self, rows: tuple[row_store.Row, ...]) -> None:
+        """Applies a full read of the operator's table."""
+        keys = {row.row_key.key for row in rows if not row.is_removed}
+        for key in tuple(self._numbers_by_key):
+            if key not in keys:
+                self._remove(key)
+        self.apply_rows(rows)
+        self.is_loaded = True
+
     def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
         """Applies the waves among changed rows of the operator's table."""
         for row in rows:
-            if not row.row_key.key.startswith("wave/") or row.is_removed:
+            key = row.row_key.key
+            if not key.startswith("wave/"):
+                continue
+            if row.is_removed:
+                self._remove(key)
                 continue
             try:
                 wave = self._decode(row.value)
             except errors.CorruptRowError as error:
                 logs.log_event("wave.unreadable", error=str(error))
                 continue
+            self._numbers_by_key[key] = wave.number
             if self.waves.get(wave.number) == wave:
                 continue
             self.waves[wave.number] = wave
@@ -49,6 +74,14 @@
                 max_count=wave.max_count,
             )
 
+    def _remove(self, key: str) -> None:
+        number = self._numbers_by_key.pop(key, None)
+        if number is None or number in self._numbers_by_key.values():
+            return
+        del self.waves[number]
+        del self._first_seen_at_s[number]
+        logs.log_event("wave.withdrawn", wave=number)
+
     def compute_deadline_s(self, wave: maintenance.Wave) -> float:
         """Returns the deadline of a wave in seconds on the store's clock.
 
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -189,7 +189,7 @@
         operator_rows = self._follow(
             tables.OPERATOR,
             lambda: ("",),
-            self._apply_operator_rows,
+            self._load_operator_rows,
             self._apply_operator_rows,
             on_confirmed=self._configuration.mark_confirmed,
         )
@@ -258,6 +258,10 @@
         )
         return supervisor_lib.Child(name, run, policies.RestartWithBackoff())
 
+    def _load_operator_rows(self, rows: tuple[row_store.Row, ...]) -> None:
+        self._configuration.apply_rows(rows)
+        self._waves.load_rows(rows)
+
     def _apply_operator_rows(self, rows: tuple[row_store.Row, ...]) -> None:
         self._configuration.apply_rows(rows)
         self._waves.apply_rows(rows)
--- /dev/null
+++ b/src/fireflywell/node/request_closer.py
@@ -0,0 +1,151 @@
+"""Closes drain requests whose maintenance was withdrawn or refused."""
+
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import datetime
+
+from fireflywell import clock as clock_lib
+from fireflywell.node import fleet_cache
+from fireflywell.node import maintenance_waves
+from fireflywell.node import vm_orders
+from fireflywell.scheduling import maintenance
+from fireflywell.telemetry import logs
+
+# An order is repeated to settle a withdrawn request only after the request was
+# ready for this time. An owner whose VM isn't empty has set it back by then.
+_SETTLE_DELAY = datetime.timedelta(seconds=2)
+
+StoreRequest = Callable[[maintenance.DrainRequest], Awaitable[bool]]
+
+
+class RequestCloser:
+    """Closes the requests of one tenure that no wave asks for any more.
+
+    A closed request belongs to no wave, so that its VM doesn't count as
+    maintained, and its worker is used again. A request whose order may still be
+    carried out stays open until the order is settled.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_fleet_cache",
+        "_orders",
+        "_ready_since",
+        "_refused",
+        "_seen_due",
+        "_store_request",
+        "_waves",
+    )
+
+    def __init__(
+        self,
+        cache: fleet_cache.FleetCache,
+        waves: maintenance_waves.MaintenanceWaves,
+        orders: vm_orders.VmOrders,
+        store_request: StoreRequest,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._clock = clock
+        self._fleet_cache = cache
+        self._waves = waves
+        self._orders = orders
+        self._store_request = store_request
+        # VMs whose request was due in this tenure. No earlier owner has ordered
+        # what a later request for them asks for.
+        self._seen_due: set[str] = set()
+        # Monotonic time at which each withdrawn request was first seen ready.
+        self._ready_since: dict[str, datetime.timedelta] = {}
+        # The wave of each refused order by VM and number of the wave.
+        self._refused: dict[tuple[str, int], maintenance.Wave] = {}
+
+    def is_refused(self, wave: maintenance.Wave, vm_id: str) -> bool:
+        """Returns whether a VM's maintenance for a wave was refused.
+
+        It is asked for again once operators have changed the wave.
+        """
+        return self._refused.get((vm_id, wave.number)) == wave
+
+    def record_due(self, vm_id: str) -> None:
+        """Records that a VM's request is due in this tenure."""
+        self._seen_due.add(vm_id)
+        self._ready_since.pop(vm_id, None)
+
+    def may_be_ordered(self, request: maintenance.DrainRequest) -> bool:
+        """Returns whether an order for an open request may be carried out."""
+        if request.phase is maintenance.DrainPhase.DONE:
+            return False
+        if self._orders.is_unanswered(request.vm_id):
+            return True
+        is_ready = request.phase is maintenance.DrainPhase.READY
+        return is_ready and request.vm_id not in self._seen_due
+
+    async def close_refused(
+        self, wave: maintenance.Wave, request: maintenance.DrainRequest
+    ) -> None:
+        """Closes a request whose order the platform never carries out."""
+        self._refused[request.vm_id, wave.number] = wave
+        await self._close(request, "refused")
+
+    async def close_withdrawn(self) -> None:
+        """Closes the requests that no wave asks for any more.
+
+        Raises:
+            PlatformError: The platform doesn't answer.
+        """
+        for request in self._fleet_cache.list_drain_requests():
+            if request.phase is maintenance.DrainPhase.DUE:
+                self.record_due(request.vm_id)
+            if not self._is_withdrawn(request):
+                continue
+            if self.may_be_ordered(request):
+                await self._settle(request)
+            else:
+                await self._close(request, "withdrawn")
+
+    def _is_withdrawn(self, request: maintenance.DrainRequest) -> bool:
+        if (
+            not self._waves.is_loaded
+            or request.target
+            or request.phase is maintenance.DrainPhase.DONE
+        ):
+            return False
+        wave = self._waves.waves.get(request.wave)
+        return wave is None or request.vm_id not in wave.vm_ids
+
+    async def _settle(self, request: maintenance.DrainRequest) -> None:
+        """Repeats an order that may be carried out, to learn its outcome."""
+        vm_id = request.vm_id
+        now = self._clock.monotonic()
+        ready_since = self._ready_since.setdefault(vm_id, now)
+        if now - ready_since < _SETTLE_DELAY:
+            return
+        if not self._orders.may_send(vm_id):
+            return
+        outcome = await self._orders.begin_maintenance(
+            request.vm_id, request.wave
+        )
+        match outcome:
+            case vm_orders.OrderOutcome.BEGUN:
+                done = dataclasses.replace(
+                    request, phase=maintenance.DrainPhase.DONE
+                )
+                await self._store_request(done)
+            case vm_orders.OrderOutcome.REFUSED:
+                await self._close(request, "withdrawn")
+            case vm_orders.OrderOutcome.POSTPONED:
+                pass
+
+    async def _close(
+        self, request: maintenance.DrainRequest, reason: str
+    ) -> None:
+        closed = dataclasses.replace(
+            request, wave=0, phase=maintenance.DrainPhase.DONE
+        )
+        if await self._store_request(closed):
+            logs.log_event(
+                "upkeep.closed",
+                machine=request.vm_id,
+                wave=request.wave,
+                reason=reason,
+            )
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -27,6 +27,7 @@
 from fireflywell.node import worker_leases
 from fireflywell.node import worker_session
 from fireflywell.scheduling import capacity
+from fireflywell.scheduling import cordons
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import maintenance
 from fireflywell.scheduling import orders
@@ -79,14 +80,14 @@
 class _RunningSession:
     """A worker session and the cancel scope that ends it."""
 
-    __slots__ = ("unlisted_since_s", "cordoned_since_s", "scope", "session")
+    __slots__ = ("unlisted_since_s", "cordon", "scope", "session")
 
     def __init__(self, session: worker_session.WorkerSession) -> None:
         self.session = session
         self.scope = anyio.CancelScope()
         self.unlisted_since_s: float | None = None
-        # When the worker was cordoned for maintenance or a move.
-        self.cordoned_since_s: float | None = None
+        # Why the worker gets no new units; None if it does.
+        self.cordon: cordons.Cordon | None = None
 
     async def run(self) -> None:
         """Runs the session until its scope is cancelled."""
@@ -345,11 +346,6 @@
     def _start_session(self, instance: workers_lib.WorkerInstance) -> None:
         worker = workers_lib.Worker(instance)
         worker.is_from_spare_pool = self._is_from_spare_pool(instance)
-        request = self._fleet_cache.find(instance.vm_id)
-        worker.is_cordoned = (
-            request is not None
-            and request.phase is maintenance.DrainPhase.READY
-        )
         self._state.workers[instance.instance_id] = worker
         session = worker_session.WorkerSession(
             worker,
@@ -371,6 +367,7 @@
         )
         running = _RunningSession(session)
         self._sessions[instance.instance_id] = running
+        self._update_cordon(running)
         logs.log_event(
             "worker.listed",
             worker=instance.instance_id,
@@ -457,6 +454,7 @@
                 self._guard.permits_orders and self._fleet_cache.is_loaded
             )
             if self._state.has_waiting_units and is_planning:
+                self._update_cordons()
                 self._plan()
             self._wait_reporter.report(
                 self._now_s(),
@@ -475,7 +473,8 @@
             await self._publish_need()
             requests = self._fleet_cache.list_drain_requests()
             self._mark_due_workers(requests)
-            await self._cordon_drained_workers(requests)
+            self._update_cordons()
+            await self._reopen_requests()
             for worker in maintenance.choose_workers_to_drain(
                 self._state, requests, self._store.now_s(), self._now_s()
             ):
@@ -483,7 +482,7 @@
             if self._now_s() < self._evictions_start_s:
                 continue
             for running in tuple(self._sessions.values()):
-                if running.cordoned_since_s is not None:
+                if running.cordon is not None:
                     await self._drain_worker(running)
 
     async def _publish_need(self) -> None:
@@ -532,38 +531,66 @@
         for worker in self._state.workers.values():
             worker.is_due_for_maintenance = worker.instance.vm_id in due
 
-    async def _cordon_drained_workers(
-        self, requests: tuple[maintenance.DrainRequest, ...]
-    ) -> None:
-        """Cordons workers whose VMs are marked as drained.
+    async def _reopen_requests(self) -> None:
+        """Sets requests back to `DUE` if their VMs aren't empty.
 
-        A former owner may have marked a VM on which this owner has started
-        runs; its request is set back to `DUE`, so that it is drained again.
+        A former owner may have marked a VM as drained on which this owner has
+        started runs; it is drained again.
         """
-        ready = {
-            item.vm_id: item
-            for item in requests
-            if item.phase is maintenance.DrainPhase.READY
-        }
         for running in tuple(self._sessions.values()):
             worker = running.session.worker
-            request = ready.get(worker.instance.vm_id)
-            if request is None or not worker.is_reachable:
-                continue
-            if running.cordoned_since_s is None:
-                self._cordon(worker)
-            if worker.runs:
+            request = self._fleet_cache.find(worker.instance.vm_id)
+            if (
+                request is not None
+                and request.phase is maintenance.DrainPhase.READY
+                and worker.is_reachable
+                and worker.runs
+            ):
                 await self._set_phase(request, maintenance.DrainPhase.DUE)
 
     def _is_spare_pool_empty(self) -> bool:
         return not self._fleet_cache.spare_pool_vms
 
+    def _update_cordons(self) -> None:
+        # A cache without rows doesn't show that the requests were closed.
+        if self._fleet_cache.is_loaded:
+            for running in self._sessions.values():
+                self._update_cordon(running)
+
+    def _update_cordon(self, running: _RunningSession) -> None:
+        """Cordons a worker as far as its VM's drain request requires it."""
+        worker = running.session.worker
+        request = self._fleet_cache.find(worker.instance.vm_id)
+        cordon = cordons.update_cordon(
+            running.cordon, request, worker.reported_s, self._now_s()
+        )
+        self._set_cordon(running, cordon)
+
     def _cordon(self, worker: workers_lib.Worker) -> None:
+        """Cordons a worker whose request is due."""
         running = self._sessions.get(worker.worker_id)
-        if running is None:
+        request = self._fleet_cache.find(worker.instance.vm_id)
+        if running is None or request is None:
+            return
+        self._set_cordon(running, cordons.make_cordon(request, self._now_s()))
+
+    def _set_cordon(
+        self, running: _RunningSession, cordon: cordons.Cordon | None
+    ) -> None:
+        worker = running.session.worker
+        was_cordoned = worker.is_cordoned
+        running.cordon = cordon
+        worker.is_cordoned = cordon is not None
+        if worker.is_cordoned == was_cordoned:
+            return
+        if cordon is None:
+            logs.log_event(
+                "upkeep.released",
+                worker=worker.worker_id,
+                machine=worker.instance.vm_id,
+            )
+            self._wake_planner()
             return
-        worker.is_cordoned = True
-        running.cordoned_since_s = self._now_s()
         logs.log_event(
             "upkeep.reserved",
             worker=worker.worker_id,
@@ -572,12 +599,12 @@
         )
 
     async def _drain_worker(self, running: _RunningSession) -> None:
-        assert running.cordoned_since_s is not None
+        assert running.cordon is not None
         worker = running.session.worker
         request = self._fleet_cache.find(worker.instance.vm_id)
         if request is None or request.phase is not maintenance.DrainPhase.DUE:
             return
-        waited_s = self._now_s() - running.cordoned_since_s
+        waited_s = self._now_s() - running.cordon.since_s
         for run in maintenance.choose_evictions(
             self._state,
             worker,
--- a/tests/test_node_fleet_orders.py
+++ b/tests/test_node_fleet_orders.py
@@ -42,6 +42,7 @@
     CARRIED_OUT = enum.auto()
     LATE = enum.auto()  # No answer comes; it is carried out later, if at all.
     OVER_RATE = enum.auto()
+    NOT_IN_WAVE = enum.auto()
 
 
 class FaultyFleet(node_world.FakeFleet):
@@ -102,10 +103,23 @@
                 raise errors.AnswerLostError("no answer")
             case Reply.OVER_RATE:
                 return maintenance.VmRefusal.RATE
+            case Reply.NOT_IN_WAVE:
+                return maintenance.VmRefusal.NOT_IN_WAVE
             case Reply.CARRIED_OUT:
                 return None
 
 
+def _make_wave_row(number: int, *vm_ids: str) -> row_store.Row:
+    document = {
+        "wave": number,
+        "machines": vm_ids,
+        "duration_s": 60,
+        "max_count": 1,
+    }
+    row_key = row_store.RowKey(tables.OPERATOR, "", f"wave/{number}")
+    return row_store.Row(row_key, json.dumps(document).encode(), 1)
+
+
 class World:
     """A fleet controller on a manual clock."""
 
@@ -125,15 +139,13 @@
 
     def add_wave(self, number: int, *vm_ids: str) -> None:
         """Requests the maintenance of VMs, one at a time."""
-        document = {
-            "wave": number,
-            "machines": vm_ids,
-            "duration_s": 60,
-            "max_count": 1,
-        }
-        row_key = row_store.RowKey(tables.OPERATOR, "", f"wave/{number}")
-        value = json.dumps(document).encode()
-        self._waves.apply_rows((row_store.Row(row_key, value, 1),))
+        self._waves.apply_rows((_make_wave_row(number, *vm_ids),))
+
+    def load_waves(self, *requested: tuple[int, str]) -> None:
+        """Replaces all requested waves, each with its number and VM."""
+        self._waves.load_rows(
+            tuple(_make_wave_row(number, vm_id) for number, vm_id in requested)
+        )
 
     def add_request(
         self, vm_id: str, wave: int, phase: str, target: str = ""
--- a/tests/test_node_takeover.py
+++ b/tests/test_node_takeover.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import datetime
+import json
 import unittest
 
 import anyio
@@ -383,6 +384,7 @@
                 ownership.FLEET_SERVICE, "m-w1"
             )
             world.store.put(row_key, fleet_cache.encode_drain_request(request))
+            _request_wave(world, "m-w1")
             async with self.run_node(world, "node-a"):
                 await world.submit(node_world.make_step(6))
                 with anyio.fail_after(5):
@@ -416,6 +418,7 @@
                 world.store.put(
                     row_key, fleet_cache.encode_drain_request(request)
                 )
+                _request_wave(world, "m-w1")
                 with anyio.fail_after(3):
                     while b"due" not in _read(world, row_key):
                         await anyio.sleep(0.02)
@@ -458,6 +461,19 @@
         anyio.run(run)
 
 
+def _request_wave(world: node_world.NodeWorld, vm_id: str) -> None:
+    document = {
+        "wave": 1,
+        "machines": [vm_id],
+        "duration_s": 600,
+        "max_count": 1,
+    }
+    world.store.put(
+        row_store.RowKey(tables.OPERATOR, "", "wave/1"),
+        json.dumps(document).encode(),
+    )
+
+
 def _read(world: node_world.NodeWorld, row_key: row_store.RowKey) -> bytes:
     row = world.store.get(row_key)
     return row.value if row else b""
