Run long-running units on spare VMs if own workers can't hold them

A long-running unit waited for ever beside empty VMs of the spare pool that served its service, if the pool's own workers couldn't hold it: with one own worker and two empty VMs, one of two units that may not share a worker was never placed. No VM was asked for either: the need counted short jobs only, and none once the pool had no worker.

Such a unit goes to an own worker first. It gets a VM of the spare pool if no own worker could hold it without its short units either, or after a wait of 2 s. The need counts the VMs that hold the long-running units which own workers can't hold and which wait or run on such VMs already, so that they come and stay; own workers under maintenance count as present. Once own workers have room, the need falls and the VM leaves by the usual rules for evictions. Units go to the VM that leaves the pool last. A service without workers for 3 s asks for one VM.

The pass over all steps moves to planning_pass, apart from the choice of a worker for one unit.

--- a/src/fireflywell/scheduling/capacity.py
+++ b/src/fireflywell/scheduling/capacity.py
@@ -1,5 +1,6 @@
 """Estimates how many VMs a service needs and chooses moves between pools.
 
+Long-running units need VMs only if the pool's own workers can't hold them.
 Designed for loads in which one queue after the other demands several times its
 mean for some seconds: VMs of the spare pool move to the pool with the peak and
 are switched off when there is none.
@@ -10,6 +11,7 @@
 import dataclasses
 import math
 
+from fireflywell.scheduling import long_running_demand
 from fireflywell.scheduling import ranking
 from fireflywell.scheduling import service_state
 
@@ -36,6 +38,10 @@
 # switching it off saves more than the two moves cost.
 _IDLE_BEFORE_OFF_S = 3.0
 
+# A service without any worker for this time needs a VM. A new owner has found
+# its workers by then.
+_NO_WORKER_DELAY_S = 3.0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Arrival:
@@ -46,11 +52,13 @@
 class DemandEstimator:
     """Estimates how many VMs a service needs beyond those of its own pool."""
 
-    __slots__ = ("_arrivals", "_hold_until_s", "_last_need")
+    __slots__ = ("_arrivals", "_empty_since_s", "_hold_until_s", "_last_need")
 
     def __init__(self) -> None:
         self._arrivals: collections.deque[_Arrival] = collections.deque()
         self._last_need = 0
+        # Monotonic time since when the service has no worker; None if it has.
+        self._empty_since_s: float | None = None
         self._hold_until_s = 0.0
 
     def record_arrival(self, now_s: float, core_seconds: float) -> None:
@@ -95,12 +103,27 @@
                 continue
             work = ranking.compute_remaining_work(job)
             backlog += work / max(0.5, critical_path_s)
+        if self._has_no_worker(state, now_s):
+            # The size of a VM isn't known before the first one has come.
+            return int(bool(state.jobs))
+        lasting = long_running_demand.compute_demand(state, now_s)
         own_cores, vm_cores = _compute_own_cores(state)
         demand_cores = max(arrival_rate, backlog)
         excess_cores = demand_cores - _MAX_UTILIZATION * own_cores
         if excess_cores <= 0 or vm_cores <= 0:
-            return 0
-        return math.ceil(excess_cores / vm_cores)
+            return lasting.vm_count
+        vms = math.ceil((excess_cores + lasting.cores) / vm_cores)
+        return max(vms, lasting.vm_count)
+
+    def _has_no_worker(
+        self, state: service_state.ServiceState, now_s: float
+    ) -> bool:
+        if state.workers:
+            self._empty_since_s = None
+            return False
+        if self._empty_since_s is None:
+            self._empty_since_s = now_s
+        return now_s - self._empty_since_s > _NO_WORKER_DELAY_S
 
     def _forecast_rate(self, now_s: float) -> float:
         """Returns the expected arrival rate after `_VM_LEAD_TIME_S`.
--- /dev/null
+++ b/src/fireflywell/scheduling/long_running_demand.py
@@ -0,0 +1,164 @@
+"""Counts the VMs needed for long-running units that own workers can't hold."""
+
+import collections
+from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
+
+from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import model
+from fireflywell.scheduling import service_state
+from fireflywell.scheduling import workers as workers_lib
+
+# A unit that waits for a shorter time calls no VM, so that a worker that is
+# maintained or restarted has time to come back.
+_MIN_WAIT_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LongRunningDemand:
+    """Demand of the long-running units that own workers can't hold.
+
+    Attributes:
+        vm_count: Number of VMs that hold them.
+        cores: Their cores in total.
+    """
+
+    vm_count: int
+    cores: float
+
+
+def compute_demand(
+    state: service_state.ServiceState, now_s: float
+) -> LongRunningDemand:
+    """Computes the demand of units that wait or run on spare-pool VMs.
+
+    Own workers count with all their capacity but for the long-running units
+    there, because short units end. Units that need a label don't call VMs, as
+    the labels of the VMs in the spare pool aren't known.
+    """
+    unplaced = sorted(
+        _iterate_unplaced_steps(state, now_s),
+        key=lambda step: -step.spec.demand.cpu_millis,
+    )
+    if not unplaced:
+        return LongRunningDemand(0, 0.0)
+    own = [_Room.of_worker(worker) for worker in _list_own_workers(state)]
+    overflow = [step for step in unplaced if not _add_to_any(own, step)]
+    vm_capacity = _find_vm_capacity(state)
+    if vm_capacity is None:
+        return LongRunningDemand(int(bool(overflow)), 0.0)
+    vms: list[_Room] = []
+    millis = 0
+    for step in overflow:
+        if not _add_to_any(vms, step):
+            vm = _Room(vm_capacity, frozenset())
+            if not vm.fits(step):
+                continue
+            vm.add(step)
+            vms.append(vm)
+        millis += 0 if step.spec.is_filling else step.spec.demand.cpu_millis
+    return LongRunningDemand(len(vms), millis / 1000)
+
+
+class _Room:
+    """Capacity that long-running units don't use."""
+
+    __slots__ = ("_accelerators", "_cpu", "_labels", "_memory", "_units")
+
+    def __init__(
+        self, capacity: model.ResourceAmounts, labels: frozenset[str]
+    ) -> None:
+        self._cpu = capacity.cpu_millis
+        self._memory = capacity.memory_mb
+        self._accelerators = capacity.accelerators
+        self._labels = labels
+        self._units: collections.Counter[str] = collections.Counter()
+
+    @classmethod
+    def of_worker(cls, worker: workers_lib.Worker) -> "_Room":
+        """Returns the room on a worker once all short units have ended."""
+        labels = frozenset(worker.instance.labels)
+        room = cls(worker.instance.capacity, labels)
+        for run in worker.runs.values():
+            if run.unit.step.spec.is_long_running:
+                room.add(run.unit.step)
+        return room
+
+    def fits(self, step: jobs_lib.StepOccurrence) -> bool:
+        """Returns whether one more unit of a step fits."""
+        spec = step.spec
+        demand = spec.demand
+        if spec.required_label and spec.required_label not in self._labels:
+            return False
+        if spec.max_per_worker and (
+            self._units[step.key] >= spec.max_per_worker
+        ):
+            return False
+        return (
+            (spec.is_filling or demand.cpu_millis <= self._cpu)
+            and demand.memory_mb <= self._memory
+            and demand.accelerators <= self._accelerators
+        )
+
+    def add(self, step: jobs_lib.StepOccurrence) -> None:
+        """Adds a unit of a step."""
+        demand = step.spec.demand
+        self._cpu -= 0 if step.spec.is_filling else demand.cpu_millis
+        self._memory -= demand.memory_mb
+        self._accelerators -= demand.accelerators
+        self._units[step.key] += 1
+
+
+def _add_to_any(rooms: Sequence[_Room], step: jobs_lib.StepOccurrence) -> bool:
+    for room in rooms:
+        if room.fits(step):
+            room.add(step)
+            return True
+    return False
+
+
+def _iterate_unplaced_steps(
+    state: service_state.ServiceState, now_s: float
+) -> Iterator[jobs_lib.StepOccurrence]:
+    """Yields the step of each unit that no own worker has, once for a unit."""
+    for step in state.list_waiting_steps():
+        if not step.spec.is_long_running or step.waiting_since_s is None:
+            continue
+        if now_s - step.waiting_since_s > _MIN_WAIT_S:
+            for _ in step.waiting:
+                yield step
+    for worker in state.workers.values():
+        if not worker.is_from_spare_pool:
+            continue
+        for run in worker.runs.values():
+            if run.unit.step.spec.is_long_running:
+                yield run.unit.step
+
+
+def _list_own_workers(
+    state: service_state.ServiceState,
+) -> list[workers_lib.Worker]:
+    # A worker that is cordoned for its maintenance comes back.
+    return [
+        worker
+        for worker in state.workers.values()
+        if not worker.is_from_spare_pool
+        and not worker.instance.is_draining
+        and (worker.is_reachable or worker.is_cordoned)
+    ]
+
+
+def _find_vm_capacity(
+    state: service_state.ServiceState,
+) -> model.ResourceAmounts | None:
+    """Returns the expected capacity of a spare-pool VM, or None if unknown.
+
+    That is the largest of those in the pool or, without one, of its own VMs.
+    """
+    capacities = [
+        worker.instance.capacity
+        for worker in state.workers.values()
+        if worker.is_from_spare_pool
+    ] or [worker.instance.capacity for worker in state.workers.values()]
+    return max(capacities, key=lambda item: item.cpu_millis, default=None)
--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -1,12 +1,9 @@
-"""Places the waiting units of ready steps on workers."""
+"""Chooses the workers for the units of one step."""
 
-import collections
 from collections.abc import Sequence
 import dataclasses
 
 from fireflywell.scheduling import jobs
-from fireflywell.scheduling import overdue_share
-from fireflywell.scheduling import ranking
 from fireflywell.scheduling import reservations as reservations_lib
 from fireflywell.scheduling import workers as workers_lib
 
@@ -18,6 +15,9 @@
 # empty when it has to move.
 _SPARE_POOL_COST = 20_000
 
+# Fit cost of a long-running unit on a spare-pool VM, above that of all others.
+_LONG_RUNNING_ON_SPARE_COST = 1_000_000_000
+
 # Fit costs, in thousandths of a core: for each unit of the same long-running
 # step on the worker and on its rack, for a worker that is due for maintenance,
 # and for each filling unit on the worker of a filling unit.
@@ -40,180 +40,7 @@
     worker: workers_lib.Worker
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RankedStep:
-    """A ready step with its sort key."""
-
-    rank: ranking.Rank
-    step: jobs.StepOccurrence
-
-
-def place_units(
-    ranked: Sequence[RankedStep],
-    workers: Sequence[workers_lib.Worker],
-    now_s: float,
-    limit: int,
-    reservations: reservations_lib.Reservations,
-    share: overdue_share.OverdueShare,
-) -> list[Placement]:
-    """Places waiting units, those of the best rank first.
-
-    A share of the capacity goes to the overdue steps, the oldest first. The
-    workers aren't changed: the caller must add a run to the worker for each
-    placement.
-
-    Args:
-        ranked: Ready steps, sorted by rank.
-        workers: Workers of the service.
-        now_s: Monotonic time.
-        limit: Maximum number of placements. A gang that starts below it may
-            exceed it.
-        reservations: Reservations of this pass, empty at first.
-        share: Share of the overdue steps, which is updated.
-
-    Returns:
-        The placements in their order.
-    """
-    usable = [worker for worker in workers if worker.accepts_runs(now_s)]
-    planning_pass = _PlanningPass(
-        ranked, usable, now_s, limit, reservations, share
-    )
-    for item in ranked:
-        planning_pass.place_step(item)
-    return planning_pass.placements
-
-
-class _PlanningPass:
-    """Placements and reservations of one pass over the ready steps."""
-
-    __slots__ = (
-        "_capacity",
-        "_is_turn_over",
-        "_limit",
-        "_now_s",
-        "_overdue",
-        "_placed_counts",
-        "_reservations",
-        "_share",
-        "_usable",
-        "placements",
-    )
-
-    def __init__(
-        self,
-        ranked: Sequence[RankedStep],
-        usable: Sequence[workers_lib.Worker],
-        now_s: float,
-        limit: int,
-        reservations: reservations_lib.Reservations,
-        share: overdue_share.OverdueShare,
-    ) -> None:
-        self._usable = usable
-        self._now_s = now_s
-        self._limit = limit
-        self._share = share
-        self._capacity = _RemainingCapacity(usable)
-        self._reservations = reservations
-        self._placed_counts: collections.Counter[str] = collections.Counter()
-        # Overdue steps that may have a turn in this pass, oldest first.
-        self._overdue = collections.deque(
-            sorted(
-                (
-                    item
-                    for item in ranked
-                    if item.rank.band is ranking.Band.OVERDUE
-                ),
-                key=lambda item: item.rank.arrived_s,
-            )
-        )
-        # Whether the step whose turn it is waits for its reserved workers.
-        self._is_turn_over = False
-        self.placements: list[Placement] = []
-
-    @property
-    def _is_full(self) -> bool:
-        return len(self.placements) >= self._limit
-
-    def place_step(self, item: RankedStep) -> None:
-        """Places the units of a step, with the turns that are due meanwhile."""
-        step = item.step
-        is_serving = item.rank.band is ranking.Band.SERVING
-        while True:
-            if not is_serving:
-                self._take_turns()
-            if self._is_full or not self._list_waiting(step):
-                return
-            max_units = self._limit - len(self.placements)
-            if not is_serving and self._has_overdue:
-                max_units = min(
-                    max_units, self._share.count_until_due(step.spec)
-                )
-            count = self._place(step, max_units)
-            if not count:
-                if reservations_lib.may_reserve(step, item.rank, self._now_s):
-                    self._reserve(step)
-                return
-            if not is_serving:
-                self._share.record_other(step.spec, count)
-
-    @property
-    def _has_overdue(self) -> bool:
-        return bool(self._overdue) and not self._is_turn_over
-
-    def _take_turns(self) -> None:
-        """Places units of the oldest overdue steps while their turn is due.
-
-        If the oldest doesn't fit now, it reserves workers and keeps its turn. A
-        step that no worker could hold loses it to the next oldest.
-        """
-        while self._has_overdue and self._share.is_due and not self._is_full:
-            step = self._overdue[0].step
-            if not self._list_waiting(step):
-                self._overdue.popleft()
-                continue
-            count = self._place(step, 1)
-            if count:
-                self._share.record_turn(step.spec, count)
-            elif self._reserve(step):
-                self._is_turn_over = True
-            else:
-                self._overdue.popleft()
-
-    def _list_waiting(self, step: jobs.StepOccurrence) -> list[jobs.Unit]:
-        """Returns the units of a step that this pass hasn't placed."""
-        # The last unit is next, because `StepOccurrence.waiting` is a stack.
-        count = len(step.waiting) - self._placed_counts[step.key]
-        return step.waiting[:count][::-1]
-
-    def _place(self, step: jobs.StepOccurrence, max_units: int) -> int:
-        """Places up to `max_units` units of a step, or a whole gang."""
-        if not step.spec.is_filling and not self._capacity.has_enough_cpu(step):
-            return 0
-        units = self._list_waiting(step)
-        if step.spec.is_gang:
-            chosen = _place_gang(
-                step, units, self._usable, self._reservations, self._capacity
-            )
-        else:
-            chosen = _place_singles(
-                step,
-                units[:max_units],
-                self._usable,
-                self._reservations,
-                self._capacity,
-            )
-        self._placed_counts[step.key] += len(chosen)
-        self.placements.extend(chosen)
-        return len(chosen)
-
-    def _reserve(self, step: jobs.StepOccurrence) -> bool:
-        if step.spec.is_gang and len(step.waiting) < step.spec.count:
-            # The gang can't start before its last run has ended.
-            return False
-        return self._reservations.reserve(step, self._usable)
-
-
-class _RemainingCapacity:
+class RemainingCapacity:
     """Free capacity of the workers, less the units placed in this pass."""
 
     __slots__ = ("_free", "_largest_cpu", "_workers")
@@ -330,13 +157,14 @@
         )
 
 
-def _place_singles(
+def place_singles(
     step: jobs.StepOccurrence,
     units: Sequence[jobs.Unit],
     workers: Sequence[workers_lib.Worker],
     reservations: reservations_lib.Reservations,
-    capacity: _RemainingCapacity,
+    capacity: RemainingCapacity,
 ) -> list[Placement]:
+    """Places units of a step one by one until one doesn't fit."""
     placements: list[Placement] = []
     for unit in units:
         worker = _choose_worker(step, workers, reservations, capacity, "")
@@ -347,12 +175,12 @@
     return placements
 
 
-def _place_gang(
+def place_gang(
     step: jobs.StepOccurrence,
     units: Sequence[jobs.Unit],
     workers: Sequence[workers_lib.Worker],
     reservations: reservations_lib.Reservations,
-    capacity: _RemainingCapacity,
+    capacity: RemainingCapacity,
 ) -> list[Placement]:
     """Places all units of a gang or none.
 
@@ -383,7 +211,7 @@
     step: jobs.StepOccurrence,
     workers: Sequence[workers_lib.Worker],
     reservations: reservations_lib.Reservations,
-    capacity: _RemainingCapacity,
+    capacity: RemainingCapacity,
     only_rack: str,
 ) -> workers_lib.Worker | None:
     best: workers_lib.Worker | None = None
@@ -400,10 +228,21 @@
             continue
         cost = capacity.compute_fit_cost(worker, step) * worker.slow_factor
         if worker.is_from_spare_pool:
-            cost += _SPARE_POOL_COST
+            if step.spec.is_long_running:
+                cost = _LONG_RUNNING_ON_SPARE_COST
+            else:
+                cost += _SPARE_POOL_COST
         if data_rack and worker.instance.rack != data_rack:
             cost += _OTHER_RACK_COST
-        if best is None or cost < best_cost:
+        if (
+            best is None
+            or cost < best_cost
+            or (
+                # VMs leave a pool in the order of their names.
+                cost == best_cost == _LONG_RUNNING_ON_SPARE_COST
+                and worker.instance.vm_id > best.instance.vm_id
+            )
+        ):
             best = worker
             best_cost = cost
     return best
--- /dev/null
+++ b/src/fireflywell/scheduling/planning_pass.py
@@ -0,0 +1,220 @@
+"""Places the waiting units of ready steps in one pass over their order."""
+
+import collections
+from collections.abc import Sequence
+import dataclasses
+
+from fireflywell.scheduling import jobs
+from fireflywell.scheduling import overdue_share
+from fireflywell.scheduling import placement
+from fireflywell.scheduling import ranking
+from fireflywell.scheduling import reservations as reservations_lib
+from fireflywell.scheduling import workers as workers_lib
+
+# After waiting this long for an own worker, a long-running unit may be placed
+# on a spare-pool VM, which then can't leave without interrupting the unit. It
+# must not wait for long, because it serves users all the time.
+_SPARE_POOL_AFTER_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankedStep:
+    """A ready step with its sort key."""
+
+    rank: ranking.Rank
+    step: jobs.StepOccurrence
+
+
+def place_units(
+    ranked: Sequence[RankedStep],
+    workers: Sequence[workers_lib.Worker],
+    now_s: float,
+    limit: int,
+    reservations: reservations_lib.Reservations,
+    share: overdue_share.OverdueShare,
+) -> list[placement.Placement]:
+    """Places waiting units, those of the best rank first.
+
+    A share of the capacity goes to the overdue steps, the oldest first. The
+    workers aren't changed: the caller must add a run to the worker for each
+    placement.
+
+    Args:
+        ranked: Ready steps, sorted by rank.
+        workers: Workers of the service.
+        now_s: Monotonic time.
+        limit: Maximum number of placements. A gang that starts below it may
+            exceed it.
+        reservations: Reservations of this pass, empty at first.
+        share: Share of the overdue steps, which is updated.
+
+    Returns:
+        The placements in their order.
+    """
+    planning_pass = _PlanningPass(
+        ranked, workers, now_s, limit, reservations, share
+    )
+    for item in ranked:
+        planning_pass.place_step(item)
+    return planning_pass.placements
+
+
+class _PlanningPass:
+    """Placements and reservations of one pass over the ready steps."""
+
+    __slots__ = (
+        "_capacity",
+        "_is_turn_over",
+        "_limit",
+        "_now_s",
+        "_overdue",
+        "_own",
+        "_own_usable",
+        "_placed_counts",
+        "_reservations",
+        "_share",
+        "_usable",
+        "placements",
+    )
+
+    def __init__(
+        self,
+        ranked: Sequence[RankedStep],
+        workers: Sequence[workers_lib.Worker],
+        now_s: float,
+        limit: int,
+        reservations: reservations_lib.Reservations,
+        share: overdue_share.OverdueShare,
+    ) -> None:
+        usable = [worker for worker in workers if worker.accepts_runs(now_s)]
+        self._usable = usable
+        self._own_usable = [w for w in usable if not w.is_from_spare_pool]
+        # Includes those that don't accept runs for a moment.
+        self._own = [
+            worker
+            for worker in workers
+            if not worker.is_from_spare_pool and not worker.instance.is_draining
+        ]
+        self._now_s = now_s
+        self._limit = limit
+        self._share = share
+        self._capacity = placement.RemainingCapacity(usable)
+        self._reservations = reservations
+        self._placed_counts: collections.Counter[str] = collections.Counter()
+        # Overdue steps that may have a turn in this pass, oldest first.
+        self._overdue = collections.deque(
+            sorted(
+                (
+                    item
+                    for item in ranked
+                    if item.rank.band is ranking.Band.OVERDUE
+                ),
+                key=lambda item: item.rank.arrived_s,
+            )
+        )
+        # Whether the step whose turn it is waits for its reserved workers.
+        self._is_turn_over = False
+        self.placements: list[placement.Placement] = []
+
+    @property
+    def _is_full(self) -> bool:
+        return len(self.placements) >= self._limit
+
+    def place_step(self, item: RankedStep) -> None:
+        """Places the units of a step, with the turns that are due meanwhile."""
+        step = item.step
+        is_serving = item.rank.band is ranking.Band.SERVING
+        while True:
+            if not is_serving:
+                self._take_turns()
+            if self._is_full or not self._list_waiting(step):
+                return
+            max_units = self._limit - len(self.placements)
+            if not is_serving and self._has_overdue:
+                max_units = min(
+                    max_units, self._share.count_until_due(step.spec)
+                )
+            count = self._place(step, max_units)
+            if not count:
+                if reservations_lib.may_reserve(step, item.rank, self._now_s):
+                    self._reserve(step)
+                return
+            if not is_serving:
+                self._share.record_other(step.spec, count)
+
+    @property
+    def _has_overdue(self) -> bool:
+        return bool(self._overdue) and not self._is_turn_over
+
+    def _take_turns(self) -> None:
+        """Places units of the oldest overdue steps while their turn is due.
+
+        If the oldest doesn't fit now, it reserves workers and keeps its turn. A
+        step that no worker could hold loses it to the next oldest.
+        """
+        while self._has_overdue and self._share.is_due and not self._is_full:
+            step = self._overdue[0].step
+            if not self._list_waiting(step):
+                self._overdue.popleft()
+                continue
+            count = self._place(step, 1)
+            if count:
+                self._share.record_turn(step.spec, count)
+            elif self._reserve(step):
+                self._is_turn_over = True
+            else:
+                self._overdue.popleft()
+
+    def _list_waiting(self, step: jobs.StepOccurrence) -> list[jobs.Unit]:
+        """Returns the units of a step that this pass hasn't placed."""
+        # The last unit is next, because `StepOccurrence.waiting` is a stack.
+        count = len(step.waiting) - self._placed_counts[step.key]
+        return step.waiting[:count][::-1]
+
+    def _place(self, step: jobs.StepOccurrence, max_units: int) -> int:
+        """Places up to `max_units` units of a step, or a whole gang."""
+        if not step.spec.is_filling and not self._capacity.has_enough_cpu(step):
+            return 0
+        units = self._list_waiting(step)
+        workers = self._list_candidates(step)
+        if step.spec.is_gang:
+            chosen = placement.place_gang(
+                step, units, workers, self._reservations, self._capacity
+            )
+        else:
+            chosen = placement.place_singles(
+                step,
+                units[:max_units],
+                workers,
+                self._reservations,
+                self._capacity,
+            )
+        self._placed_counts[step.key] += len(chosen)
+        self.placements.extend(chosen)
+        return len(chosen)
+
+    def _reserve(self, step: jobs.StepOccurrence) -> bool:
+        if step.spec.is_gang and len(step.waiting) < step.spec.count:
+            # The gang can't start before its last run has ended.
+            return False
+        return self._reservations.reserve(step, self._list_candidates(step))
+
+    def _list_candidates(
+        self, step: jobs.StepOccurrence
+    ) -> Sequence[workers_lib.Worker]:
+        """Returns the workers that units of a step may be placed on now.
+
+        A long-running unit goes to a spare-pool VM only if the own workers
+        couldn't hold it without their short units either, or if it has waited
+        for `_SPARE_POOL_AFTER_S`.
+        """
+        if not step.spec.is_long_running:
+            return self._usable
+        has_waited = step.waiting_since_s is not None and (
+            self._now_s - step.waiting_since_s > _SPARE_POOL_AFTER_S
+        )
+        required = step.spec.count if step.spec.is_gang else 1
+        holdable = sum(worker.count_holdable(step) for worker in self._own)
+        if has_waited or holdable < required:
+            return self._usable
+        return self._own_usable
--- a/src/fireflywell/scheduling/reservations.py
+++ b/src/fireflywell/scheduling/reservations.py
@@ -47,7 +47,7 @@
         missing = step.spec.count if step.spec.is_gang else 1
         chosen: list[workers_lib.Worker] = []
         for worker in sorted(
-            workers, key=lambda item: _get_free(item, step), reverse=True
+            workers, key=lambda item: _rate(item, step), reverse=True
         ):
             if self.is_reserved_for_other(worker, step):
                 continue
@@ -87,6 +87,13 @@
             return False
 
 
-def _get_free(worker: workers_lib.Worker, step: jobs.StepOccurrence) -> int:
+def _rate(
+    worker: workers_lib.Worker, step: jobs.StepOccurrence
+) -> tuple[bool, int]:
+    """Returns a sort key of a worker; the largest is reserved first."""
+    spec = step.spec
+    # Long-running units keep spare-pool VMs from leaving.
+    is_preferred = not (spec.is_long_running and worker.is_from_spare_pool)
     # Filling units need no CPU of their own.
-    return worker.free_memory if step.spec.is_filling else worker.free_cpu
+    free = worker.free_memory if spec.is_filling else worker.free_cpu
+    return is_preferred, free
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -14,6 +14,7 @@
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import overdue_share
 from fireflywell.scheduling import placement
+from fireflywell.scheduling import planning_pass
 from fireflywell.scheduling import ranking
 from fireflywell.scheduling import reservations
 from fireflywell.scheduling import workers as workers_lib
@@ -226,10 +227,10 @@
                 step.tickets = {}
             mean = self._mean_work_by_queue[step.job.policy.queue].value
             rank = ranking.rank_step(step, now_s, step.job.arrived_s, mean)
-            ranked.append(placement.RankedStep(rank, step))
+            ranked.append(planning_pass.RankedStep(rank, step))
         ranked.sort(key=lambda item: item.rank)
         self.reservations = reservations.Reservations()
-        placements = placement.place_units(
+        placements = planning_pass.place_units(
             ranked,
             tuple(self.workers.values()),
             now_s,
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -108,8 +108,6 @@
         """Returns whether one more unit of a step fits on the worker."""
         spec = step.spec
         demand = spec.demand
-        if self.is_from_spare_pool and spec.is_long_running:
-            return False
         if not spec.is_filling and demand.cpu_millis > self.free_cpu:
             return False
         if demand.memory_mb > self.free_memory:
