Keep work whose start is answered late, and bound the wait of each run

Callers saw accepted work wait although workers had room, and work that ran being thrown away, while workers carried out orders late.

Cause: a start without an answer was sent twice and its stop was then repeated until it was answered, on the four sending tasks that all orders to the worker share. Placement put any number of runs on a worker before it answered the first. Runs whose stop was refused, and runs whose sending task ended by an unexpected error, were never decided.

- A start without an answer is sent again unchanged until it is answered or its lease ends; an accepted repeat settles all transmissions.
That a worker is unhealthy doesn't end the repeats while a transmission is open.
No repeat is sent to an unreachable worker or once the owner's lease has lapsed.
- A run keeps the end of the lease in its order on the worker's clock.
The worker refuses the order afterwards, so a complete report with a later clock that doesn't list the run frees the unit in every phase, without a stop.
After a restart of the worker only the confirmed stop and a later report decide, as before, and an answer to a start that may be the former incarnation's decides nothing.
- A run that a report lists is kept, and its queued stop isn't sent.
The stop of an open start is requested only after a refusal other than the end of its lease, and not for units with `may_be_away`: carried out late, it could end them while others are away.
- A worker gets at most `MAX_OPEN_STARTS` starts without an answer, one for each sending task; a gang may exceed it.
- Stops and throttles have their own queue and two tasks.
A stop without an answer goes to the end of the queue; a refused one is requested again each second while the run is open.
A throttle that a newer one replaces isn't sent.
- A cancelled run stays to be stopped when its worker restarts.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -20,13 +20,16 @@
 from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
 
-_MAX_QUEUED_ORDERS = 512
+_MAX_QUEUED_STARTS = 512
+_MAX_QUEUED_THROTTLES = 512
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=150)
 
-# A start without an answer is sent again to the same worker, which starts a
-# run number at most once.
-_START_ATTEMPTS = 2
+# Interval between repeats of a start to a worker that refuses orders for now.
+_UNHEALTHY_DELAY = datetime.timedelta(milliseconds=500)
+
+# A start that can't be sent is tried this often before its unit goes elsewhere.
+_MAX_SEND_ATTEMPTS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,25 +55,41 @@
     percent: int
 
 
-Command = StartCommand | StopCommand | ThrottleCommand
+_RunningOrder = StopCommand | ThrottleCommand
+Command = StartCommand | _RunningOrder
+_CommandStream = (
+    anyio.streams.memory.MemoryObjectSendStream[StartCommand]
+    | anyio.streams.memory.MemoryObjectSendStream[_RunningOrder]
+)
 
 
 class OrderSender:
-    """Queues orders to one worker and applies their outcomes."""
+    """Queues orders to one worker and applies their outcomes.
+
+    Starts and other orders have a queue each, so that a stop isn't held up by
+    starts without an answer.
+
+    Attributes:
+        answered_s: Monotonic time of the worker's last answer to an order.
+    """
 
     __slots__ = (
         "_client",
         "_clock",
-        "_command_receiver",
-        "_command_sender",
         "_guard",
         "_leases",
         "_metrics",
         "_on_change",
+        "_open_orders",
+        "_order_receiver",
+        "_order_sender",
+        "_start_receiver",
+        "_start_sender",
         "_state",
         "_token",
         "_worker",
         "_writer",
+        "answered_s",
     )
 
     def __init__(
@@ -96,39 +115,61 @@
         self._clock = clock
         self._on_change = on_change
         self._metrics = metrics
-        self._command_sender, self._command_receiver = (
-            anyio.create_memory_object_stream[Command](math.inf)
+        self.answered_s = -math.inf
+        self._start_sender, self._start_receiver = (
+            anyio.create_memory_object_stream[StartCommand](math.inf)
         )
+        self._order_sender, self._order_receiver = (
+            anyio.create_memory_object_stream[_RunningOrder](math.inf)
+        )
+        # Stops and throttles that are queued or being sent.
+        self._open_orders: set[_RunningOrder] = set()
 
     def enqueue(self, command: Command) -> None:
         """Queues an order; only stops are accepted while the queue is full.
 
-        The unit of a stop is placed again only once the stop is confirmed.
+        The unit of a stop is placed again only once the stop is confirmed. A
+        stop or throttle that is queued or being sent isn't queued again.
         """
-        is_full = (
-            self._command_sender.statistics().current_buffer_used
-            >= _MAX_QUEUED_ORDERS
-        )
         match command:
-            case StartCommand(run=run) if is_full:
+            case StartCommand(run=run) if (
+                _count_queued(self._start_sender) >= _MAX_QUEUED_STARTS
+            ):
                 self._state.refuse_start(
                     run, orders.Refusal.NO_ROOM, self._now_s()
                 )
-            case ThrottleCommand(run=run) if is_full:
+            case StartCommand():
+                self._start_sender.send_nowait(command)
+            case ThrottleCommand(run=run) if (
+                _count_queued(self._order_sender) >= _MAX_QUEUED_THROTTLES
+            ):
                 run.is_share_confirmed = False
-            case _:
-                self._command_sender.send_nowait(command)
-
-    async def run(self) -> None:
-        """Sends queued orders until cancelled; several tasks may run it."""
-        async for command in self._command_receiver:
-            match command:
-                case StartCommand(run=run):
-                    await self._start(run)
-                case StopCommand(unit=unit, run=number):
-                    await self._stop(unit, number)
-                case ThrottleCommand(run=run, percent=percent):
-                    await self._throttle(run, percent)
+            case _ if command not in self._open_orders:
+                self._open_orders.add(command)
+                self._order_sender.send_nowait(command)
+
+    async def run_starts(self) -> None:
+        """Sends queued starts until cancelled; several tasks may run it."""
+        async for command in self._start_receiver:
+            await self._start(command.run)
+
+    async def run_other_orders(self) -> None:
+        """Sends queued stops and throttles until cancelled, as `run_starts`.
+
+        A stop without an answer goes back to the end of the queue.
+        """
+        async for command in self._order_receiver:
+            is_settled = True
+            try:
+                match command:
+                    case StopCommand(unit=unit, run=number):
+                        is_settled = await self._stop(unit, number)
+                    case ThrottleCommand(run=run, percent=percent):
+                        await self._throttle(run, percent)
+            finally:
+                self._open_orders.discard(command)
+            if not is_settled:
+                self.enqueue(command)
 
     async def _start(self, run: jobs_lib.Run) -> None:
         if run.phase is not jobs_lib.RunPhase.SENDING:
@@ -141,18 +182,20 @@
         if not can_start:
             self._state.refuse_start(run, orders.Refusal.NO_ROOM, self._now_s())
             return
-        unit = run.unit
-        order = orders.StartOrder(
-            unit.name,
-            run.number,
-            unit.step.job.submission.request.specification,
-            self._leases.compute_end(),
-            self._token,
-            unit.checkpoint,
-            unit.step.tickets.get(self._worker.worker_id, ""),
-        )
-        self._leases.extend()
-        outcome = await self._send_start(run, order)
+        try:
+            self._apply_outcome(run, await self._send_start(run))
+        finally:
+            # After an unexpected error, too, the run must not stay undecided.
+            match run.phase:
+                case jobs_lib.RunPhase.SENDING if run.unanswered_starts:
+                    self._state.mark_start_unknown(run)
+                case jobs_lib.RunPhase.SENDING:
+                    self._state.refuse_start(run, None, self._now_s())
+        self._on_change()
+
+    def _apply_outcome(
+        self, run: jobs_lib.Run, outcome: orders.OrderOutcome | None
+    ) -> None:
         now_s = self._now_s()
         match outcome:
             case orders.Accepted():
@@ -177,56 +220,98 @@
                 self._state.refuse_start(run, None, now_s)
             case None if run.phase is jobs_lib.RunPhase.SENDING:
                 self._log_refusal(run, "no answer")
-                self._state.mark_start_unknown(run)
-        self._on_change()
 
     async def _send_start(
-        self, run: jobs_lib.Run, order: orders.StartOrder
+        self, run: jobs_lib.Run
     ) -> orders.OrderOutcome | None:
-        """Returns the first answer; None if the order may be carried out."""
-        for _ in range(_START_ATTEMPTS):
-            if run.phase is not jobs_lib.RunPhase.SENDING:
-                break
+        """Returns the deciding answer; None if the order may be carried out.
+
+        A start without an answer is sent again unchanged until it is answered
+        or its lease ends: the worker starts a run number at most once, so an
+        accepted repeat settles all transmissions.
+        """
+        order = self._make_start(run)
+        run.may_start_until_ms = order.lease_until_ms
+        self._leases.extend()
+        attempts = 0
+        while self._may_send(run, order):
+            attempts += 1
             run.unanswered_starts += 1
             try:
                 outcome = await self._client.start(order)
             except errors.PlatformUnavailableError:
                 run.unanswered_starts -= 1
+                if not run.unanswered_starts and attempts >= _MAX_SEND_ATTEMPTS:
+                    break
                 await self._clock.sleep(_RETRY_DELAY)
+                continue
             except errors.PlatformError as error:
                 self._log_unanswered_start(run, str(error))
-            else:
-                run.unanswered_starts -= 1
-                return outcome
-        return None if run.unanswered_starts else orders.Unhealthy()
-
-    async def _stop(self, unit: str, number: int) -> None:
-        order = orders.StopOrder(unit, number, self._token)
-        while True:
-            try:
-                outcome = await self._client.stop(order)
-            except errors.PlatformError:
-                if not self._has_run(unit, number):
-                    return
-                await self._clock.sleep(_RETRY_DELAY)
                 continue
+            run.unanswered_starts -= 1
+            self._record_answer(outcome)
             match outcome:
-                case orders.Accepted():
-                    self._state.confirm_stop(
-                        self._worker.worker_id, unit, number, self._now_s()
-                    )
-                    return
-                case orders.Unhealthy():
-                    await self._clock.sleep(_RETRY_DELAY)
-                case orders.IncarnationMismatch() if self._has_run(
-                    unit, number
-                ):
-                    await self._clock.sleep(_RETRY_DELAY)
+                case orders.Unhealthy() if run.unanswered_starts:
+                    await self._clock.sleep(_UNHEALTHY_DELAY)
                 case _:
-                    return
+                    return outcome
+        return None if run.unanswered_starts else orders.Unhealthy()
+
+    def _make_start(self, run: jobs_lib.Run) -> orders.StartOrder:
+        unit = run.unit
+        return orders.StartOrder(
+            unit.name,
+            run.number,
+            unit.step.job.submission.request.specification,
+            self._leases.compute_end(),
+            self._token,
+            unit.checkpoint,
+            unit.step.tickets.get(self._worker.worker_id, ""),
+        )
+
+    def _may_send(self, run: jobs_lib.Run, order: orders.StartOrder) -> bool:
+        return (
+            run.phase is jobs_lib.RunPhase.SENDING
+            and self._worker.is_reachable
+            and self._guard.permits_orders
+            and not self._leases.is_past(order.lease_until_ms)
+        )
+
+    async def _stop(self, unit: str, number: int) -> bool:
+        """Sends a stop once; returns whether it needn't be sent again."""
+        run = self._worker.runs.get((unit, number))
+        if run is not None and run.phase not in (
+            jobs_lib.RunPhase.START_UNKNOWN,
+            jobs_lib.RunPhase.STOPPING,
+        ):
+            return True
+        try:
+            outcome = await self._client.stop(
+                orders.StopOrder(unit, number, self._token)
+            )
+        except errors.PlatformUnavailableError:
+            await self._clock.sleep(_RETRY_DELAY)
+            return not self._has_run(unit, number)
+        except errors.PlatformError:
+            return not self._has_run(unit, number)
+        self._record_answer(outcome)
+        match outcome:
+            case orders.Accepted():
+                self._state.confirm_stop(
+                    self._worker.worker_id, unit, number, self._now_s()
+                )
+                return True
+            case orders.Refused(reason=reason):
+                # The service's state requests it again after a while.
+                self._log_refused_stop(unit, number, reason)
+                return True
+            case _:
+                await self._clock.sleep(_RETRY_DELAY)
+                return not self._has_run(unit, number)
 
     async def _throttle(self, run: jobs_lib.Run, percent: int) -> None:
-        if run.phase is not jobs_lib.RunPhase.RUNNING:
+        is_current = run.share_percent == percent
+        if run.phase is not jobs_lib.RunPhase.RUNNING or not is_current:
             return
         order = orders.ThrottleOrder(
             run.unit.name, run.number, percent, self._token
@@ -239,6 +324,7 @@
         except errors.PlatformError as error:
             self._log_failed_throttle(run, str(error))
             return
+        self._record_answer(outcome)
         match outcome:
             case orders.Accepted():
                 run.is_share_confirmed = run.share_percent == percent
@@ -253,6 +339,11 @@
             error=reason,
         )
 
+    def _record_answer(self, outcome: orders.OrderOutcome) -> None:
+        match outcome:
+            case orders.Accepted() | orders.Refused():
+                self.answered_s = self._now_s()
+
     def _has_run(self, unit: str, number: int) -> bool:
         return (unit, number) in self._worker.runs
 
@@ -268,6 +359,17 @@
             unanswered=run.unanswered_starts,
         )
 
+    def _log_refused_stop(
+        self, unit: str, number: int, reason: orders.Refusal
+    ) -> None:
+        logs.log_event(
+            "run.stop_refused",
+            unit=unit,
+            run=number,
+            worker=self._worker.worker_id,
+            reason=str(reason),
+        )
+
     def _log_unanswered_start(self, run: jobs_lib.Run, reason: str) -> None:
         self._metrics.count("node.runs.unanswered")
         logs.log_event(
@@ -281,3 +383,7 @@
 
     def _now_s(self) -> float:
         return self._clock.monotonic().total_seconds()
+
+
+def _count_queued(stream: _CommandStream) -> int:
+    return stream.statistics().current_buffer_used
--- a/src/fireflywell/node/worker_leases.py
+++ b/src/fireflywell/node/worker_leases.py
@@ -76,10 +76,12 @@
 
     def compute_end(self) -> int:
         """Returns the end of a lease granted now, on the worker's clock."""
-        assert self._worker_clock_read_s is not None
-        elapsed_ms = (self._now_s() - self._worker_clock_read_s) * 1000
         lease_ms = self._lease.total_seconds() * 1000
-        return math.floor(self._worker_clock_ms + elapsed_ms + lease_ms)
+        return math.floor(self._estimate_clock_ms() + lease_ms)
+
+    def is_past(self, end_ms: int) -> bool:
+        """Returns whether a time on the worker's clock has likely passed."""
+        return self._estimate_clock_ms() > end_ms
 
     def extend(self) -> None:
         """Records that a lease is granted now."""
@@ -100,5 +102,10 @@
             self._expire_s, self._now_s() + span + _EXPIRY_MARGIN_S
         )
 
+    def _estimate_clock_ms(self) -> float:
+        assert self._worker_clock_read_s is not None
+        elapsed_ms = (self._now_s() - self._worker_clock_read_s) * 1000
+        return self._worker_clock_ms + elapsed_ms
+
     def _now_s(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -36,8 +36,8 @@
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=150)
 
-# Orders that are sent to one worker at the same time.
-_MAX_CONCURRENT_ORDERS = 4
+# Stops and throttles that are sent to one worker at the same time.
+_MAX_CONCURRENT_OTHER_ORDERS = 2
 
 # How long to wait until the ends of a report are stored. Until they are stored
 # and acknowledged, each report would list the same ends again.
@@ -148,13 +148,21 @@
                         supervisor_lib.Child(
                             "reports", self._follow_reports, restart
                         ),
+                        *(
+                            supervisor_lib.Child(
+                                f"starts-{number}",
+                                self._order_sender.run_starts,
+                                restart,
+                            )
+                            for number in range(workers_lib.MAX_OPEN_STARTS)
+                        ),
                         *(
                             supervisor_lib.Child(
                                 f"orders-{number}",
-                                self._order_sender.run,
+                                self._order_sender.run_other_orders,
                                 restart,
                             )
-                            for number in range(_MAX_CONCURRENT_ORDERS)
+                            for number in range(_MAX_CONCURRENT_OTHER_ORDERS)
                         ),
                     ),
                 )
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import enum
+import math
 
 from fireflywell.scheduling import model
 
@@ -44,11 +45,13 @@
         "confirmed_s",
         "is_share_confirmed",
         "load",
+        "may_start_until_ms",
         "number",
         "percent",
         "phase",
         "share_percent",
         "started_s",
+        "stop_requested_s",
         "unanswered_starts",
         "unit",
         "worker_id",
@@ -70,6 +73,13 @@
         # The worker may carry out each of them until the lease in the order has
         # expired.
         self.unanswered_starts = 0
+        # Time on the worker's clock after which it doesn't begin the run: the
+        # end of the lease in the order, -inf if no transmission can begin the
+        # run any more, inf if no such time is known.
+        self.may_start_until_ms = math.inf
+        # Monotonic time of the last request to stop the run, as far as reports
+        # have shown it to be open.
+        self.stop_requested_s: float | None = None
         # Progress; 0 until a report lists the run.
         self.percent = 0
         # Share of the worker that a filling unit was last ordered to use.
@@ -79,6 +89,39 @@
         # Tail latency in ms of a serving unit, CPU usage of any other.
         self.load = 0.0
 
+    @property
+    def is_start_open(self) -> bool:
+        """Whether the worker hasn't confirmed that it has the order."""
+        return self.phase in (RunPhase.SENDING, RunPhase.START_UNKNOWN)
+
+    def confirm(self, now_s: float) -> None:
+        """Records that the worker has begun the run, which it does once."""
+        if self.is_start_open:
+            self.phase = RunPhase.RUNNING
+        self.may_start_until_ms = -math.inf
+        self.confirmed_s = now_s
+
+    def confirm_over(self, now_s: float) -> None:
+        """Records that this incarnation won't begin the run any more."""
+        self.phase = RunPhase.AWAITING_REPORT
+        self.may_start_until_ms = -math.inf
+        self.confirmed_s = now_s
+
+    def is_over(self, clock_ms: int, requested_s: float) -> bool:
+        """Returns whether a complete report without the run proves its end.
+
+        The worker refuses an order whose lease has expired, so such a report
+        also proves that an order without an answer won't be carried out.
+
+        Args:
+            clock_ms: Time of the report on the worker's clock.
+            requested_s: Monotonic time at which the report was requested.
+        """
+        return (
+            self.confirmed_s < requested_s
+            and clock_ms > self.may_start_until_ms
+        )
+
 
 class Unit:
     """One unit of a step in one occurrence of a job."""
--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -113,7 +113,14 @@
 
 
 class _FreeResources:
-    __slots__ = ("accelerators", "cpu", "filling", "memory", "units_per_step")
+    __slots__ = (
+        "accelerators",
+        "cpu",
+        "filling",
+        "memory",
+        "open_starts",
+        "units_per_step",
+    )
 
     def __init__(self, worker: workers_lib.Worker) -> None:
         self.cpu = worker.free_cpu
@@ -123,10 +130,14 @@
             run.unit.step.spec.is_filling for run in worker.runs.values()
         )
         self.units_per_step = dict(worker.units_per_step)
+        self.open_starts = worker.open_starts
 
     def fits(self, step: jobs.StepOccurrence) -> bool:
         spec = step.spec
         demand = spec.demand
+        # A gang is placed as a whole, so its units may exceed the limit.
+        if self.open_starts >= workers_lib.MAX_OPEN_STARTS and not spec.is_gang:
+            return False
         if not spec.is_filling and demand.cpu_millis > self.cpu:
             return False
         if demand.memory_mb > self.memory:
@@ -152,6 +163,7 @@
             self.cpu += sign * demand.cpu_millis
         self.memory += sign * demand.memory_mb
         self.accelerators += sign * demand.accelerators
+        self.open_starts -= sign
         self.units_per_step[step.key] = (
             self.units_per_step.get(step.key, 0) - sign
         )
--- a/src/fireflywell/scheduling/planning_pass.py
+++ b/src/fireflywell/scheduling/planning_pass.py
@@ -86,7 +86,12 @@
         reservations: reservations_lib.Reservations,
         share: overdue_share.OverdueShare,
     ) -> None:
-        usable = [worker for worker in workers if worker.accepts_runs(now_s)]
+        usable = [
+            worker
+            for worker in workers
+            if worker.accepts_runs(now_s)
+            and worker.open_starts < workers_lib.MAX_OPEN_STARTS
+        ]
         self._usable = usable
         self._own_usable = [w for w in usable if not w.is_from_spare_pool]
         # Includes those that don't accept runs for a moment.
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -8,6 +8,7 @@
 import collections
 from collections.abc import Iterable
 import dataclasses
+import math
 
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
@@ -132,10 +133,11 @@
             jobs_lib.RunPhase.ENDED,
         ):
             return
+        if run.phase is jobs_lib.RunPhase.SENDING and not run.unanswered_starts:
+            # No transmission is open, and none follows.
+            run.may_start_until_ms = -math.inf
         run.phase = jobs_lib.RunPhase.STOPPING
-        self.pending_stops.append(
-            StopRequest(run.worker_id, run.unit.name, run.number)
-        )
+        self._request_stop(run)
 
     def add_job(self, job: jobs_lib.Job) -> None:
         """Adds a job unless it was added before, and queues its ready steps.
@@ -242,9 +244,8 @@
 
     def confirm_start(self, run: jobs_lib.Run, now_s: float) -> None:
         """Marks a run as running after its worker accepted the start."""
-        if run.phase is jobs_lib.RunPhase.SENDING:
-            run.phase = jobs_lib.RunPhase.RUNNING
-            run.confirmed_s = now_s
+        if not _may_be_of_former_incarnation(run):
+            run.confirm(now_s)
 
     def refuse_start(
         self, run: jobs_lib.Run, reason: orders.Refusal | None, now_s: float
@@ -252,8 +253,9 @@
         """Applies a worker's refusal to start a run.
 
         The run is dropped and its unit requeued. If an earlier transmission of
-        the order had no answer, the worker may still carry that one out, so
-        the run's stop is requested instead. After `OLD_RUN` no transmission
+        the order had no answer, the worker may still carry that one out: the
+        start becomes unknown, and its stop is requested if that may free the
+        unit before the lease in the order ends. After `OLD_RUN` no transmission
         can start the run, and the next report decides.
 
         Args:
@@ -266,8 +268,8 @@
         worker = self.workers.get(run.worker_id)
         match reason:
             case orders.Refusal.OLD_RUN:
-                run.phase = jobs_lib.RunPhase.AWAITING_REPORT
-                run.confirmed_s = now_s
+                if not _may_be_of_former_incarnation(run):
+                    run.confirm_over(now_s)
                 return
             case orders.Refusal.NO_TICKET:
                 # The ticket has expired or belongs to a previous incarnation of
@@ -279,19 +281,24 @@
                     _UNHEALTHY_PAUSE_S if reason is None else _REFUSAL_PAUSE_S
                 )
                 worker.avoid_until_s = max(worker.avoid_until_s, now_s + pause)
-        if run.unanswered_starts:
-            self.mark_start_unknown(run)
-        else:
+        if not run.unanswered_starts:
             self._drop_run(run)
+        elif run.phase is jobs_lib.RunPhase.SENDING:
+            self.mark_start_unknown(run)
+            # A stop may be carried out late, when the run is at work and the
+            # caller can't spare its unit.
+            may_be_stopped = not run.unit.step.spec.may_be_away
+            if may_be_stopped and reason is not orders.Refusal.LEASE_OVER:
+                self._request_stop(run)
 
     def mark_start_unknown(self, run: jobs_lib.Run) -> None:
-        """Marks a start without an answer as unknown and requests its stop.
+        """Marks a start without an answer as unknown.
 
-        The worker may still carry out the order. The unit isn't placed again
-        until the stop is confirmed and a later report doesn't list the run.
+        The worker may still carry out the order until the lease in it ends. The
+        unit isn't placed again until a later report doesn't list the run.
         """
         if run.phase is jobs_lib.RunPhase.SENDING:
-            self._stop_unknown_start(run)
+            run.phase = jobs_lib.RunPhase.START_UNKNOWN
 
     def confirm_stop(
         self, worker_id: str, unit_name: str, number: int, now_s: float
@@ -307,8 +314,7 @@
             jobs_lib.RunPhase.START_UNKNOWN,
             jobs_lib.RunPhase.STOPPING,
         ):
-            run.phase = jobs_lib.RunPhase.AWAITING_REPORT
-            run.confirmed_s = now_s
+            run.confirm_over(now_s)
 
     def apply_report(
         self,
@@ -319,8 +325,9 @@
     ) -> int:
         """Updates runs and units from a worker's report.
 
-        A run that the report doesn't list is dropped, unless it was confirmed
-        after the report was requested or the report lacks ends.
+        A run that the report doesn't list is dropped, unless it may still
+        start, was confirmed after the report was requested or the report lacks
+        ends.
 
         Args:
             worker_id: The worker that sent the report.
@@ -345,13 +352,9 @@
         if not report.has_all_ends:
             return last_end
         for key, run in tuple(worker.runs.items()):
-            if key in listed or run.confirmed_s >= requested_s:
-                continue
-            if run.phase in (
-                jobs_lib.RunPhase.RUNNING,
-                jobs_lib.RunPhase.AWAITING_REPORT,
-            ):
+            if key not in listed and run.is_over(report.clock_ms, requested_s):
                 self._drop_run(run)
+        self._repeat_stops(worker, now_s)
         return last_end
 
     def find_unknown_jobs(self, report: orders.WorkerReport) -> frozenset[str]:
@@ -400,7 +403,7 @@
         dropped = []
         for run in tuple(worker.runs.values()):
             if run.unanswered_starts:
-                self._stop_unknown_start(run)
+                self._stop_start_of_former_incarnation(run)
             elif (
                 run.phase is jobs_lib.RunPhase.SENDING
                 or run.confirmed_s < requested_s
@@ -562,9 +565,8 @@
             run = self._adopt_run(worker, item, now_s)
             if run is None:
                 return
-        if run.phase is jobs_lib.RunPhase.SENDING:
-            run.phase = jobs_lib.RunPhase.RUNNING
-            run.confirmed_s = now_s
+        if run.is_start_open:
+            run.confirm(now_s)
         run.percent = item.percent
         run.load = item.load
         if item.checkpoint:
@@ -586,7 +588,7 @@
             )
             return None
         run = jobs_lib.Run(unit, item.run, worker.worker_id, now_s)
-        run.phase = jobs_lib.RunPhase.RUNNING
+        run.confirm(now_s)
         unit.last_run_number = max(unit.last_run_number, item.run)
         unit.last_worker_id = worker.worker_id
         unit.runs.append(run)
@@ -598,15 +600,49 @@
         worker.add_run(run)
         return run
 
-    def _stop_unknown_start(self, run: jobs_lib.Run) -> None:
-        # While the phase is `START_UNKNOWN`, a stop is queued or being sent.
-        if run.phase is jobs_lib.RunPhase.START_UNKNOWN:
-            return
-        run.phase = jobs_lib.RunPhase.START_UNKNOWN
+    def _request_stop(self, run: jobs_lib.Run) -> None:
         self.pending_stops.append(
             StopRequest(run.worker_id, run.unit.name, run.number)
         )
 
+    def _repeat_stops(self, worker: workers_lib.Worker, now_s: float) -> None:
+        """Requests the stops again that a worker hasn't confirmed in time.
+
+        A start that the next incarnation may carry out is settled by its stop
+        only.
+        """
+        for run in worker.runs.values():
+            if run.phase is not jobs_lib.RunPhase.STOPPING and not (
+                _may_be_of_former_incarnation(run)
+            ):
+                continue
+            if run.stop_requested_s is None:
+                run.stop_requested_s = now_s
+            elif now_s - run.stop_requested_s >= _STOP_RETRY_INTERVAL_S:
+                run.stop_requested_s = now_s
+                self._request_stop(run)
+
+    def _stop_start_of_former_incarnation(self, run: jobs_lib.Run) -> None:
+        """Stops a run whose open start the next incarnation may carry out.
+
+        That one's clock differs from the clock of the lease in the order.
+        """
+        is_known = run.phase is jobs_lib.RunPhase.STOPPING or (
+            _may_be_of_former_incarnation(run)
+        )
+        if is_known and run.may_start_until_ms == math.inf:
+            return
+        if run.phase in (
+            jobs_lib.RunPhase.STOPPING,
+            jobs_lib.RunPhase.AWAITING_REPORT,
+        ):
+            run.phase = jobs_lib.RunPhase.STOPPING
+        else:
+            run.phase = jobs_lib.RunPhase.START_UNKNOWN
+        run.may_start_until_ms = math.inf
+        run.stop_requested_s = None
+        self._request_stop(run)
+
     def _stop_orphan_run(self, request: StopRequest, now_s: float) -> None:
         """Requests the stop of a run that no unit accounts for.
 
@@ -701,6 +737,14 @@
     return 0 if step.spec.is_filling else step.spec.demand.cpu_millis
 
 
+def _may_be_of_former_incarnation(run: jobs_lib.Run) -> bool:
+    """Returns whether an answer to a start may be of a former incarnation."""
+    return (
+        run.phase is not jobs_lib.RunPhase.SENDING
+        and run.may_start_until_ms == math.inf
+    )
+
+
 def make_job(
     submission: model.Submission, store_now_s: float, now_s: float
 ) -> jobs_lib.Job:
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -6,6 +6,11 @@
 from fireflywell.scheduling import jobs
 from fireflywell.scheduling import model
 
+# Starts without an answer that a worker may have. Answers take milliseconds and
+# a planning pass follows each of them, so only a worker that doesn't answer
+# reaches the limit; further units then go to other workers.
+MAX_OPEN_STARTS = 6
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerInstance:
@@ -95,6 +100,11 @@
         self.free_accelerators += new.accelerators - old.accelerators
         self.instance = instance
 
+    @property
+    def open_starts(self) -> int:
+        """Number of its runs whose start it hasn't answered."""
+        return sum(run.is_start_open for run in self.runs.values())
+
     def accepts_runs(self, now_s: float) -> bool:
         """Returns whether new runs of any step may be placed on the worker."""
         return (
