Call a worker unreachable after two lost reports, not after one

Sound workers were marked as lost because one report request had no answer: starts on them were refused and their leases weren't renewed.

A worker is now unreachable once two report requests in a row had no answer and no other order was answered since the first of them was sent. The repeat asks for no wait, and it grants no lease and acknowledges no ends unless an answer to an order shows that the worker lives, so the leases of a dead worker end by the same time as before. Refused reports and "unhealthy" count as before.

`test_one_lost_report_does_not_make_a_worker_unreachable` and `test_worker_that_answers_orders_is_reachable` failed on the code before, as `is_reachable` was false after the first lost report.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -62,6 +62,7 @@
         "_order_sender",
         "_received_end",
         "_token",
+        "_unanswered_since_s",
         "_wake",
         "_worker",
         "_writer",
@@ -100,6 +101,9 @@
         self._acknowledged_end = 0
         # Highest acknowledged number that the worker has received.
         self._received_end = 0
+        # Monotonic time of the first of the report requests without an answer
+        # since the worker's last answer.
+        self._unanswered_since_s: float | None = None
         self._wake = anyio.Event()
         self._order_sender = order_sender.OrderSender(
             worker,
@@ -177,9 +181,10 @@
             try:
                 report = await self._request_report()
             except errors.PlatformError as error:
-                self._mark_unreachable(str(error))
+                self._handle_unanswered_report(requested_s, str(error))
                 await self._clock.sleep(_RETRY_DELAY)
                 continue
+            self._unanswered_since_s = None
             match report:
                 case orders.WorkerReport():
                     await self._apply_report(report, requested_s)
@@ -200,15 +205,16 @@
         self,
     ) -> orders.WorkerReport | orders.OrderOutcome:
         is_first = not self._leases.has_clock
-        is_unreachable = not self._worker.is_reachable
         is_idle = not self._worker.runs
+        is_answering = self._worker.is_reachable and self._has_answered()
         wait = _REPORT_WAIT
-        if is_first or is_idle or is_unreachable:
+        is_repeat = self._unanswered_since_s is not None
+        if is_first or is_idle or is_repeat or not self._worker.is_reachable:
             wait = datetime.timedelta()
         lease_until = None
         # A worker that doesn't answer may still receive renewals. Its leases
         # are not extended, so that they expire by a known time.
-        if not is_first and not is_unreachable and self._may_renew():
+        if not is_first and is_answering and self._may_renew():
             lease_until = self._leases.compute_end()
             self._leases.extend()
         # A worker may restart under the same id, also between two calls, and
@@ -216,7 +222,7 @@
         # make it discard ends that no owner has stored, so each number is sent
         # until the worker has received it and not again.
         acknowledged_end = 0
-        if not is_unreachable and self._acknowledged_end > self._received_end:
+        if is_answering and self._acknowledged_end > self._received_end:
             acknowledged_end = self._acknowledged_end
         answer = await self._client.renew(
             orders.RenewOrder(self._token, acknowledged_end, lease_until, wait)
@@ -324,6 +330,27 @@
     def _may_renew(self) -> bool:
         return self._guard.permits_renewals(worker_leases.RENEWAL_GRACE)
 
+    def _has_answered(self) -> bool:
+        """Whether the worker answers, as far as is known."""
+        return (
+            self._unanswered_since_s is None
+            or self._order_sender.answered_s >= self._unanswered_since_s
+        )
+
+    def _handle_unanswered_report(
+        self, requested_s: float, reason: str
+    ) -> None:
+        """Marks the worker as unreachable after a second lost report.
+
+        One lost answer says little, and while other orders are answered the
+        worker is reachable.
+        """
+        has_answered = self._has_answered()
+        if has_answered:
+            self._unanswered_since_s = requested_s
+        if not self._worker.is_reachable or not has_answered:
+            self._mark_unreachable(reason)
+
     def _mark_unreachable(self, reason: str) -> None:
         if self.lost_since_s is None:
             self.lost_since_s = self._now_s()
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from fireflywell.node import order_sender
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
 from tests import captured_log
@@ -225,5 +226,76 @@
         anyio.run(run)
 
 
+class LostReportTest(unittest.TestCase):
+    """Report requests without an answer."""
+
+    def test_one_lost_report_does_not_make_a_worker_unreachable(self) -> None:
+        """Fails if starts are refused because one call had no answer.
+
+        The worker was sound; its leases weren't renewed either.
+        """
+
+        async def run() -> None:
+            world = session_world.SessionWorld()
+            async with world.run():
+                world.client.lost_reports = 1
+                world.begin_start()
+                await session_world.wait_until(
+                    lambda: not world.client.lost_reports
+                )
+                sent = len(world.client.renewals)
+                while len(world.client.renewals) < sent + 2:
+                    self.assertTrue(world.worker.is_reachable)
+                    await anyio.sleep(0.005)
+                # The repeat asks for no wait and grants no lease.
+                repeat = world.client.renewals[sent]
+                self.assertIsNone(repeat.lease_until_ms)
+                self.assertFalse(repeat.wait)
+                self.assertIsNotNone(world.client.renewals[-1].lease_until_ms)
+
+        anyio.run(run)
+
+    def test_second_lost_report_makes_a_worker_unreachable(self) -> None:
+        """Fails if a dead worker counts as reachable and keeps its leases."""
+
+        async def run() -> None:
+            world = session_world.SessionWorld()
+            async with world.run():
+                sent = len(world.client.renewals)
+                world.client.is_silent = True
+                world.begin_start()
+                await session_world.wait_until(
+                    lambda: not world.worker.is_reachable
+                )
+                self.assertLessEqual(len(world.client.renewals), sent + 3)
+                await session_world.wait_until(lambda: not world.worker.runs)
+
+        anyio.run(run)
+
+    def test_worker_that_answers_orders_is_reachable(self) -> None:
+        """Fails if a worker is lost though it answers orders meanwhile."""
+
+        async def run() -> None:
+            world = session_world.SessionWorld()
+            world.client.outcomes.extend([orders.Accepted(1)] * 100)
+            async with world.run():
+                world.client.is_silent = True
+                sent = len(world.client.renewals)
+                number = 0
+                while len(world.client.renewals) < sent + 6:
+                    number += 1
+                    job = samples.make_job(f"{number:016x}")
+                    world.state.add_job(job)
+                    (unit,) = job.iterate_units()
+                    start = jobs_lib.Run(unit, 1, "w1", 0.0)
+                    world.session.enqueue(order_sender.StartCommand(start))
+                    await anyio.sleep(0.05)
+                    self.assertTrue(world.worker.is_reachable)
+                # Answers prove that the worker lives, so leases are renewed.
+                self.assertIsNotNone(world.client.renewals[-1].lease_until_ms)
+
+        anyio.run(run)
+
+
 if __name__ == "__main__":
     unittest.main()
