Start jobs that are stored after a claim without a wait

Callers saw jobs wait beside free workers after a takeover although nobody can have started them: a new owner took each job of its first read for inherited, and inherited jobs wait until the leases of silent workers are over. While the store is slow, many jobs are accepted between the claim and that read.

An earlier owner starts nothing after its successor's claim. Jobs whose row is newer than the claim are therefore started at once.

test_only_jobs_older_than_the_claim_can_have_been_started failed on the old rule: both jobs counted as inherited.

--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -7,6 +7,7 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import row_store
+from fireflywell.node import ownership
 from fireflywell.node import progress_writer
 from fireflywell.node import tables
 from fireflywell.scheduling import job_rows
@@ -21,6 +22,7 @@
 
     __slots__ = (
         "_state",
+        "_claim_version",
         "_clock",
         "_missing_jobs",
         "_loaded",
@@ -34,7 +36,7 @@
 
     def __init__(
         self,
-        service: str,
+        tenure: ownership.Tenure,
         state: service_state.ServiceState,
         writer: progress_writer.ProgressWriter,
         store: row_store.RowStore,
@@ -43,7 +45,8 @@
         record_arrival: Callable[[float, float], None],
     ) -> None:
         self._record_arrival = record_arrival
-        self._service = service
+        self._service = tenure.service
+        self._claim_version = tenure.version
         self._state = state
         self._writer = writer
         self._store = store
@@ -142,7 +145,11 @@
             return
         now_s = self._clock.monotonic().total_seconds()
         job = service_state.make_job(submission, self._store.now_s(), now_s)
-        job.is_recovered = self._is_first_snapshot
+        # An earlier owner started nothing after the claim, so it can't have
+        # started a job that was stored later.
+        job.is_recovered = (
+            self._is_first_snapshot and row.version < self._claim_version
+        )
         self._restore_progress(job)
         self._state.add_job(job)
         if not job.is_recovered:
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -189,7 +189,7 @@
             tenure, self._state, store, clock, self._wake_planner
         )
         self._loader = job_loader.JobLoader(
-            tenure.service,
+            tenure,
             self._state,
             self._writer,
             store,
