Treat a job that a worker's report names as inherited

An owner that learned of a job only from a worker's report took it for a new one. Its units on workers that hadn't reported yet were started elsewhere before all workers had reported, and the runs in later reports were stopped although they were at work (rules TWICE and AVAIL).

The new test of test_node_job_loader fails on the code before: a second unit is placed at once.

--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -88,7 +88,8 @@
             )
             if not any(row.row_key.key == job_id for row in page.rows):
                 self._missing_jobs.add(job_id)
-            self.apply_changes(page.rows)
+            # Other units of the job may run on workers that haven't reported.
+            self._apply_rows(page.rows, is_fetched=True)
 
     async def load_progress(self) -> None:
         """Reads the progress that earlier owners stored.
@@ -118,6 +119,11 @@
 
     def apply_changes(self, rows: tuple[row_store.Row, ...]) -> None:
         """Adds new jobs to the state and cancels those with a cancel row."""
+        self._apply_rows(rows, is_fetched=False)
+
+    def _apply_rows(
+        self, rows: tuple[row_store.Row, ...], *, is_fetched: bool
+    ) -> None:
         cancelled = []
         for row in rows:
             if row.is_removed or row.row_key.partition != self._service:
@@ -126,7 +132,7 @@
             if job_id is not None:
                 cancelled.append(job_id)
             else:
-                self._add_job(row)
+                self._add_job(row, is_fetched)
         for job_id in cancelled:
             if job_id in self._state.jobs:
                 logs.log_event("job.cancel_seen", job=job_id)
@@ -134,7 +140,7 @@
         self._writer.wake()
         self._on_change()
 
-    def _add_job(self, row: row_store.Row) -> None:
+    def _add_job(self, row: row_store.Row, is_fetched: bool) -> None:
         job_id = row.row_key.key
         if job_id in self._state.jobs or job_id in self._state.final_states:
             return
@@ -147,7 +153,7 @@
         job = service_state.make_job(submission, self._store.now_s(), now_s)
         # An earlier owner started nothing after the claim, so it can't have
         # started a job that was stored later.
-        job.is_recovered = (
+        job.is_recovered = is_fetched or (
             self._is_first_snapshot and row.version < self._claim_version
         )
         self._restore_progress(job)
--- a/tests/test_node_job_loader.py
+++ b/tests/test_node_job_loader.py
@@ -4,11 +4,15 @@
 
 import anyio
 
+from fireflywell import clock as clock_lib
 from fireflywell.node import job_loader
 from fireflywell.node import ownership
 from fireflywell.node import tables
+from fireflywell.scheduling import job_rows
 from fireflywell.scheduling import service_state
+from fireflywell.standins import row_store as store_standin
 from tests import node_world
+from tests import scheduling_samples as samples
 
 _EARLIER = "00000000000000a1"
 _LATER = "00000000000000b2"
@@ -57,5 +61,54 @@
         self.assertEqual(recovered, {_EARLIER: True, _LATER: False})
 
 
+class FetchedJobTest(unittest.TestCase):
+    """A job that isn't in the first snapshot, but runs on a worker."""
+
+    def test_its_other_units_wait_for_the_reports_of_all_workers(self) -> None:
+        """Fails if units start beside their runs under an earlier owner.
+
+        A job named in the report of the first worker was taken for a new one:
+        its units on workers that hadn't reported were started elsewhere, and
+        the runs in later reports were stopped (rules TWICE and AVAIL).
+        """
+
+        async def run() -> None:
+            clock = clock_lib.SystemClock()
+            store = store_standin.MemoryRowStore(clock)
+            state = service_state.ServiceState(2)
+            samples.add_worker(state, "w1")
+            version = store.put(
+                tables.locate_owner(node_world.SERVICE), b"owner"
+            )
+            loader = job_loader.JobLoader(
+                ownership.Tenure(node_world.SERVICE, 2, version, False),
+                state,
+                _Writer(),  # type: ignore[arg-type]
+                store,
+                clock,
+                lambda: None,
+                lambda *_: None,
+            )
+            loader.apply_snapshot(())
+            job_id = node_world.JOB_ID
+            step = node_world.make_step(2, is_long_running=True, may_be_away=1)
+            submission = samples.make_job(job_id, step).submission
+            store.put(
+                tables.locate_job(node_world.SERVICE, job_id),
+                job_rows.encode_submission(submission),
+            )
+            await loader.fetch_unknown(frozenset({job_id}))
+            report = samples.make_report(
+                running=(samples.report_running(f"{job_id}.0.0.0"),)
+            )
+            state.apply_report("w1", report, 1.0, 1.0)
+            self.assertEqual(len(state.workers["w1"].runs), 1)
+            self.assertEqual(state.plan(1.1), [])
+            state.is_recovery_complete = True
+            self.assertEqual(len(state.plan(1.2)), 1)
+
+        anyio.run(run)
+
+
 if __name__ == "__main__":
     unittest.main()
