Evict units only as the confirmed owner and count a former owner's stops

- A former owner went on draining workers after its lease had lapsed, on what it last knew, while its successor may interrupt other units of the same step.
Evictions now need what starts need: a valid lease under which ownership was confirmed.
- A successor waited a fixed time after its start (the bound on a stop and 2 s) before it evicted units, so that stops of its predecessor would be over.
A worker that it reached later could still list a run that was being stopped, and the run counted as serving.
An adopted run now counts as serving once a report that was requested after the bound on a stop since its adoption lists it.
This replaces the fixed wait, so evictions on workers that answer at once begin earlier.

--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -63,9 +63,6 @@
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=200)
 
-# Time for each worker to send a first report after a takeover.
-_EVICTION_MARGIN = datetime.timedelta(seconds=2)
-
 # A worker that hasn't answered for this long is stored with the end of its
 # leases, and as in use again before it gets another. Nearly all workers answer
 # sooner, also after a call that was lost, and need no write.
@@ -102,7 +99,6 @@
         "_advice",
         "_state",
         "_clock",
-        "_evictions_start_s",
         "_guard",
         "_heartbeat",
         "_is_stopped",
@@ -160,11 +156,6 @@
         self._registry = registry
         self._make_client = make_client
         self._is_stopped = False
-        # An earlier owner may have stopped runs that are still listed as
-        # running; they must have ended before this owner evicts others.
-        self._evictions_start_s = (
-            clock.monotonic() + settings.bounds.stop + _EVICTION_MARGIN
-        ).total_seconds()
         self._demand_estimator = capacity.DemandEstimator()
         # Number of wanted VMs that was stored last.
         self._need: int | None = None
@@ -175,7 +166,9 @@
         # When each worker that was listed at first had got its session.
         self._synced_since_s: float | None = None
         self._scope = anyio.CancelScope()
-        self._state = service_state.ServiceState(tenure.token)
+        self._state = service_state.ServiceState(
+            tenure.token, settings.bounds.stop.total_seconds()
+        )
         self._writer = progress_writer.ProgressWriter(
             tenure,
             self._state,
@@ -479,7 +472,9 @@
                 self._state, requests, self._store.now_s(), self._now_s()
             ):
                 self._cordon(worker)
-            if self._now_s() < self._evictions_start_s:
+            # A former owner must not interrupt units, because the next one
+            # may interrupt others of the same steps.
+            if not self._guard.permits_orders:
                 continue
             for running in tuple(self._sessions.values()):
                 if running.cordon is not None:
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -42,6 +42,7 @@
     """One attempt to run a unit on a worker."""
 
     __slots__ = (
+        "adopted_s",
         "confirmed_s",
         "is_share_confirmed",
         "load",
@@ -65,6 +66,9 @@
         self.worker_id = worker_id
         self.started_s = started_s
         self.phase = RunPhase.SENDING
+        # Monotonic time of the first report of a run that an earlier owner
+        # started; None if this owner started it.
+        self.adopted_s: float | None = None
         # Monotonic time at which the worker last confirmed the run or its stop.
         # A report requested later that doesn't list the run means that it has
         # ended.
--- a/src/fireflywell/scheduling/maintenance.py
+++ b/src/fireflywell/scheduling/maintenance.py
@@ -333,7 +333,8 @@
     """Returns whether a recent report shows that a long-running unit serves.
 
     Units on workers that are unreachable or haven't reported for
-    `_MAX_REPORT_AGE_S` don't count as serving.
+    `_MAX_REPORT_AGE_S` don't count as serving, nor do runs that an earlier
+    owner may have ordered to stop.
     """
     for run in unit.runs:
         worker = state.workers.get(run.worker_id)
@@ -343,11 +344,28 @@
             and now_s - worker.reported_s < _MAX_REPORT_AGE_S
             and run.phase is jobs_lib.RunPhase.RUNNING
             and run.percent >= _SERVING_PERCENT
+            and not _may_be_stopping(state, run, worker)
         ):
             return True
     return False
 
 
+def _may_be_stopping(
+    state: service_state.ServiceState,
+    run: jobs_lib.Run,
+    worker: workers_lib.Worker,
+) -> bool:
+    """Returns whether an earlier owner's stop may be ending an adopted run.
+
+    The worker carries out no order of an earlier owner after its first report
+    to this one, but lists a run that it is stopping until the run has ended.
+    """
+    return (
+        run.adopted_s is not None
+        and worker.report_requested_s - run.adopted_s < state.stop_timeout_s
+    )
+
+
 def _has_capacity_without(
     state: service_state.ServiceState, worker: workers_lib.Worker, now_s: float
 ) -> bool:
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -88,10 +88,18 @@
         "jobs",
         "pending_stops",
         "reservations",
+        "stop_timeout_s",
         "workers",
     )
 
-    def __init__(self, token: int) -> None:
+    def __init__(self, token: int, stop_timeout_s: float = 0.0) -> None:
+        """Starts without jobs and workers.
+
+        Args:
+            token: Fencing token of the service's owner.
+            stop_timeout_s: Longest time that a worker takes to stop a run.
+        """
+        self.stop_timeout_s = stop_timeout_s
         self._first_run_number = (token - 1) * _RUNS_PER_FENCING_TOKEN + 1
         self._mean_work_by_queue: dict[str, ranking.MeanWork] = {}
         self._overdue_share = overdue_share.OverdueShare()
@@ -340,6 +348,7 @@
         """
         worker = self.workers[worker_id]
         worker.reported_s = now_s
+        worker.report_requested_s = requested_s
         last_end = 0
         listed: set[tuple[str, int]] = set()
         for end in report.ended:
@@ -589,6 +598,7 @@
             return None
         run = jobs_lib.Run(unit, item.run, worker.worker_id, now_s)
         run.confirm(now_s)
+        run.adopted_s = now_s
         unit.last_run_number = max(unit.last_run_number, item.run)
         unit.last_worker_id = worker.worker_id
         unit.runs.append(run)
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -57,6 +57,7 @@
         "is_due_for_maintenance",
         "is_from_spare_pool",
         "is_reachable",
+        "report_requested_s",
         "reported_s",
         "runs",
         "slow_factor",
@@ -76,6 +77,9 @@
         self.is_from_spare_pool = False
         # Monotonic time of the last report.
         self.reported_s = 0.0
+        # Monotonic time at which that report was requested; the worker wrote
+        # it later.
+        self.report_requested_s = 0.0
         # Whether a wave has yet to maintain its VM.
         self.is_due_for_maintenance = False
         self.is_cordoned = False
--- a/tests/test_scheduling_maintenance.py
+++ b/tests/test_scheduling_maintenance.py
@@ -74,6 +74,38 @@
             self.report(worker, run.unit.name, 100, 9.0)
         self.assertEqual(self.evict(at_s=9.1), 0)
 
+    def test_unit_that_a_former_owner_may_have_stopped_is_away(self) -> None:
+        """Fails if a new owner's evictions add to those of the former owner.
+
+        A worker that the new owner reached late still listed a unit that the
+        former owner had stopped, and the unit counted as serving (rule AVAIL).
+        """
+        self.adopt_runs(at_s=9.0)
+        self.assertEqual(self.evict(at_s=9.1), 0)
+        self.report_all(at_s=9.5)
+        self.assertEqual(self.evict(at_s=9.6), 0)
+        self.report_all(at_s=10.0)
+        self.assertEqual(self.evict(at_s=10.1), 1)
+
+    def adopt_runs(self, at_s: float) -> None:
+        """Replaces the owner; workers take up to 0.9 s to stop a run."""
+        former = self.state
+        self.state = service_state.ServiceState(2, 0.9)
+        self.state.is_recovery_complete = True
+        for number in (1, 2, 3):
+            samples.add_worker(self.state, f"w{number}", f"r{number}-1")
+        step = node_world.make_step(3, is_long_running=True, may_be_away=1)
+        self.state.add_job(samples.make_job(_ID, step))
+        for name, worker in former.workers.items():
+            (run,) = worker.runs.values()
+            self.report(name, run.unit.name, 100, at_s)
+
+    def report_all(self, at_s: float) -> None:
+        """Applies a report of each worker; all units serve."""
+        for name, worker in self.state.workers.items():
+            (run,) = worker.runs.values()
+            self.report(name, run.unit.name, 100, at_s)
+
     def test_short_units_may_end_before_they_are_stopped(self) -> None:
         """Fails if a drain stops short units without giving them time to end.
 
