Check before each repeat of an eviction's stop that the unit may leave

The first transmission was decided on a sound view, the repeats on none.

A stop of a run that `may_be_away` limits is now sent, and sent again, only while so few others of its step are away, and by the confirmed owner. Stops of ended jobs, of gangs and of starts whose outcome is unknown aren't held. A held run still counts as away for its step, so nothing else is evicted in its place; its VM waits as it does for the first stop.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -13,6 +13,7 @@
 from fireflywell.node import ownership_guard
 from fireflywell.node import progress_writer
 from fireflywell.node import worker_leases
+from fireflywell.scheduling import evictions
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import service_state
@@ -285,6 +286,11 @@
             jobs_lib.RunPhase.STOPPING,
         ):
             return True
+        if run is not None and not evictions.may_send_stop(
+            self._state, run, self._now_s(), self._guard.permits_orders
+        ):
+            await self._clock.sleep(_RETRY_DELAY)
+            return False
         try:
             outcome = await self._client.stop(
                 orders.StopOrder(unit, number, self._token)
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -28,6 +28,7 @@
 from fireflywell.node import worker_session
 from fireflywell.scheduling import capacity
 from fireflywell.scheduling import cordons
+from fireflywell.scheduling import evictions
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import maintenance
 from fireflywell.scheduling import orders
@@ -600,7 +601,7 @@
         if request is None or request.phase is not maintenance.DrainPhase.DUE:
             return
         waited_s = self._now_s() - running.cordon.since_s
-        for run in maintenance.choose_evictions(
+        for run in evictions.choose_evictions(
             self._state,
             worker,
             waited_s,
--- a/src/fireflywell/scheduling/maintenance.py
+++ b/src/fireflywell/scheduling/maintenance.py
@@ -14,20 +14,10 @@
 # Time to drain a worker, maintain its VM and list its new incarnation.
 _MAINTENANCE_CYCLE_S = 4.5
 
-# Time that short units get to end after their worker was cordoned; then they
-# are stopped, unless the VM only moves to another pool.
-_DRAIN_GRACE_S = 3.0
-
 # Share of a service's CPU that must be free on its other workers to drain a
 # worker before the deadline requires it.
 _MIN_FREE_SHARE = 0.35
 
-# A worker with runs reports about once a second; an older report doesn't prove
-# that its units are still serving.
-_MAX_REPORT_AGE_S = 1.5
-
-_SERVING_PERCENT = 100
-
 # Time from the stop of a long-running unit until it serves on another worker.
 _RELOCATION_S = 2.2
 
@@ -275,97 +265,6 @@
             yield step
 
 
-def choose_evictions(
-    state: service_state.ServiceState,
-    worker: workers_lib.Worker,
-    cordoned_for_s: float,
-    now_s: float,
-    *,
-    is_move: bool,
-) -> list[jobs_lib.Run]:
-    """Returns the runs to stop on a worker that is being drained.
-
-    Units that end by themselves get `_DRAIN_GRACE_S` to do so. Long-running
-    units never end and are stopped at once, as far as their step's
-    `may_be_away` allows.
-
-    Args:
-        state: Jobs and workers of the service.
-        worker: The worker.
-        cordoned_for_s: Time since the worker was cordoned.
-        now_s: Monotonic time.
-        is_move: Whether the VM moves to another pool; then short units are
-            never stopped.
-    """
-    evicted: list[jobs_lib.Run] = []
-    leaving: dict[str, int] = {}
-    for run in worker.runs.values():
-        if run.phase is not jobs_lib.RunPhase.RUNNING:
-            continue
-        step = run.unit.step
-        if not step.spec.is_long_running:
-            if cordoned_for_s > _DRAIN_GRACE_S and not is_move:
-                evicted.append(run)
-            continue
-        unavailable = count_unavailable(state, run.unit, now_s) + leaving.get(
-            step.key, 0
-        )
-        if step.spec.may_be_away and unavailable >= step.spec.may_be_away:
-            continue
-        leaving[step.key] = leaving.get(step.key, 0) + 1
-        evicted.append(run)
-    return evicted
-
-
-def count_unavailable(
-    state: service_state.ServiceState, unit: jobs_lib.Unit, now_s: float
-) -> int:
-    """Returns how many other units of a unit's step aren't serving."""
-    return sum(
-        other is not unit and not is_serving(state, other, now_s)
-        for other in unit.step.units
-    )
-
-
-def is_serving(
-    state: service_state.ServiceState, unit: jobs_lib.Unit, now_s: float
-) -> bool:
-    """Returns whether a recent report shows that a long-running unit serves.
-
-    Units on workers that are unreachable or haven't reported for
-    `_MAX_REPORT_AGE_S` don't count as serving, nor do runs that an earlier
-    owner may have ordered to stop.
-    """
-    for run in unit.runs:
-        worker = state.workers.get(run.worker_id)
-        if (
-            worker is not None
-            and worker.is_reachable
-            and now_s - worker.reported_s < _MAX_REPORT_AGE_S
-            and run.phase is jobs_lib.RunPhase.RUNNING
-            and run.percent >= _SERVING_PERCENT
-            and not _may_be_stopping(state, run, worker)
-        ):
-            return True
-    return False
-
-
-def _may_be_stopping(
-    state: service_state.ServiceState,
-    run: jobs_lib.Run,
-    worker: workers_lib.Worker,
-) -> bool:
-    """Returns whether an earlier owner's stop may be ending an adopted run.
-
-    The worker carries out no order of an earlier owner after its first report
-    to this one, but lists a run that it is stopping until the run has ended.
-    """
-    return (
-        run.adopted_s is not None
-        and worker.report_requested_s - run.adopted_s < state.stop_timeout_s
-    )
-
-
 def _has_capacity_without(
     state: service_state.ServiceState, worker: workers_lib.Worker, now_s: float
 ) -> bool:
--- a/tests/test_scheduling_maintenance.py
+++ b/tests/test_scheduling_maintenance.py
@@ -3,6 +3,7 @@
 import dataclasses
 import unittest
 
+from fireflywell.scheduling import evictions
 from fireflywell.scheduling import maintenance
 from fireflywell.scheduling import service_state
 from tests import node_world
@@ -44,7 +45,7 @@
         """Returns the number of runs to stop on the first worker."""
         worker = self.state.workers["w1"]
         return len(
-            maintenance.choose_evictions(
+            evictions.choose_evictions(
                 self.state, worker, 0.0, at_s, is_move=False
             )
         )
@@ -116,10 +117,10 @@
         (run,) = state.plan(1.0)
         state.confirm_start(run, 1.0)
         worker = state.workers["w1"]
-        early = maintenance.choose_evictions(
+        early = evictions.choose_evictions(
             state, worker, 1.0, 2.0, is_move=False
         )
-        late = maintenance.choose_evictions(
+        late = evictions.choose_evictions(
             state, worker, 9.0, 10.0, is_move=False
         )
         self.assertEqual((len(early), len(late)), (0, 1))
