Pause before an order is repeated whose call failed at once

Since starts are repeated until their lease ends, and stops until they are answered, a worker that ends each connection without an answer was called in a loop without pause, with a log line for each start. Both now wait 150 ms, as they do when the order wasn't sent.

On the code before, test_order_pauses fails: 764 starts and 752 stops of one run within about a second, instead of 11 at most.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -248,6 +248,9 @@
                 continue
             except errors.PlatformError as error:
                 self._log_unanswered_start(run, str(error))
+                # A connection that ends at once must not be tried in a loop
+                # without pause.
+                await self._clock.sleep(_RETRY_DELAY)
                 continue
             run.unanswered_starts -= 1
             self._record_answer(outcome)
@@ -295,10 +298,8 @@
             outcome = await self._client.stop(
                 orders.StopOrder(unit, number, self._token)
             )
-        except errors.PlatformUnavailableError:
-            await self._clock.sleep(_RETRY_DELAY)
-            return not self._has_run(unit, number)
         except errors.PlatformError:
+            await self._clock.sleep(_RETRY_DELAY)
             return not self._has_run(unit, number)
         self._record_answer(outcome)
         match outcome:
