Start the objective of a recurring job's occurrence when it is due

Later occurrences of a recurring job came after all newer work: their objective counted from the arrival of the job, so that they were overdue by the time they were due. It now starts when the first step of the occurrence becomes ready, as the protocol counts it, and the order among overdue work is by that time, too.

The new test failed on the old code: both units of a newer, costlier job were placed before the units of an occurrence that had just become due.

--- a/src/fireflywell/scheduling/ranking.py
+++ b/src/fireflywell/scheduling/ranking.py
@@ -38,7 +38,8 @@
         band: Class of urgency.
         priority: Priority of the queue; 0 comes first.
         cost: Remaining core-seconds per unit of value.
-        arrived_s: Monotonic time of arrival, which breaks ties.
+        arrived_s: Monotonic time of arrival, for an occurrence of a recurring
+            job the time at which it was due. It breaks ties.
     """
 
     band: Band
@@ -126,6 +127,24 @@
     return job.policy.stretch_factor * critical_path_s + job.policy.target_s
 
 
+def find_objective_start_s(step: jobs.StepOccurrence) -> float:
+    """Returns the monotonic time at which a step's objective starts.
+
+    That is the arrival of its job or, if the job recurs, the time at which the
+    first step of the occurrence became ready.
+    """
+    job = step.job
+    if job.submission.request.recurrence is None:
+        return job.arrived_s
+    ready_times_s = (
+        other.ready_since_s
+        for other in job.steps
+        if other.occurrence == step.occurrence
+        and other.ready_since_s is not None
+    )
+    return min(ready_times_s, default=job.arrived_s)
+
+
 def rank_step(
     step: jobs.StepOccurrence,
     now_s: float,
@@ -137,7 +156,8 @@
     Args:
         step: The step.
         now_s: Current monotonic time.
-        objective_start_s: Monotonic time at which the objective starts.
+        objective_start_s: Monotonic time at which the objective starts; see
+            `find_objective_start_s`.
         mean_work: Mean core-seconds of the queue's jobs.
     """
     job = step.job
@@ -157,7 +177,7 @@
     relative_work = compute_work(job) / mean_work if mean_work > 0 else 1.0
     value = min(_MAX_VALUE, _BASE_VALUE + (1 - _BASE_VALUE) * relative_work)
     cost = compute_remaining_work(job) / value
-    return Rank(band, job.policy.priority, cost, job.arrived_s)
+    return Rank(band, job.policy.priority, cost, objective_start_s)
 
 
 def _compute_cores_per_unit(step: jobs.StepOccurrence) -> float:
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -221,6 +221,8 @@
             default=-1,
         )
         for step in candidates:
+            if step.ready_since_s is None:
+                step.ready_since_s = now_s
             if step.waiting_since_s is None:
                 step.waiting_since_s = now_s
         if not any(
@@ -231,12 +233,11 @@
             candidates = [s for s in candidates if s.spec.is_long_running]
         ranked = []
         for step in candidates:
-            if step.ready_since_s is None:
-                step.ready_since_s = now_s
             if step.job.policy.advice and now_s >= step.tickets_until_s:
                 step.tickets = {}
             mean = self._mean_work_by_queue[step.job.policy.queue].value
-            rank = ranking.rank_step(step, now_s, step.job.arrived_s, mean)
+            start_s = ranking.find_objective_start_s(step)
+            rank = ranking.rank_step(step, now_s, start_s, mean)
             ranked.append(planning_pass.RankedStep(rank, step))
         ranked.sort(key=lambda item: item.rank)
         self.reservations = reservations.Reservations()
--- a/tests/test_scheduling_order.py
+++ b/tests/test_scheduling_order.py
@@ -3,6 +3,7 @@
 import unittest
 
 from fireflywell.scheduling import capacity
+from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import ranking
 from fireflywell.scheduling import service_state
@@ -71,6 +72,36 @@
         )
 
 
+class RecurrenceTest(unittest.TestCase):
+    """Occurrences of a recurring job."""
+
+    def test_objective_of_an_occurrence_starts_when_it_is_due(self) -> None:
+        """Fails if a later occurrence counts as overdue when it is due.
+
+        It then came after all newer work, because the job's arrival counted.
+        """
+        state = samples.make_state()
+        samples.add_worker(state, "w1", cores=2)
+        request = model.JobRequest(
+            "text", (node_world.make_step(2),), model.Recurrence(0, 50_000, 2)
+        )
+        submission = model.Submission(
+            make_id(1), node_world.POLICY, request, 0.0
+        )
+        state.add_job(jobs_lib.Job(submission, 0.0))
+        state.queue_due_steps(0)
+        for number, run in enumerate(state.plan(0.0), 1):
+            end = samples.report_end(run.unit.name, run.number, number=number)
+            report = samples.make_report(ended=(end,))
+            state.apply_report("w1", report, -1.0, 1.0)
+        self.assertEqual(state.plan(2.0), [])
+        state.queue_due_steps(50_000)
+        costly = node_world.make_step(2, estimated_s=5.0)
+        state.add_job(samples.make_job(make_id(2), costly, arrived_s=50.0))
+        placed = [run.unit.step.job.job_id for run in state.plan(50.0)]
+        self.assertEqual(placed, [make_id(1)] * 2)
+
+
 class PlacementTest(unittest.TestCase):
     """Choice of workers for units."""
 
