Rank only the oldest of the steps that are too large for now

Such steps can only reserve workers, so the eight oldest that a worker could hold suffice: each overdue step becomes one of them. Other steps don't search the reserved workers any more.

--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -43,19 +43,20 @@
 class RemainingCapacity:
     """Free capacity of the workers, less the units placed in this pass."""
 
-    __slots__ = ("_free", "_largest_cpu", "_workers")
+    __slots__ = ("_free", "_largest_cpu", "_withheld", "_workers")
 
     def __init__(self, workers: Sequence[workers_lib.Worker]) -> None:
         self._workers = workers
         self._free = {
             worker.worker_id: _FreeResources(worker) for worker in workers
         }
-        self._largest_cpu = max(
-            (free.cpu for free in self._free.values()), default=0
-        )
+        # Workers that are reserved for a step.
+        self._withheld: set[str] = set()
+        self._largest_cpu = 0
+        self._update_largest_cpu()
 
     def has_enough_cpu(self, step: jobs.StepOccurrence) -> bool:
-        """Returns whether any worker has enough free CPU for a unit."""
+        """Returns whether a worker that isn't withheld may fit a unit."""
         return step.spec.demand.cpu_millis <= self._largest_cpu
 
     def fits(
@@ -102,14 +103,29 @@
     ) -> None:
         """Allocates the resources of one unit on a worker."""
         self._free[worker.worker_id].allocate(step)
-        self._largest_cpu = max(free.cpu for free in self._free.values())
+        self._update_largest_cpu()
 
     def release(
         self, worker: workers_lib.Worker, step: jobs.StepOccurrence
     ) -> None:
         """Releases the resources that `allocate` took for one unit."""
         self._free[worker.worker_id].release(step)
-        self._largest_cpu = max(free.cpu for free in self._free.values())
+        self._update_largest_cpu()
+
+    def withhold(self, workers: Sequence[workers_lib.Worker]) -> None:
+        """Leaves workers out of `has_enough_cpu`, which saves their search."""
+        self._withheld.update(worker.worker_id for worker in workers)
+        self._update_largest_cpu()
+
+    def _update_largest_cpu(self) -> None:
+        self._largest_cpu = max(
+            (
+                free.cpu
+                for worker_id, free in self._free.items()
+                if worker_id not in self._withheld
+            ),
+            default=0,
+        )
 
 
 class _FreeResources:
--- a/src/fireflywell/scheduling/planning_pass.py
+++ b/src/fireflywell/scheduling/planning_pass.py
@@ -1,8 +1,11 @@
 """Places the waiting units of ready steps in one pass over their order."""
 
 import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
+import itertools
 
 from fireflywell.scheduling import jobs
 from fireflywell.scheduling import overdue_share
@@ -16,6 +19,11 @@
 # must not wait for long, because it serves users all the time.
 _SPARE_POOL_AFTER_S = 2.0
 
+# How many steps that are too large for any worker's free CPU take part in a
+# pass. They can only reserve workers, and ranking hundreds of them in each pass
+# would hold up the process.
+_MAX_LARGE_STEPS = 8
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankedStep:
@@ -25,6 +33,66 @@
     step: jobs.StepOccurrence
 
 
+def list_usable(
+    workers: Iterable[workers_lib.Worker], now_s: float
+) -> list[workers_lib.Worker]:
+    """Returns the workers that may get units in a pass."""
+    return [
+        worker
+        for worker in workers
+        if worker.accepts_runs(now_s)
+        and worker.open_starts < workers_lib.MAX_OPEN_STARTS
+    ]
+
+
+def select_steps(
+    steps: Sequence[jobs.StepOccurrence],
+    usable: Sequence[workers_lib.Worker],
+) -> list[jobs.StepOccurrence]:
+    """Returns the ready steps that take part in a pass.
+
+    Long-running steps and those that may fit do, and the oldest of those that
+    need more CPU than any worker has free.
+
+    Args:
+        steps: The ready steps.
+        usable: Workers that may get units.
+    """
+    free_cpu = max((worker.free_cpu for worker in usable), default=-1)
+    selected: list[jobs.StepOccurrence] = []
+    large: list[jobs.StepOccurrence] = []
+    may_place = False
+    for step in steps:
+        spec = step.spec
+        cpu = 0 if spec.is_filling else spec.demand.cpu_millis
+        may_place = may_place or cpu <= free_cpu
+        if spec.is_long_running or cpu <= free_cpu:
+            selected.append(step)
+        else:
+            large.append(step)
+    # If nothing may be placed, nothing takes what a large step waits for.
+    if may_place:
+        oldest = _iterate_oldest(large, usable)
+        selected.extend(itertools.islice(oldest, _MAX_LARGE_STEPS))
+    return selected
+
+
+def _iterate_oldest(
+    steps: Sequence[jobs.StepOccurrence],
+    usable: Sequence[workers_lib.Worker],
+) -> Iterator[jobs.StepOccurrence]:
+    """Yields the steps that a worker has the capacity and label for."""
+    for step in sorted(steps, key=lambda item: item.job.arrived_s):
+        label = step.spec.required_label
+        cpu = step.spec.demand.cpu_millis
+        if any(
+            cpu <= worker.instance.capacity.cpu_millis
+            and (not label or label in worker.instance.labels)
+            for worker in usable
+        ):
+            yield step
+
+
 def place_units(
     ranked: Sequence[RankedStep],
     workers: Sequence[workers_lib.Worker],
@@ -86,12 +154,7 @@
         reservations: reservations_lib.Reservations,
         share: overdue_share.OverdueShare,
     ) -> None:
-        usable = [
-            worker
-            for worker in workers
-            if worker.accepts_runs(now_s)
-            and worker.open_starts < workers_lib.MAX_OPEN_STARTS
-        ]
+        usable = list_usable(workers, now_s)
         self._usable = usable
         self._own_usable = [w for w in usable if not w.is_from_spare_pool]
         # Includes those that don't accept runs for a moment.
@@ -132,7 +195,7 @@
         while True:
             if not is_serving:
                 self._take_turns()
-            if self._is_full or not self._list_waiting(step):
+            if self._is_full or not self._count_waiting(step):
                 return
             max_units = self._limit - len(self.placements)
             if not is_serving and self._has_overdue:
@@ -159,7 +222,7 @@
         """
         while self._has_overdue and self._share.is_due and not self._is_full:
             step = self._overdue[0].step
-            if not self._list_waiting(step):
+            if not self._count_waiting(step):
                 self._overdue.popleft()
                 continue
             count = self._place(step, 1)
@@ -170,11 +233,14 @@
             else:
                 self._overdue.popleft()
 
+    def _count_waiting(self, step: jobs.StepOccurrence) -> int:
+        """Returns how many units of a step this pass hasn't placed."""
+        return len(step.waiting) - self._placed_counts[step.key]
+
     def _list_waiting(self, step: jobs.StepOccurrence) -> list[jobs.Unit]:
         """Returns the units of a step that this pass hasn't placed."""
         # The last unit is next, because `StepOccurrence.waiting` is a stack.
-        count = len(step.waiting) - self._placed_counts[step.key]
-        return step.waiting[:count][::-1]
+        return step.waiting[: self._count_waiting(step)][::-1]
 
     def _place(self, step: jobs.StepOccurrence, max_units: int) -> int:
         """Places up to `max_units` units of a step, or a whole gang."""
@@ -202,7 +268,9 @@
         if step.spec.is_gang and len(step.waiting) < step.spec.count:
             # The gang can't start before its last run has ended.
             return False
-        return self._reservations.reserve(step, self._list_candidates(step))
+        workers = self._reservations.reserve(step, self._list_candidates(step))
+        self._capacity.withhold(workers)
+        return bool(workers)
 
     def _list_candidates(
         self, step: jobs.StepOccurrence
--- a/src/fireflywell/scheduling/reservations.py
+++ b/src/fireflywell/scheduling/reservations.py
@@ -34,15 +34,14 @@
 
     def reserve(
         self, step: jobs.StepOccurrence, workers: Sequence[workers_lib.Worker]
-    ) -> bool:
+    ) -> Sequence[workers_lib.Worker]:
         """Reserves the suitable workers with the most free capacity.
 
         That is one worker for a single unit and, for a gang, as many as hold
         all its units once the short units there have ended.
 
         Returns:
-            Whether the step fits on the reserved workers then. If not, none is
-            reserved.
+            The reserved workers; none if the step wouldn't fit on them then.
         """
         missing = step.spec.count if step.spec.is_gang else 1
         chosen: list[workers_lib.Worker] = []
@@ -63,8 +62,8 @@
             if missing <= 0:
                 for item in chosen:
                     self._steps_by_worker[item.worker_id] = step
-                return True
-        return False
+                return chosen
+        return ()
 
 
 def may_reserve(
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -212,29 +212,16 @@
         ]
         if not candidates:
             return []
-        largest_free_cpu = max(
-            (
-                worker.free_cpu
-                for worker in self.workers.values()
-                if worker.accepts_runs(now_s)
-            ),
-            default=-1,
-        )
         for step in candidates:
             if step.ready_since_s is None:
                 step.ready_since_s = now_s
             if step.waiting_since_s is None:
                 step.waiting_since_s = now_s
-        if not any(
-            _get_cpu_demand(step) <= largest_free_cpu for step in candidates
-        ):
-            # Nothing can take the capacity that a larger step waits for. Only
-            # long-running steps reserve workers all the same.
-            candidates = [s for s in candidates if s.spec.is_long_running]
-        ranked = []
-        for step in candidates:
             if step.job.policy.advice and now_s >= step.tickets_until_s:
                 step.tickets = {}
+        usable = planning_pass.list_usable(self.workers.values(), now_s)
+        ranked = []
+        for step in planning_pass.select_steps(candidates, usable):
             mean = self._mean_work_by_queue[step.job.policy.queue].value
             start_s = ranking.find_objective_start_s(step)
             rank = ranking.rank_step(step, now_s, start_s, mean)
@@ -744,10 +731,6 @@
                 self._stop_runs(unit)
 
 
-def _get_cpu_demand(step: jobs_lib.StepOccurrence) -> int:
-    return 0 if step.spec.is_filling else step.spec.demand.cpu_millis
-
-
 def _may_be_of_former_incarnation(run: jobs_lib.Run) -> bool:
     """Returns whether an answer to a start may be of a former incarnation."""
     return (
