Count a drain request that is opened again as another one

A worker could get units while the order for its VM was being carried out, if the same request had been closed shortly before: the time of the first closing counted for the second, so that any report ended the cordon at once.

The new test of test_scheduling_cordons failed before this change.

--- a/src/fireflywell/scheduling/cordons.py
+++ b/src/fireflywell/scheduling/cordons.py
@@ -53,8 +53,11 @@
     """
     if request is None:
         return None
-    is_same = cordon is not None and (
-        (cordon.wave, cordon.target) == (request.wave, request.target)
+    # A request that was closed and is open again is another one.
+    is_same = (
+        cordon is not None
+        and cordon.closed_s is None
+        and (cordon.wave, cordon.target) == (request.wave, request.target)
     )
     match request.phase:
         case maintenance.DrainPhase.READY:
--- a/tests/test_scheduling_cordons.py
+++ b/tests/test_scheduling_cordons.py
@@ -55,6 +55,19 @@
         self.assertIsNone(self.update(None))
         self.assertIsNone(self.update(other))
 
+    def test_reopened_request_is_another_one(self) -> None:
+        """Fails if a worker is used before its second order was carried out.
+
+        The time of the first closing must not count for the second.
+        """
+        done = _request_in(_PHASES.DONE)
+        self.assertIsNotNone(self.update(done, now_s=20.0))
+        ready = _request_in(_PHASES.READY)
+        self.assertEqual(
+            self.update(ready, now_s=30.0), cordons.Cordon(1, "", 30.0)
+        )
+        self.assertIsNotNone(self.update(done, reported_s=39.9, now_s=40.0))
+
 
 if __name__ == "__main__":
     unittest.main()
