Close the requests of VMs that come back after their wave

A VM that the platform didn't list when its wave was completed kept an open drain request: once it was listed again, its worker got no units for ever, because nothing advances the requests of a completed wave. They are now closed like those of a withdrawn wave.

The new test of test_node_closed_requests failed before this change: the request stayed due.

--- a/src/fireflywell/node/fleet_controller.py
+++ b/src/fireflywell/node/fleet_controller.py
@@ -102,8 +102,14 @@
         self._orders = vm_orders.VmOrders(
             client, self._guard, tenure.token, clock
         )
+        self._completed_waves: set[int] = set()
         self._closer = request_closer.RequestCloser(
-            cache, waves, self._orders, self._store_request, clock
+            cache,
+            waves,
+            self._orders,
+            self._store_request,
+            self._completed_waves,
+            clock,
         )
         self._list_pools = list_pools
         self._find_spare_pool = find_spare_pool
@@ -122,7 +128,6 @@
         # VMs whose maintenance was accepted and that aren't listed as up yet.
         self._down: set[str] = set()
         self._started_waves: set[int] = set()
-        self._completed_waves: set[int] = set()
 
     def stop(self) -> None:
         """Cancels the controller; it gives no further order."""
--- a/src/fireflywell/node/request_closer.py
+++ b/src/fireflywell/node/request_closer.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Set
 import dataclasses
 import datetime
 
@@ -29,6 +30,7 @@
 
     __slots__ = (
         "_clock",
+        "_completed_waves",
         "_fleet_cache",
         "_orders",
         "_ready_since",
@@ -44,9 +46,12 @@
         waves: maintenance_waves.MaintenanceWaves,
         orders: vm_orders.VmOrders,
         store_request: StoreRequest,
+        completed_waves: Set[int],
         clock: clock_lib.Clock,
     ) -> None:
         self._clock = clock
+        # Numbers of the completed waves, which the controller extends.
+        self._completed_waves = completed_waves
         self._fleet_cache = cache
         self._waves = waves
         self._orders = orders
@@ -111,7 +116,12 @@
         ):
             return False
         wave = self._waves.waves.get(request.wave)
-        return wave is None or request.vm_id not in wave.vm_ids
+        return (
+            wave is None
+            or request.vm_id not in wave.vm_ids
+            # The VM wasn't listed when its wave was completed.
+            or request.wave in self._completed_waves
+        )
 
     async def _settle(self, request: maintenance.DrainRequest) -> None:
         """Repeats an order that may be carried out, to learn its outcome."""
--- a/tests/test_node_closed_requests.py
+++ b/tests/test_node_closed_requests.py
@@ -91,6 +91,27 @@
         self.assertIs(self.world.find_phase("m-1"), _DONE)
 
 
+class CompletedWaveTest(unittest.TestCase):
+    """A wave that was completed while one of its VMs wasn't listed."""
+
+    def test_vm_that_comes_back_is_used_again(self) -> None:
+        """Fails if the VM stays cordoned for a wave that is over.
+
+        Nothing advanced its request any more.
+        """
+        world = fleet_orders.World()
+        world.fleet.add_vm("m-1", instance_id="w1")
+        world.load_waves((1, "m-1"))
+        world.add_request("m-1", 1, "due")
+        world.store.put(
+            row_store.RowKey(tables.STATUS, "", "wave/1"),
+            fleet_cache.encode_wave_state("completed"),
+        )
+        anyio.run(world.run, 3)
+        self.assertEqual(world.ordered, [])
+        self.assertIs(world.find_phase("m-1"), _DONE)
+
+
 class RefusedWaveTest(unittest.TestCase):
     """Maintenance that the platform refuses as not of its wave."""
 
