--- a/src/fireflywell/node/assigned_workers.py
+++ b/src/fireflywell/node/assigned_workers.py
@@ -17,6 +17,10 @@
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.telemetry import logs
 
+# While a worker that has reported isn't stored as in use, it is asked again at
+# this interval, so that the ends of its runs are known.
+ACQUIRE_TIMEOUT = datetime.timedelta(milliseconds=900)
+
 # Workers that report within this time after the first one share its write.
 _BATCH_DELAY = datetime.timedelta(milliseconds=50)
 
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -12,6 +12,7 @@
 from fireflywell.node import order_sender
 from fireflywell.node import ownership_guard
 from fireflywell.node import progress_writer
+from fireflywell.node import worker_events
 from fireflywell.node import worker_leases
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import service_state
@@ -307,16 +308,11 @@
         if not await self._assigned_workers.acquire(
             self._worker.instance,
             self.incarnation_start_unix_ms,
-            _REPORT_WAIT,
+            assigned_workers.ACQUIRE_TIMEOUT,
         ):
             return False
         self._worker.is_reachable = True
-        logs.log_event(
-            "worker.reached",
-            worker=self._worker.worker_id,
-            runs=len(report.running),
-            ends=len(report.ended),
-        )
+        worker_events.log_reached(self._worker.worker_id, report)
         self._on_change()
         return True
 
@@ -370,12 +366,7 @@
             return
         if self._leases.are_expired:
             dropped = self._state.drop_worker_runs(self._worker.worker_id)
-            logs.log_event(
-                "worker.leases_over",
-                worker=self._worker.worker_id,
-                runs=len(dropped),
-                dropped=_describe_runs(dropped),
-            )
+            worker_events.log_leases_over(self._worker.worker_id, dropped)
             self._on_change()
 
     def _handle_mismatch(self, requested_s: float) -> None:
@@ -399,37 +390,16 @@
         self._worker.is_reachable = False
         if self._has_ended and not dropped:
             return
-        logs.log_event(
-            "worker.restarted",
-            worker=self._worker.worker_id,
-            reason=reason,
-            runs=len(dropped),
-            dropped=_describe_runs(dropped),
-        )
+        worker_events.log_restarted(self._worker.worker_id, reason, dropped)
         self._on_change()
 
     def _log_ends(self, report: orders.WorkerReport) -> None:
-        for end in report.ended:
-            if end.number > self._acknowledged_end:
-                self._metrics.count(f"node.runs.ended.{end.kind}")
-        logs.log_event(
-            "run.ended",
-            worker=self._worker.worker_id,
-            ends=[
-                f"{end.unit}#{end.run}:{end.kind}"
-                for end in report.ended
-                if end.number > self._acknowledged_end
-            ],
-        )
+        new = [
+            end for end in report.ended if end.number > self._acknowledged_end
+        ]
+        for end in new:
+            self._metrics.count(f"node.runs.ended.{end.kind}")
+        worker_events.log_ends(self._worker.worker_id, new)
 
     def _now_s(self) -> float:
         return self._clock.monotonic().total_seconds()
-
-
-def _describe_runs(
-    runs: tuple[service_state.DroppedRun, ...],
-) -> list[str]:
-    return [
-        f"{item.run.unit.name}#{item.run.number}:{item.phase.name.lower()}"
-        for item in runs
-    ]
