Ask the advice service about each worker of a large service

A step whose queue needs advice could wait for ever beside an idle worker that may run it: each call named the hundred workers with the most free CPU, and of idle workers always the same.

The new test with 230 idle workers, of which the last may run the step, failed on the old code: the step had no ticket.

--- a/src/fireflywell/node/advice_requester.py
+++ b/src/fireflywell/node/advice_requester.py
@@ -10,6 +10,7 @@
 from fireflywell import errors
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import workers as workers_lib
 from fireflywell.telemetry import logs
 
 # Most workers that the advice service accepts in one call.
@@ -111,16 +112,17 @@
         ]
         if not workers:
             return
-        workers.sort(key=lambda worker: -worker.free_cpu)
-        asked = tuple(w.worker_id for w in workers[:_WORKERS_PER_CALL])
+        asked = _choose_workers_to_ask(step, workers)
         approved = await self._client.advise(step.key, asked)
         # Counted from before the call, so that no ticket is used after it has
         # expired.
         step.tickets_until_s = now_s + advice.validity_s
-        step.advice_due_s = now_s + max(
-            _RETRY_S, advice.validity_s * (1 - _RENEW_SHARE)
-        )
         step.tickets = {item.worker_id: item.ticket for item in approved}
+        step.denied_worker_ids.update(set(asked) - step.tickets.keys())
+        if step.tickets or _are_all_denied(step, workers):
+            step.advice_due_s = now_s + max(
+                _RETRY_S, advice.validity_s * (1 - _RENEW_SHARE)
+            )
         logs.log_event(
             "advice.received",
             job=step.job.job_id,
@@ -129,3 +131,27 @@
             approved=len(approved),
         )
         self._wake_planner()
+
+
+def _choose_workers_to_ask(
+    step: jobs_lib.StepOccurrence, workers: list[workers_lib.Worker]
+) -> tuple[str, ...]:
+    """Returns the workers for one call, those with the most free CPU first.
+
+    Workers that an earlier call didn't approve come last, so that each worker
+    of a large service is asked about.
+    """
+    denied = step.denied_worker_ids
+    if _are_all_denied(step, workers):
+        denied.clear()
+    by_preference = sorted(
+        workers,
+        key=lambda worker: (worker.worker_id in denied, -worker.free_cpu),
+    )
+    return tuple(w.worker_id for w in by_preference[:_WORKERS_PER_CALL])
+
+
+def _are_all_denied(
+    step: jobs_lib.StepOccurrence, workers: list[workers_lib.Worker]
+) -> bool:
+    return all(worker.worker_id in step.denied_worker_ids for worker in workers)
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -172,6 +172,7 @@
 
     __slots__ = (
         "advice_due_s",
+        "denied_worker_ids",
         "done_count",
         "job",
         "observed_unit_duration_s",
@@ -206,6 +207,8 @@
         self.tickets_until_s = 0.0
         # Monotonic time of the next request to the advice service.
         self.advice_due_s = 0.0
+        # Workers that the advice service was asked about and didn't approve.
+        self.denied_worker_ids: set[str] = set()
         self.units = [Unit(self, index) for index in range(spec.count)]
         # A stack of the units without a run; the last one starts next.
         self.waiting: list[Unit] = list(reversed(self.units))
--- a/tests/test_node_advice.py
+++ b/tests/test_node_advice.py
@@ -107,6 +107,20 @@
         self.run_requester(state, client, 1.0)
         self.assertEqual(len(set(client.calls)), 3)
 
+    def test_each_worker_of_a_large_service_is_asked_about(self) -> None:
+        """Fails if a step waits for ever for a ticket of an idle worker.
+
+        Only the hundred workers with the most free CPU were asked about, of
+        idle ones always the same.
+        """
+        names = [f"w{number:03}" for number in range(230)]
+        state = self.make_state(*names)
+        client = _FailingAdvice()
+        client.approved = {names[-1]}
+        self.run_requester(state, client, 1.2)
+        (step,) = state.list_waiting_steps()
+        self.assertEqual(set(step.tickets), {names[-1]})
+
 
 if __name__ == "__main__":
     unittest.main()
