--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -54,6 +54,7 @@
                 lambda: None,
                 self._fetch_jobs,
                 metrics_lib.NullMetrics(),
+                session_world.FakeAssignedWorkers(),  # type: ignore[arg-type]
             )
             group.start_soon(client.run)
             group.start_soon(self.sessions[name].run)
