Keep the wave of the takeover tests open

test_vm_that_is_in_use_is_not_marked_as_drained failed each time since requests of completed waves are closed: its VM isn't listed, so the wave had no other VM and was completed at once, and the request was closed as of a completed wave. The wave now has a second VM that is down. The test still requires that the owner sets the request of the VM in use back; 19 tests of both modules pass.

--- a/tests/test_node_takeover.py
+++ b/tests/test_node_takeover.py
@@ -462,9 +462,19 @@
 
 
 def _request_wave(world: node_world.NodeWorld, vm_id: str) -> None:
+    """Requests a wave that isn't completed, because its other VM is down."""
+    world.fleet.vms["m-down"] = maintenance.Vm(
+        "m-down",
+        node_world.SERVICE,
+        maintenance.VmState.UPKEEP,
+        "a",
+        (),
+        model.ResourceAmounts(4000, 32000),
+        "",
+    )
     document = {
         "wave": 1,
-        "machines": [vm_id],
+        "machines": [vm_id, "m-down"],
         "duration_s": 600,
         "max_count": 1,
     }
