Notice lost answers of workers sooner

While a share of the answers was lost, workers idled: a lost report was noticed after 2.1 s (0.9 s of wait and 1.2 s of time limit), and until the next report the runs that had ended kept their room. A lost answer to a start took 0.7 s.

Starts and report requests now have a time limit of 0.25 s, several times the round trip of the longest links; each fourth call in a row without an answer has the former limit, for slow links and workers. First reports keep the former limit, because a new owner requests many at once. For 3 s after a lost report the wait is 0.2 s. `ReportSchedule` decides this; a worker counts as silent only once its requests in a row cover the longest limit, 1.2 s.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -236,10 +236,13 @@
         self._leases.extend()
         attempts = 0
         while self._may_send(run, order):
+            timeout = orders.choose_timeout(attempts, orders.ORDER_TIMEOUT)
             attempts += 1
             run.unanswered_starts += 1
             try:
-                outcome = await self._client.start(order)
+                outcome = await self._client.start(
+                    dataclasses.replace(order, timeout=timeout)
+                )
             except errors.PlatformUnavailableError:
                 run.unanswered_starts -= 1
                 if not run.unanswered_starts and attempts >= _MAX_SEND_ATTEMPTS:
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -12,6 +12,7 @@
 from fireflywell.node import order_sender
 from fireflywell.node import ownership_guard
 from fireflywell.node import progress_writer
+from fireflywell.node import report_schedule
 from fireflywell.node import worker_events
 from fireflywell.node import worker_leases
 from fireflywell.scheduling import orders
@@ -23,14 +24,15 @@
 from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
 
-# A worker with runs answers a report request after this time at the latest, or
-# as soon as a run ends. It is also the interval of reports on load.
-_REPORT_WAIT = datetime.timedelta(milliseconds=900)
-
 # Pause after a report with ends, so that ends which follow within this time
 # share the next report.
 _REPORT_PAUSE = datetime.timedelta(milliseconds=25)
 
+# A new owner requests the first reports of many workers at the same time.
+_FIRST_REPORT = report_schedule.ReportTiming(
+    datetime.timedelta(), orders.REPORT_TIMEOUT
+)
+
 # Interval of report requests to a worker without runs, which only check that
 # it is reachable.
 _IDLE_INTERVAL = datetime.timedelta(seconds=2)
@@ -61,9 +63,9 @@
         "_has_ended",
         "_on_change",
         "_order_sender",
+        "_report_schedule",
         "_received_end",
         "_token",
-        "_unanswered_since_s",
         "_wake",
         "_worker",
         "_writer",
@@ -102,9 +104,7 @@
         self._acknowledged_end = 0
         # Highest acknowledged number that the worker has received.
         self._received_end = 0
-        # Monotonic time of the first of the report requests without an answer
-        # since the worker's last answer.
-        self._unanswered_since_s: float | None = None
+        self._report_schedule = report_schedule.ReportSchedule(clock)
         self._wake = anyio.Event()
         self._order_sender = order_sender.OrderSender(
             worker,
@@ -185,7 +185,7 @@
                 self._handle_unanswered_report(requested_s, str(error))
                 await self._clock.sleep(_RETRY_DELAY)
                 continue
-            self._unanswered_since_s = None
+            self._report_schedule.record_answer()
             match report:
                 case orders.WorkerReport():
                     await self._apply_report(report, requested_s)
@@ -207,11 +207,15 @@
     ) -> orders.WorkerReport | orders.OrderOutcome:
         is_first = not self._leases.has_clock
         is_idle = not self._worker.runs
-        is_answering = self._worker.is_reachable and self._has_answered()
-        wait = _REPORT_WAIT
-        is_repeat = self._unanswered_since_s is not None
-        if is_first or is_idle or is_repeat or not self._worker.is_reachable:
-            wait = datetime.timedelta()
+        is_answering = (
+            self._worker.is_reachable
+            and self._report_schedule.is_answering(
+                self._order_sender.answered_s
+            )
+        )
+        timing = self._report_schedule.choose_timing(is_idle)
+        if is_first:
+            timing = _FIRST_REPORT
         lease_until = None
         # A worker that doesn't answer may still receive renewals. Its leases
         # are not extended, so that they expire by a known time.
@@ -226,7 +230,13 @@
         if is_answering and self._acknowledged_end > self._received_end:
             acknowledged_end = self._acknowledged_end
         answer = await self._client.renew(
-            orders.RenewOrder(self._token, acknowledged_end, lease_until, wait)
+            orders.RenewOrder(
+                self._token,
+                acknowledged_end,
+                lease_until,
+                timing.wait,
+                timing.timeout,
+            )
         )
         if isinstance(answer, orders.WorkerReport):
             self._received_end = max(self._received_end, acknowledged_end)
@@ -326,25 +336,13 @@
     def _may_renew(self) -> bool:
         return self._guard.permits_renewals(worker_leases.RENEWAL_GRACE)
 
-    def _has_answered(self) -> bool:
-        """Whether the worker answers, as far as is known."""
-        return (
-            self._unanswered_since_s is None
-            or self._order_sender.answered_s >= self._unanswered_since_s
-        )
-
     def _handle_unanswered_report(
         self, requested_s: float, reason: str
     ) -> None:
-        """Marks the worker as unreachable after a second lost report.
-
-        One lost answer says little, and while other orders are answered the
-        worker is reachable.
-        """
-        has_answered = self._has_answered()
-        if has_answered:
-            self._unanswered_since_s = requested_s
-        if not self._worker.is_reachable or not has_answered:
+        is_silent = self._report_schedule.record_loss(
+            requested_s, self._order_sender.answered_s
+        )
+        if is_silent or not self._worker.is_reachable:
             self._mark_unreachable(reason)
 
     def _mark_unreachable(self, reason: str) -> None:
--- a/src/fireflywell/platform/worker_calls.py
+++ b/src/fireflywell/platform/worker_calls.py
@@ -12,13 +12,6 @@
 from fireflywell.platform import json_values
 from fireflywell.scheduling import orders
 
-# A worker usually answers an order within a few milliseconds.
-_ORDER_TIMEOUT = datetime.timedelta(milliseconds=700)
-
-# Added to the time for which the worker may hold back its report until a run
-# ends.
-_REPORT_TIMEOUT = datetime.timedelta(milliseconds=1200)
-
 # A worker returns this many ended runs at a time.
 _ENDS_PER_REPORT = 500
 
@@ -53,7 +46,7 @@
             document["checkpoint"] = order.checkpoint
         if order.ticket:
             document["ticket"] = order.ticket
-        return await self._send_order("/run-start", document)
+        return await self._send_order("/run-start", document, order.timeout)
 
     async def stop(self, order: orders.StopOrder) -> orders.OrderOutcome:
         """Stops a run; see `WorkerClient.stop`."""
@@ -62,7 +55,9 @@
             "run": order.run,
             "fencing_token": order.fencing_token,
         }
-        return await self._send_order("/run-stop", document)
+        return await self._send_order(
+            "/run-stop", document, orders.ORDER_TIMEOUT
+        )
 
     async def throttle(
         self, order: orders.ThrottleOrder
@@ -77,7 +72,7 @@
             "percent": order.percent,
             "fencing_token": order.fencing_token,
         }
-        return await self._send_order("/pace", document)
+        return await self._send_order("/pace", document, orders.ORDER_TIMEOUT)
 
     async def renew(
         self, order: orders.RenewOrder
@@ -100,7 +95,7 @@
             "POST",
             "/hold",
             json.dumps(document).encode(),
-            order.wait + _REPORT_TIMEOUT,
+            order.wait + order.timeout,
             self._headers,
         )
         if response.status != 200:
@@ -112,13 +107,13 @@
         await self._client.close()
 
     async def _send_order(
-        self, path: str, document: dict[str, Any]
+        self, path: str, document: dict[str, Any], timeout: datetime.timedelta
     ) -> orders.OrderOutcome:
         response = await self._client.call(
             "POST",
             path,
             json.dumps(document).encode(),
-            _ORDER_TIMEOUT,
+            timeout,
             self._headers,
         )
         return _decode_outcome(response)
--- a/src/fireflywell/scheduling/orders.py
+++ b/src/fireflywell/scheduling/orders.py
@@ -5,6 +5,25 @@
 import enum
 from typing import Protocol
 
+# Workers answer within milliseconds, on the longest links within a tenth of a
+# second. Repeats have the same effect as the first transmission, so the limit
+# is short, but for each fourth call in a row without an answer, as the link or
+# the worker may be slow.
+_SHORT_TIMEOUT = datetime.timedelta(milliseconds=250)
+_CALLS_PER_LONG_TIMEOUT = 4
+
+# Longest time limit of an order, and of a report request beyond its wait.
+ORDER_TIMEOUT = datetime.timedelta(milliseconds=700)
+REPORT_TIMEOUT = datetime.timedelta(milliseconds=1200)
+
+
+def choose_timeout(
+    losses: int, longest: datetime.timedelta
+) -> datetime.timedelta:
+    """Returns the time limit of a call after `losses` without an answer."""
+    is_long = (losses + 1) % _CALLS_PER_LONG_TIMEOUT == 0
+    return longest if is_long else min(longest, _SHORT_TIMEOUT)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartOrder:
@@ -19,6 +38,7 @@
         checkpoint: Checkpoint to resume from; empty to start from the
             beginning.
         ticket: Ticket of the advice service; empty if none is needed.
+        timeout: Time limit for the answer.
     """
 
     unit: str
@@ -28,6 +48,7 @@
     fencing_token: int
     checkpoint: str = ""
     ticket: str = ""
+    timeout: datetime.timedelta = ORDER_TIMEOUT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,12 +81,14 @@
         lease_until_ms: End of the lease on the worker's clock, or None to
             request a report without extending the lease.
         wait: How long the worker may delay the report until a run ends.
+        timeout: Time limit for the answer, beyond the wait.
     """
 
     fencing_token: int
     last_acknowledged_end: int
     lease_until_ms: int | None
     wait: datetime.timedelta
+    timeout: datetime.timedelta = REPORT_TIMEOUT
 
 
 class Refusal(enum.StrEnum):
