Don't name the spare pool as a reason for a wait

Long-running units may be placed on VMs of the spare pool after 2 s, which is when waits are explained first, so the pool holds no unit back. The test of obstacles checks the limit per worker beside memory instead.

--- a/src/fireflywell/scheduling/wait_reasons.py
+++ b/src/fireflywell/scheduling/wait_reasons.py
@@ -20,8 +20,6 @@
         draining: Leave soon.
         cordoned: Are kept free for maintenance or a move.
         paused: Refused or failed starts a moment ago.
-        spare_pool: Belong to the spare pool and the unit runs until its job is
-            cancelled.
         label: Lack the required label.
         max_per_worker: Run as many units of the step as allowed.
         ticket: Have no ticket of the advice service.
@@ -34,7 +32,6 @@
     draining: int = 0
     cordoned: int = 0
     paused: int = 0
-    spare_pool: int = 0
     label: int = 0
     max_per_worker: int = 0
     ticket: int = 0
@@ -273,7 +270,6 @@
         ("draining", worker.instance.is_draining),
         ("cordoned", worker.is_cordoned),
         ("paused", now_s < worker.avoid_until_s),
-        ("spare_pool", worker.is_from_spare_pool and spec.is_long_running),
         (
             "label",
             bool(spec.required_label)
