Let time limits of orders follow the worker's answer times

The limit is now the smoothed answer time plus four deviations (RFC 6298), at least 0.25 s and at most the former limit, which also holds before the first answer and for each fourth call in a row without an answer. Opening a connection has the former limit by itself, and a call that ends earlier than that leaves the other connections open.

`test_other_connections_are_kept` guards the connections; `test_time_limit_follows_the_answers` is for the new estimate.

--- a/src/fireflywell/http_client.py
+++ b/src/fireflywell/http_client.py
@@ -232,6 +232,7 @@
         timeout: datetime.timedelta,
         headers: str = "",
         limit_bytes: int | None = None,
+        connect_timeout: datetime.timedelta | None = None,
     ) -> Response:
         """Sends one call and returns its response.
 
@@ -245,6 +246,8 @@
                 again.
             headers: Further header lines, each ending with CR LF.
             limit_bytes: Largest body of an answer; None for any.
+            connect_timeout: Time limit for a new connection; `timeout` then
+                begins when it is open. None for one limit for both.
 
         Raises:
             PlatformUnavailableError: The request was not sent.
@@ -261,7 +264,9 @@
             head += "Content-Length: 0\r\n"
         request = head.encode("latin-1") + b"\r\n" + body
         async with self._limiter:
-            return await self._send(request, timeout, limit_bytes)
+            return await self._send(
+                request, timeout, limit_bytes, connect_timeout
+            )
 
     def set_address(self, address: str) -> None:
         """Sends later calls to another address."""
@@ -286,12 +291,18 @@
         request: bytes,
         timeout: datetime.timedelta,
         limit_bytes: int | None,
+        connect_timeout: datetime.timedelta | None,
     ) -> Response:
+        first_timeout = connect_timeout or timeout
         connection: Connection | None = None
         is_reusable = False
         try:
-            with anyio.fail_after(timeout.total_seconds()) as scope:
+            with anyio.fail_after(first_timeout.total_seconds()) as scope:
                 connection = await self._acquire_connection()
+                if connect_timeout is not None:
+                    scope.deadline = (
+                        anyio.current_time() + timeout.total_seconds()
+                    )
                 response, is_reusable = await connection.exchange(
                     request,
                     _SlidingDeadline(scope, timeout, self._clock),
@@ -299,11 +310,13 @@
                 )
                 return response
         except TimeoutError as error:
-            # Other idle connections may be unresponsive for the same reason.
-            await self.close()
+            if connect_timeout is None or timeout >= connect_timeout:
+                # Other idle connections may be unresponsive for the same
+                # reason.
+                await self.close()
             if connection is None:
                 raise errors.PlatformUnavailableError(
-                    f"{self._address} can't be reached within {timeout}"
+                    f"{self._address} can't be reached within {first_timeout}"
                 ) from error
             raise errors.AnswerLostError(
                 f"{self._address} didn't answer within {timeout}"
--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -10,6 +10,7 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
+from fireflywell.node import answer_times
 from fireflywell.node import ownership_guard
 from fireflywell.node import progress_writer
 from fireflywell.node import worker_leases
@@ -87,6 +88,7 @@
         "_start_receiver",
         "_start_sender",
         "_state",
+        "_times",
         "_token",
         "_worker",
         "_writer",
@@ -102,6 +104,7 @@
         guard: ownership_guard.OwnershipGuard,
         token: int,
         leases: worker_leases.WorkerLeases,
+        times: answer_times.AnswerTimes,
         clock: clock_lib.Clock,
         on_change: Callable[[], None],
         metrics: metrics_lib.Metrics,
@@ -113,6 +116,7 @@
         self._guard = guard
         self._token = token
         self._leases = leases
+        self._times = times
         self._clock = clock
         self._on_change = on_change
         self._metrics = metrics
@@ -236,8 +240,9 @@
         self._leases.extend()
         attempts = 0
         while self._may_send(run, order):
-            timeout = orders.choose_timeout(attempts, orders.ORDER_TIMEOUT)
+            timeout = self._times.choose_timeout(attempts, orders.ORDER_TIMEOUT)
             attempts += 1
+            sent_s = self._now_s()
             run.unanswered_starts += 1
             try:
                 outcome = await self._client.start(
@@ -256,6 +261,7 @@
                 await self._clock.sleep(_RETRY_DELAY)
                 continue
             run.unanswered_starts -= 1
+            self._times.record(self._now_s() - sent_s)
             self._record_answer(outcome)
             match outcome:
                 case orders.Unhealthy() if run.unanswered_starts:
--- a/src/fireflywell/node/report_schedule.py
+++ b/src/fireflywell/node/report_schedule.py
@@ -4,6 +4,7 @@
 import datetime
 
 from fireflywell import clock as clock_lib
+from fireflywell.node import answer_times
 from fireflywell.scheduling import orders
 
 # A worker with runs answers a report request after this time at the latest, or
@@ -36,11 +37,15 @@
         "_clock",
         "_losses",
         "_short_wait_until_s",
+        "_times",
         "_unanswered_since_s",
     )
 
-    def __init__(self, clock: clock_lib.Clock) -> None:
+    def __init__(
+        self, clock: clock_lib.Clock, times: answer_times.AnswerTimes
+    ) -> None:
         self._clock = clock
+        self._times = times
         # Report requests without an answer since the last answer.
         self._losses = 0
         # Monotonic time of the first of them that no answer to an order
@@ -55,7 +60,9 @@
         The repeat of a request without an answer asks for no wait, and so does
         a request to a worker without runs.
         """
-        timeout = orders.choose_timeout(self._losses, orders.REPORT_TIMEOUT)
+        timeout = self._times.choose_timeout(
+            self._losses, orders.REPORT_TIMEOUT
+        )
         if self._losses or is_idle:
             return ReportTiming(datetime.timedelta(), timeout)
         is_short = self._now_s() < self._short_wait_until_s
@@ -72,8 +79,17 @@
             or order_answered_s >= self._unanswered_since_s
         )
 
-    def record_answer(self) -> None:
-        """Records that the worker answered a report request."""
+    def record_answer(
+        self, requested_s: float, wait: datetime.timedelta
+    ) -> None:
+        """Records that the worker answered a report request.
+
+        Args:
+            requested_s: Monotonic time of the request.
+            wait: How long the worker could delay the answer.
+        """
+        if not wait:
+            self._times.record(self._now_s() - requested_s)
         self._losses = 0
         self._unanswered_since_s = None
 
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -8,6 +8,7 @@
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
+from fireflywell.node import answer_times
 from fireflywell.node import assigned_workers
 from fireflywell.node import order_sender
 from fireflywell.node import ownership_guard
@@ -28,11 +29,6 @@
 # share the next report.
 _REPORT_PAUSE = datetime.timedelta(milliseconds=25)
 
-# A new owner requests the first reports of many workers at the same time.
-_FIRST_REPORT = report_schedule.ReportTiming(
-    datetime.timedelta(), orders.REPORT_TIMEOUT
-)
-
 # Interval of report requests to a worker without runs, which only check that
 # it is reachable.
 _IDLE_INTERVAL = datetime.timedelta(seconds=2)
@@ -104,7 +100,8 @@
         self._acknowledged_end = 0
         # Highest acknowledged number that the worker has received.
         self._received_end = 0
-        self._report_schedule = report_schedule.ReportSchedule(clock)
+        times = answer_times.AnswerTimes()
+        self._report_schedule = report_schedule.ReportSchedule(clock, times)
         self._wake = anyio.Event()
         self._order_sender = order_sender.OrderSender(
             worker,
@@ -114,6 +111,7 @@
             guard,
             token,
             leases,
+            times,
             clock,
             on_change,
             metrics,
@@ -185,7 +183,6 @@
                 self._handle_unanswered_report(requested_s, str(error))
                 await self._clock.sleep(_RETRY_DELAY)
                 continue
-            self._report_schedule.record_answer()
             match report:
                 case orders.WorkerReport():
                     await self._apply_report(report, requested_s)
@@ -213,9 +210,7 @@
                 self._order_sender.answered_s
             )
         )
-        timing = self._report_schedule.choose_timing(is_idle)
-        if is_first:
-            timing = _FIRST_REPORT
+        timing = self._report_schedule.choose_timing(is_idle or is_first)
         lease_until = None
         # A worker that doesn't answer may still receive renewals. Its leases
         # are not extended, so that they expire by a known time.
@@ -229,6 +224,7 @@
         acknowledged_end = 0
         if is_answering and self._acknowledged_end > self._received_end:
             acknowledged_end = self._acknowledged_end
+        requested_s = self._now_s()
         answer = await self._client.renew(
             orders.RenewOrder(
                 self._token,
@@ -238,6 +234,7 @@
                 timing.timeout,
             )
         )
+        self._report_schedule.record_answer(requested_s, timing.wait)
         if isinstance(answer, orders.WorkerReport):
             self._received_end = max(self._received_end, acknowledged_end)
         return answer
--- a/src/fireflywell/platform/worker_calls.py
+++ b/src/fireflywell/platform/worker_calls.py
@@ -97,6 +97,7 @@
             json.dumps(document).encode(),
             order.wait + order.timeout,
             self._headers,
+            connect_timeout=orders.REPORT_TIMEOUT,
         )
         if response.status != 200:
             return _decode_outcome(response)
@@ -115,6 +116,7 @@
             json.dumps(document).encode(),
             timeout,
             self._headers,
+            connect_timeout=orders.ORDER_TIMEOUT,
         )
         return _decode_outcome(response)
 
--- a/src/fireflywell/scheduling/orders.py
+++ b/src/fireflywell/scheduling/orders.py
@@ -5,26 +5,11 @@
 import enum
 from typing import Protocol
 
-# Workers answer within milliseconds, on the longest links within a tenth of a
-# second. Repeats have the same effect as the first transmission, so the limit
-# is short, but for each fourth call in a row without an answer, as the link or
-# the worker may be slow.
-_SHORT_TIMEOUT = datetime.timedelta(milliseconds=250)
-_CALLS_PER_LONG_TIMEOUT = 4
-
 # Longest time limit of an order, and of a report request beyond its wait.
 ORDER_TIMEOUT = datetime.timedelta(milliseconds=700)
 REPORT_TIMEOUT = datetime.timedelta(milliseconds=1200)
 
 
-def choose_timeout(
-    losses: int, longest: datetime.timedelta
-) -> datetime.timedelta:
-    """Returns the time limit of a call after `losses` without an answer."""
-    is_long = (losses + 1) % _CALLS_PER_LONG_TIMEOUT == 0
-    return longest if is_long else min(longest, _SHORT_TIMEOUT)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class StartOrder:
     """Order to start a unit.
--- a/tests/test_http_client.py
+++ b/tests/test_http_client.py
@@ -94,6 +94,41 @@
         self.check_refusal(head, body)
 
 
+class ShortTimeoutTest(AnswersCase):
+    """Calls whose time limit is shorter than that of a new connection."""
+
+    def test_other_connections_are_kept(self) -> None:
+        """Fails if one late answer closes the connections of other calls.
+
+        Each of them was opened anew, which made a busy node slower.
+        """
+        calls = 0
+
+        async def respond(stream: anyio.abc.SocketStream) -> None:
+            nonlocal calls
+            calls += 1
+            if calls == 3:
+                await anyio.sleep_forever()
+            await anyio.sleep(0.05)
+            await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+
+        async def use(client: http_client.HttpClient) -> None:
+            async with anyio.create_task_group() as group:
+                for _ in range(2):
+                    group.start_soon(client.call, "GET", "/", b"", _TIMEOUT)
+            with self.assertRaises(errors.AnswerLostError):
+                await client.call(
+                    "GET",
+                    "/",
+                    b"",
+                    datetime.timedelta(seconds=0.05),
+                    connect_timeout=_TIMEOUT,
+                )
+            await client.call("GET", "/", b"", _TIMEOUT)
+
+        self.assertEqual(self.run_with_server(respond, use), 2)
+
+
 class UnreadableAnswerTest(AnswersCase):
     """Answers of servers that aren't the expected ones."""
 
--- a/tests/test_report_schedule.py
+++ b/tests/test_report_schedule.py
@@ -4,6 +4,7 @@
 import unittest
 
 from fireflywell import clock as clock_lib
+from fireflywell.node import answer_times
 from fireflywell.node import report_schedule
 from fireflywell.scheduling import orders
 
@@ -17,7 +18,9 @@
     def setUp(self) -> None:
         """Builds the schedule of a worker that answers."""
         self.clock = clock_lib.ManualClock()
-        self.schedule = report_schedule.ReportSchedule(self.clock)
+        self.times = answer_times.AnswerTimes()
+        self.times.record(0.002)
+        self.schedule = report_schedule.ReportSchedule(self.clock, self.times)
 
     def now_s(self) -> float:
         """Returns the monotonic time."""
@@ -39,12 +42,29 @@
         self.lose(1.0)
         repeat = self.schedule.choose_timing(is_idle=False)
         self.assertEqual(repeat.wait, _NO_WAIT)
-        self.schedule.record_answer()
+        self.schedule.record_answer(self.now_s(), _NO_WAIT)
         after = self.schedule.choose_timing(is_idle=False)
         self.assertLess(after.wait, usual.wait)
         self.clock.advance(datetime.timedelta(seconds=10))
         self.assertEqual(self.schedule.choose_timing(is_idle=False), usual)
 
+    def test_time_limit_follows_the_answers(self) -> None:
+        """Fails if a busy worker or node is asked again before it can answer.
+
+        The repeats made a busy owner slower still, so that it lost sound
+        workers.
+        """
+        quick = self.schedule.choose_timing(is_idle=True).timeout
+        for _ in range(20):
+            self.times.record(0.4)
+        slow = self.schedule.choose_timing(is_idle=True).timeout
+        self.assertLess(quick.total_seconds(), 0.4)
+        self.assertGreater(slow.total_seconds(), 0.4)
+        fresh = answer_times.AnswerTimes()
+        self.assertEqual(
+            fresh.choose_timeout(0, orders.ORDER_TIMEOUT), orders.ORDER_TIMEOUT
+        )
+
     def test_slow_worker_gets_time_to_answer(self) -> None:
         """Fails if a slow worker's answers are never waited for."""
         timeouts = []
