Keep steps that can't start from blocking large ones, and plan them once

Callers saw large jobs that never started while small ones did. Of the steps that need more CPU than any worker has free, only the eight oldest take part in a pass. Steps that can't reserve a worker at all were among them: too much memory, an accelerator that no worker has, a gang larger than the pool or with runs that haven't ended, or no ticket of the advice service. Eight of them kept all younger ones from their turn for ever. Now only those that could reserve workers count.

A pass also tried each step that doesn't fit on each worker and sorted the workers again for its reservation. In a pass, capacity only decreases, so a step like one that didn't fit isn't tried again. A worker keeps the sum of its short units instead of adding them up for each long-running step.

--- a/src/fireflywell/scheduling/planning_pass.py
+++ b/src/fireflywell/scheduling/planning_pass.py
@@ -8,6 +8,7 @@
 import itertools
 
 from fireflywell.scheduling import jobs
+from fireflywell.scheduling import model
 from fireflywell.scheduling import overdue_share
 from fireflywell.scheduling import placement
 from fireflywell.scheduling import ranking
@@ -81,18 +82,54 @@
     steps: Sequence[jobs.StepOccurrence],
     usable: Sequence[workers_lib.Worker],
 ) -> Iterator[jobs.StepOccurrence]:
-    """Yields the steps that a worker has the capacity and label for."""
+    """Yields the steps that could reserve workers.
+
+    Others would take the places of those that can start some time.
+    """
+    results: dict[_Shape, bool] = {}
     for step in sorted(steps, key=lambda item: item.job.arrived_s):
-        label = step.spec.required_label
-        cpu = step.spec.demand.cpu_millis
-        if any(
-            cpu <= worker.instance.capacity.cpu_millis
-            and (not label or label in worker.instance.labels)
-            for worker in usable
-        ):
+        if not _is_startable(step):
+            continue
+        shape = _find_shape(step)
+        could_hold = results.get(shape) if shape else None
+        if could_hold is None:
+            could_hold = reservations_lib.could_hold(step, usable)
+            if shape is not None:
+                results[shape] = could_hold
+        if could_hold:
             yield step
 
 
+def _is_startable(step: jobs.StepOccurrence) -> bool:
+    """Returns whether workers with enough room would be all that it needs."""
+    if step.job.policy.advice and not step.tickets:
+        return False
+    # A gang can't start before its last run has ended.
+    return not step.spec.is_gang or len(step.waiting) == step.spec.count
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Shape:
+    """What decides whether a short unit fits on a worker."""
+
+    demand: model.ResourceAmounts
+    required_label: str
+    is_filling: bool
+
+
+def _find_shape(step: jobs.StepOccurrence) -> _Shape | None:
+    """Returns a step's shape; None if more than that decides."""
+    spec = step.spec
+    if (
+        spec.is_gang
+        or spec.is_long_running
+        or spec.max_per_worker
+        or step.job.policy.advice
+    ):
+        return None
+    return _Shape(spec.demand, spec.required_label, spec.is_filling)
+
+
 def place_units(
     ranked: Sequence[RankedStep],
     workers: Sequence[workers_lib.Worker],
@@ -131,6 +168,7 @@
     """Placements and reservations of one pass over the ready steps."""
 
     __slots__ = (
+        "_candidates",
         "_capacity",
         "_is_turn_over",
         "_limit",
@@ -141,6 +179,8 @@
         "_placed_counts",
         "_reservations",
         "_share",
+        "_unfitting",
+        "_unreservable",
         "_usable",
         "placements",
     )
@@ -180,6 +220,12 @@
                 key=lambda item: item.rank.arrived_s,
             )
         )
+        # Shapes of which no more units fit and for which no worker is left to
+        # reserve. Both last for a pass, in which capacity only decreases.
+        self._unfitting: set[_Shape] = set()
+        self._unreservable: set[_Shape] = set()
+        # Workers for the units of each long-running step.
+        self._candidates: dict[str, Sequence[workers_lib.Worker]] = {}
         # Whether the step whose turn it is waits for its reserved workers.
         self._is_turn_over = False
         self.placements: list[placement.Placement] = []
@@ -246,6 +292,9 @@
         """Places up to `max_units` units of a step, or a whole gang."""
         if not step.spec.is_filling and not self._capacity.has_enough_cpu(step):
             return 0
+        shape = _find_shape(step)
+        if shape in self._unfitting or not _is_startable(step):
+            return 0
         units = self._list_waiting(step)
         workers = self._list_candidates(step)
         if step.spec.is_gang:
@@ -260,15 +309,19 @@
                 self._reservations,
                 self._capacity,
             )
+        if shape is not None and len(chosen) < min(max_units, len(units)):
+            self._unfitting.add(shape)
         self._placed_counts[step.key] += len(chosen)
         self.placements.extend(chosen)
         return len(chosen)
 
     def _reserve(self, step: jobs.StepOccurrence) -> bool:
-        if step.spec.is_gang and len(step.waiting) < step.spec.count:
-            # The gang can't start before its last run has ended.
+        shape = _find_shape(step)
+        if shape in self._unreservable or not _is_startable(step):
             return False
         workers = self._reservations.reserve(step, self._list_candidates(step))
+        if shape is not None and not workers:
+            self._unreservable.add(shape)
         self._capacity.withhold(workers)
         return bool(workers)
 
@@ -283,6 +336,13 @@
         """
         if not step.spec.is_long_running:
             return self._usable
+        if step.key not in self._candidates:
+            self._candidates[step.key] = self._choose_candidates(step)
+        return self._candidates[step.key]
+
+    def _choose_candidates(
+        self, step: jobs.StepOccurrence
+    ) -> Sequence[workers_lib.Worker]:
         has_waited = step.waiting_since_s is not None and (
             self._now_s - step.waiting_since_s > _SPARE_POOL_AFTER_S
         )
--- a/src/fireflywell/scheduling/reservations.py
+++ b/src/fireflywell/scheduling/reservations.py
@@ -44,21 +44,17 @@
             The reserved workers; none if the step wouldn't fit on them then.
         """
         missing = step.spec.count if step.spec.is_gang else 1
+        suitable = [
+            worker
+            for worker in workers
+            if not self.is_reserved_for_other(worker, step)
+            and _count_permitted(worker, step) > 0
+        ]
+        suitable.sort(key=lambda item: _rate(item, step), reverse=True)
         chosen: list[workers_lib.Worker] = []
-        for worker in sorted(
-            workers, key=lambda item: _rate(item, step), reverse=True
-        ):
-            if self.is_reserved_for_other(worker, step):
-                continue
-            if step.job.policy.advice and (
-                worker.worker_id not in step.tickets
-            ):
-                continue
-            count = worker.count_holdable(step)
-            if count <= 0:
-                continue
+        for worker in suitable:
             chosen.append(worker)
-            missing -= count
+            missing -= worker.count_holdable(step)
             if missing <= 0:
                 for item in chosen:
                     self._steps_by_worker[item.worker_id] = step
@@ -66,6 +62,21 @@
         return ()
 
 
+def could_hold(
+    step: jobs.StepOccurrence, workers: Sequence[workers_lib.Worker]
+) -> bool:
+    """Returns whether a step fits once all short units have ended.
+
+    That is one of its units or a whole gang.
+    """
+    missing = step.spec.count if step.spec.is_gang else 1
+    for worker in workers:
+        missing -= _count_permitted(worker, step)
+        if missing <= 0:
+            return True
+    return False
+
+
 def may_reserve(
     step: jobs.StepOccurrence, rank: ranking.Rank, now_s: float
 ) -> bool:
@@ -86,6 +97,15 @@
             return False
 
 
+def _count_permitted(
+    worker: workers_lib.Worker, step: jobs.StepOccurrence
+) -> int:
+    """Returns how many units may run once all short units have ended."""
+    if step.job.policy.advice and worker.worker_id not in step.tickets:
+        return 0
+    return worker.count_holdable(step)
+
+
 def _rate(
     worker: workers_lib.Worker, step: jobs.StepOccurrence
 ) -> tuple[bool, int]:
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -62,6 +62,9 @@
         "runs",
         "slow_factor",
         "units_per_step",
+        "_short_accelerators",
+        "_short_cpu",
+        "_short_memory",
     )
 
     def __init__(self, instance: WorkerInstance) -> None:
@@ -69,6 +72,10 @@
         self.free_cpu = instance.capacity.cpu_millis
         self.free_memory = instance.capacity.memory_mb
         self.free_accelerators = instance.capacity.accelerators
+        # Resources of the runs of short units, which end by themselves.
+        self._short_cpu = 0
+        self._short_memory = 0
+        self._short_accelerators = 0
         self.runs: dict[tuple[str, int], jobs.Run] = {}
         self.units_per_step: dict[str, int] = {}
         self.is_reachable = False
@@ -147,15 +154,9 @@
             spec.required_label not in self.instance.labels
         ):
             return 0
-        cpu, memory = self.free_cpu, self.free_memory
-        accelerators = self.free_accelerators
-        for run in self.runs.values():
-            other = run.unit.step.spec
-            if other.is_long_running:
-                continue
-            cpu += 0 if other.is_filling else other.demand.cpu_millis
-            memory += other.demand.memory_mb
-            accelerators += other.demand.accelerators
+        cpu = self.free_cpu + self._short_cpu
+        memory = self.free_memory + self._short_memory
+        accelerators = self.free_accelerators + self._short_accelerators
         limits = [spec.max_per_worker or spec.count]
         if spec.max_per_worker:
             limits[0] -= self.units_per_step.get(step.key, 0)
@@ -188,7 +189,13 @@
 
     def _change_free_capacity(self, spec: model.Step, sign: int) -> None:
         demand = spec.demand
-        if not spec.is_filling:
-            self.free_cpu += sign * demand.cpu_millis
-        self.free_memory += sign * demand.memory_mb
-        self.free_accelerators += sign * demand.accelerators
+        cpu = 0 if spec.is_filling else sign * demand.cpu_millis
+        memory = sign * demand.memory_mb
+        accelerators = sign * demand.accelerators
+        self.free_cpu += cpu
+        self.free_memory += memory
+        self.free_accelerators += accelerators
+        if not spec.is_long_running:
+            self._short_cpu -= cpu
+            self._short_memory -= memory
+            self._short_accelerators -= accelerators
