Claim services although the store refuses the partition of another

Callers would see the work of several services wait while the store refuses the partition of one: each node claimed unowned services one after the other, always in the same order, and the first call that failed ended the round. The services behind it stayed without an owner for as long as the partition was refused, on all nodes. A pending release that failed had the same effect. The platform's store may be unavailable in part, and a partition with more than a second of waiting writes refuses further ones.

A node rebalances only once its releases are stored, as before.

Found by reading. test_node_partial_store failed on the code before: the refusal ended the round with an error and no other service was claimed.

--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -18,6 +18,7 @@
 from fireflywell.coordination import row_store
 from fireflywell.node import directory as directory_lib
 from fireflywell.node import heartbeat as heartbeat_lib
+from fireflywell.node import owner_changes
 from fireflywell.node import owner_records
 from fireflywell.node import tables
 from fireflywell.telemetry import logs
@@ -72,6 +73,7 @@
     """Claims and releases services and runs the owners of those claimed."""
 
     __slots__ = (
+        "_changes",
         "_claimed_at",
         "_clock",
         "_directory",
@@ -111,6 +113,7 @@
         self._unowned_since: dict[str, datetime.timedelta] = {}
         # Callback that stops the owner, for each service that this node owns.
         self._owned: dict[str, Callable[[], None]] = {}
+        self._changes = owner_changes.OwnerChanges(clock)
         self._claimed_at: dict[str, datetime.timedelta] = {}
         # Releases that may not be stored yet, by service.
         self._releasing: dict[str, row_store.Transaction] = {}
@@ -153,13 +156,20 @@
     async def reconcile(self) -> None:
         """Stores pending releases, claims unowned services and rebalances.
 
+        The store may refuse some partitions only. A service whose partition
+        doesn't answer therefore doesn't hold up the others.
+
         Raises:
-            PlatformError: The store doesn't answer; the next call continues.
+            PlatformError: The store doesn't answer a release for rebalancing;
+                the next call continues.
         """
-        for service in tuple(self._releasing):
-            await self._store_release(service)
-        await self._claim_unowned()
-        await self._rebalance()
+        await self._changes.run_each(
+            tuple(self._releasing), self._store_release
+        )
+        await self._changes.run_each(self._choose_claims(), self._claim)
+        # Until a release is stored, the service still counts as this node's.
+        if not self._releasing:
+            await self._rebalance()
 
     async def release_all(self) -> None:
         """Releases all services before a planned stop."""
@@ -227,7 +237,8 @@
                 counts[node] = counts.get(node, 0) + 1
         return counts
 
-    async def _claim_unowned(self) -> None:
+    def _choose_claims(self) -> list[str]:
+        """Returns the unowned services that this node is to claim."""
         now = self._clock.monotonic()
         unowned = tuple(
             s for s in self.list_partitions() if self._is_unowned(s)
@@ -239,6 +250,7 @@
         chosen = owner_records.choose_owners(
             unowned, self._count_owned(), nodes
         )
+        claims = []
         for service in unowned:
             since = self._unowned_since.setdefault(service, now)
             is_open_to_all = now - since > _ANY_NODE_CLAIM_DELAY
@@ -246,7 +258,8 @@
                 service
             )
             if preferred_node == self._name or is_open_to_all:
-                await self._claim(service)
+                claims.append(service)
+        return claims
 
     def _find_successor(self, service: str, nodes: tuple[str, ...]) -> str:
         cached = self._rows.get(service)
--- a/tests/test_node_ownership.py
+++ b/tests/test_node_ownership.py
@@ -30,12 +30,12 @@
         self.renewal_count = 9
 
 
-class _World:
+class World:
     """Ownership managers of some nodes over one store, run by the test."""
 
     def __init__(self, *names: str) -> None:
         self.clock = clock_lib.ManualClock()
-        self.store = store_standin.MemoryRowStore(self.clock)
+        self.store = self.make_store()
         # Owners that were started and stopped, in order.
         self.events: list[str] = []
         self._beats = 0
@@ -63,6 +63,10 @@
             metrics_lib.NullMetrics(),
         )
 
+    def make_store(self) -> store_standin.MemoryRowStore:
+        """Returns the store of all nodes."""
+        return store_standin.MemoryRowStore(self.clock)
+
     def pass_time(self, seconds: float) -> None:
         """Advances the clock, and then lets all nodes renew their rows."""
         self.clock.advance(datetime.timedelta(seconds=seconds))
@@ -104,9 +108,9 @@
 
     def run_world(
         self, *, loses_answer: bool = False, is_down: bool = False
-    ) -> _World:
+    ) -> World:
         """Claims and releases a service, and reconciles both nodes twice."""
-        world = _World("a", "b")
+        world = World("a", "b")
 
         async def run() -> None:
             await world.check_all()
@@ -146,7 +150,7 @@
 
     def test_services_stay_while_nodes_restart_in_turn(self) -> None:
         """Fails if a service moves again whenever a node restarts."""
-        world = _World("a", "b")
+        world = World("a", "b")
 
         async def run() -> int:
             await world.check_all()
