Stop runs of a restarted worker although other units are away

Callers saw a long-running step without any unit at work while a worker was sound. A stop of an eviction is held back while too many other units of the step are away. If the worker restarts after the eviction and a transmission of the run's start has no answer, the run counts until its stop is confirmed. It isn't at work any more, but its stop was still held back: the other unit waited for the worker that this run occupied, and this one for the other unit. The drain of the worker didn't end either.

The stop is now sent at once, as that of an unknown start is. If the next incarnation reports the run, it is at work and the limit holds again.

--- a/src/fireflywell/scheduling/evictions.py
+++ b/src/fireflywell/scheduling/evictions.py
@@ -85,7 +85,9 @@
     """Returns whether a run is stopped although `may_be_away` limits that.
 
     The members of a gang are stopped together, and those of an ended job
-    whenever possible. A run whose start is unknown doesn't count as at work.
+    whenever possible. A run whose start is unknown doesn't count as at work,
+    nor does one whose worker has restarted: its stop only keeps the next
+    incarnation from carrying out its start.
     """
     step = run.unit.step
     return (
@@ -93,6 +95,7 @@
         and step.spec.is_long_running
         and step.spec.may_be_away > 0
         and not step.spec.is_gang
+        and not run.may_be_of_former_incarnation
         and step.job.job_id in state.jobs
     )
 
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -98,6 +98,14 @@
         """Whether the worker hasn't confirmed that it has the order."""
         return self.phase in (RunPhase.SENDING, RunPhase.START_UNKNOWN)
 
+    @property
+    def may_be_of_former_incarnation(self) -> bool:
+        """Whether an answer to its start may be of a former incarnation."""
+        return (
+            self.phase is not RunPhase.SENDING
+            and self.may_start_until_ms == math.inf
+        )
+
     def confirm(self, now_s: float) -> None:
         """Records that the worker has begun the run, which it does once."""
         if self.is_start_open:
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -240,7 +240,7 @@
 
     def confirm_start(self, run: jobs_lib.Run, now_s: float) -> None:
         """Marks a run as running after its worker accepted the start."""
-        if not _may_be_of_former_incarnation(run):
+        if not run.may_be_of_former_incarnation:
             run.confirm(now_s)
 
     def refuse_start(
@@ -264,7 +264,7 @@
         worker = self.workers.get(run.worker_id)
         match reason:
             case orders.Refusal.OLD_RUN:
-                if not _may_be_of_former_incarnation(run):
+                if not run.may_be_of_former_incarnation:
                     run.confirm_over(now_s)
                 return
             case orders.Refusal.NO_TICKET:
@@ -562,7 +562,7 @@
             run = self._adopt_run(worker, item, now_s)
             if run is None:
                 return
-        if run.is_start_open:
+        if run.is_start_open or run.may_be_of_former_incarnation:
             run.confirm(now_s)
         run.percent = item.percent
         run.load = item.load
@@ -611,7 +611,7 @@
         """
         for run in worker.runs.values():
             if run.phase is not jobs_lib.RunPhase.STOPPING and not (
-                _may_be_of_former_incarnation(run)
+                run.may_be_of_former_incarnation
             ):
                 continue
             if run.stop_requested_s is None:
@@ -626,7 +626,7 @@
         That one's clock differs from the clock of the lease in the order.
         """
         is_known = run.phase is jobs_lib.RunPhase.STOPPING or (
-            _may_be_of_former_incarnation(run)
+            run.may_be_of_former_incarnation
         )
         if is_known and run.may_start_until_ms == math.inf:
             return
@@ -731,14 +731,6 @@
                 self._stop_runs(unit)
 
 
-def _may_be_of_former_incarnation(run: jobs_lib.Run) -> bool:
-    """Returns whether an answer to a start may be of a former incarnation."""
-    return (
-        run.phase is not jobs_lib.RunPhase.SENDING
-        and run.may_start_until_ms == math.inf
-    )
-
-
 def make_job(
     submission: model.Submission, store_now_s: float, now_s: float
 ) -> jobs_lib.Job:
