Store counts of waiting jobs only while the owner's jobs are recent

An owner counted the jobs that it held with the present time, also before it had read them, or while it read new ones late; other nodes use stored counts that are recent. It now stores none then, and other nodes count the jobs themselves.

--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -1,6 +1,7 @@
 """Adds stored jobs and cancellations to the state of their service."""
 
 from collections.abc import Callable
+import datetime
 
 import anyio
 
@@ -24,6 +25,7 @@
         "_state",
         "_claim_version",
         "_clock",
+        "_confirmed_at",
         "_missing_jobs",
         "_loaded",
         "_record_arrival",
@@ -54,6 +56,8 @@
         self._on_change = on_change
         self._stored_progress: dict[str, row_store.Row] = {}
         self._loaded = anyio.Event()
+        # Monotonic time at which the applied rows were last up to date.
+        self._confirmed_at: datetime.timedelta | None = None
         # Jobs that workers reported and that are no longer in the store.
         self._missing_jobs: set[str] = set()
 
@@ -61,6 +65,16 @@
     def _is_first_snapshot(self) -> bool:
         return not self._loaded.is_set()
 
+    def mark_confirmed(self, at: datetime.timedelta) -> None:
+        """Records that all rows up to a monotonic time were applied."""
+        self._confirmed_at = at
+
+    def measure_age(self) -> datetime.timedelta | None:
+        """Returns how old the applied rows may be; None before a snapshot."""
+        if self._confirmed_at is None:
+            return None
+        return self._clock.monotonic() - self._confirmed_at
+
     async def wait_until_loaded(self) -> None:
         """Waits until the first snapshot is applied.
 
--- a/src/fireflywell/node/progress_writer.py
+++ b/src/fireflywell/node/progress_writer.py
@@ -32,6 +32,10 @@
 # Interval at which the numbers of waiting jobs are stored.
 _WAITING_COUNTS_INTERVAL = datetime.timedelta(milliseconds=900)
 
+# Jobs that were read longer ago aren't counted: callers are promised that jobs
+# accepted 5 s ago are in the number, and stored counts are used for almost 2 s.
+_MAX_JOBS_AGE = datetime.timedelta(seconds=2.5)
+
 # Final states are kept this many times as long as callers may read them.
 _RETENTION_FACTOR = 1.5
 _SWEEP_INTERVAL = datetime.timedelta(seconds=5)
@@ -142,17 +146,27 @@
             while self._state.dirty:
                 await self._store_batch()
 
-    async def run_waiting_counts(self) -> None:
+    async def run_waiting_counts(
+        self, measure_jobs_age: Callable[[], datetime.timedelta | None]
+    ) -> None:
         """Stores the numbers of waiting jobs at each interval, even unchanged.
 
         Other nodes use them only while they are recent: old numbers mean that
-        the service has no owner that counts newer jobs.
+        the service has no owner that counts newer jobs. They count the jobs
+        themselves while the owner hasn't read them, or is behind.
+
+        Args:
+            measure_jobs_age: Returns how old the jobs may be that the state
+                holds; None if they weren't read yet.
 
         Raises:
             TenureLostError: Another node owns the service.
         """
         while True:
             await self._clock.sleep(_WAITING_COUNTS_INTERVAL)
+            jobs_age = measure_jobs_age()
+            if jobs_age is None or jobs_age > _MAX_JOBS_AGE:
+                continue
             by_queue = collections.Counter(
                 job.policy.queue
                 for job in self._state.jobs.values()
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import datetime
+import functools
 import random
 
 import anyio
@@ -243,12 +244,17 @@
             lambda: (self.service,),
             self._loader.apply_snapshot,
             self._loader.apply_changes,
+            on_confirmed=self._loader.mark_confirmed,
         )
         children = (
             supervisor_lib.Child("jobs", follower.run, restart),
             supervisor_lib.Child("writer", self._writer.run, restart),
             supervisor_lib.Child(
-                "waiting-counts", self._writer.run_waiting_counts, restart
+                "waiting-counts",
+                functools.partial(
+                    self._writer.run_waiting_counts, self._loader.measure_age
+                ),
+                restart,
             ),
             supervisor_lib.Child("sweep", self._writer.run_sweep, restart),
             supervisor_lib.Child(
