Take less processor time for a planning pass beside much waiting work

A pass looked at all runs of each worker for open starts, twice, compared ranks by their generated methods, asked each step's policy, and checked the cordon of each worker. Workers now keep the unanswered runs and the number of filling units, ranks have a key of plain numbers, and cordons are updated when the drain requests change.

--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -223,7 +223,9 @@
 
     async def run(self) -> None:
         """Loads the service's state and runs it until stopped."""
-        end_subscription = self._fleet_cache.subscribe(self._wake_maintenance)
+        end_subscription = self._fleet_cache.subscribe(
+            self._handle_fleet_change
+        )
         try:
             with self._scope:
                 await self._load()
@@ -417,7 +419,9 @@
         """Wakes the sync task, because the list of workers may have changed."""
         self._sync_wake.set()
 
-    def _wake_maintenance(self) -> None:
+    def _handle_fleet_change(self) -> None:
+        # Nothing may be placed on a VM once its request is known to be ready.
+        self._update_cordons()
         self._maintenance_wake.set()
 
     def _wake_planner(self) -> None:
@@ -455,7 +459,6 @@
                 self._guard.permits_orders and self._fleet_cache.is_loaded
             )
             if self._state.has_waiting_units and is_planning:
-                self._update_cordons()
                 self._plan()
             self._wait_reporter.report(
                 self._now_s(),
--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -142,9 +142,7 @@
         self.cpu = worker.free_cpu
         self.memory = worker.free_memory
         self.accelerators = worker.free_accelerators
-        self.filling = sum(
-            run.unit.step.spec.is_filling for run in worker.runs.values()
-        )
+        self.filling = worker.filling_units
         self.units_per_step = dict(worker.units_per_step)
         self.open_starts = worker.open_starts
 
@@ -245,12 +243,13 @@
     best: workers_lib.Worker | None = None
     best_cost = 0.0
     data_rack = step.spec.preferred_rack
+    needs_ticket = step.job.policy.advice is not None
     for worker in workers:
         if only_rack and worker.instance.rack != only_rack:
             continue
         if reservations.is_reserved_for_other(worker, step):
             continue
-        if step.job.policy.advice and worker.worker_id not in step.tickets:
+        if needs_ticket and worker.worker_id not in step.tickets:
             continue
         if not capacity.fits(worker, step):
             continue
--- a/src/fireflywell/scheduling/ranking.py
+++ b/src/fireflywell/scheduling/ranking.py
@@ -47,6 +47,11 @@
     cost: float
     arrived_s: float
 
+    @property
+    def sort_key(self) -> tuple[int, int, float, float]:
+        """Orders ranks like `<`, several times as fast."""
+        return (self.band, self.priority, self.cost, self.arrived_s)
+
 
 class MeanWork:
     """Weighted mean of the work of a queue's jobs, in core-seconds.
--- a/src/fireflywell/scheduling/reservations.py
+++ b/src/fireflywell/scheduling/reservations.py
@@ -23,7 +23,10 @@
         self, worker: workers_lib.Worker, step: jobs.StepOccurrence
     ) -> bool:
         """Returns whether a worker is reserved for another step."""
-        return self.find_other_holder(worker, step) is not None
+        # Most passes reserve nothing.
+        return bool(self._steps_by_worker) and (
+            self.find_other_holder(worker, step) is not None
+        )
 
     def find_other_holder(
         self, worker: workers_lib.Worker, step: jobs.StepOccurrence
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -205,11 +205,9 @@
         Returns:
             The new runs, which the caller must start.
         """
-        candidates = [
-            step
-            for step in self._waiting_steps.values()
-            if self.is_recovery_complete or not step.job.is_recovered
-        ]
+        candidates = list(self._waiting_steps.values())
+        if not self.is_recovery_complete:
+            candidates = [s for s in candidates if not s.job.is_recovered]
         if not candidates:
             return []
         for step in candidates:
@@ -217,7 +215,7 @@
                 step.ready_since_s = now_s
             if step.waiting_since_s is None:
                 step.waiting_since_s = now_s
-            if step.job.policy.advice and now_s >= step.tickets_until_s:
+            if step.tickets and now_s >= step.tickets_until_s:
                 step.tickets = {}
         usable = planning_pass.list_usable(self.workers.values(), now_s)
         ranked = []
@@ -226,7 +224,7 @@
             start_s = ranking.find_objective_start_s(step)
             rank = ranking.rank_step(step, now_s, start_s, mean)
             ranked.append(planning_pass.RankedStep(rank, step))
-        ranked.sort(key=lambda item: item.rank)
+        ranked.sort(key=lambda item: item.rank.sort_key)
         self.reservations = reservations.Reservations()
         placements = planning_pass.place_units(
             ranked,
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -49,6 +49,7 @@
     __slots__ = (
         "avoid_until_s",
         "consecutive_failures",
+        "filling_units",
         "free_accelerators",
         "free_cpu",
         "free_memory",
@@ -65,6 +66,7 @@
         "_short_accelerators",
         "_short_cpu",
         "_short_memory",
+        "_unanswered",
     )
 
     def __init__(self, instance: WorkerInstance) -> None:
@@ -77,6 +79,10 @@
         self._short_memory = 0
         self._short_accelerators = 0
         self.runs: dict[tuple[str, int], jobs.Run] = {}
+        # Runs whose start it may not have answered.
+        self._unanswered: list[jobs.Run] = []
+        # Number of the runs of filling units.
+        self.filling_units = 0
         self.units_per_step: dict[str, int] = {}
         self.is_reachable = False
         # Whether its VM belongs to the spare pool and moves away after a peak
@@ -113,8 +119,13 @@
 
     @property
     def open_starts(self) -> int:
-        """Number of its runs whose start it hasn't answered."""
-        return sum(run.is_start_open for run in self.runs.values())
+        """Number of its runs whose start it hasn't answered.
+
+        Runs whose start was answered leave the list, so that a planning pass
+        doesn't look at all runs of each worker.
+        """
+        self._unanswered = [r for r in self._unanswered if r.is_start_open]
+        return len(self._unanswered)
 
     def accepts_runs(self, now_s: float) -> bool:
         """Returns whether new runs of any step may be placed on the worker."""
@@ -172,6 +183,8 @@
         """Adds a run and allocates its resources."""
         step = run.unit.step
         self.runs[run.unit.name, run.number] = run
+        self._unanswered.append(run)
+        self.filling_units += step.spec.is_filling
         self._change_free_capacity(step.spec, -1)
         self.units_per_step[step.key] = self.units_per_step.get(step.key, 0) + 1
 
@@ -180,6 +193,7 @@
         if self.runs.pop((run.unit.name, run.number), None) is None:
             return
         step = run.unit.step
+        self.filling_units -= step.spec.is_filling
         self._change_free_capacity(step.spec, 1)
         remaining = self.units_per_step[step.key] - 1
         if remaining:
