Keep the limit of a wave when withdrawn requests are settled

Callers would see more VMs down than their wave permits (rule LIMIT). A new controller repeats the orders that its predecessor may have sent for drained VMs whose request no wave asks for any more, to learn what became of them. It sent all of them at once. The platform carries them out if the VMs belong to the wave, such as VMs that weren't listed when the wave was completed.

Such an order now counts like any other: it waits while as many VMs of the wave as permitted may be down, one if the wave isn't known any more. The controller also remembers that the VM is down.

Found by reading. The new test in test_node_closed_requests failed on the code before: three VMs were ordered where one was permitted.

--- a/src/fireflywell/node/fleet_controller.py
+++ b/src/fireflywell/node/fleet_controller.py
@@ -108,6 +108,7 @@
             waves,
             self._orders,
             self._store_request,
+            self._order_withdrawn,
             self._completed_waves,
             clock,
         )
@@ -506,15 +507,8 @@
         self, wave: maintenance.Wave, request: maintenance.DrainRequest
     ) -> bool:
         """Orders the maintenance of a VM; returns whether it has begun."""
-        # The list in memory doesn't show the effect of the order. The next one
-        # is read a full interval after it.
-        self._listed_at = self._clock.monotonic()
-        outcome = await self._orders.begin_maintenance(
-            request.vm_id, wave.number
-        )
-        match outcome:
+        match await self._order_maintenance(request):
             case vm_orders.OrderOutcome.BEGUN:
-                self._down.add(request.vm_id)
                 await self._store_request(
                     dataclasses.replace(
                         request, phase=maintenance.DrainPhase.DONE
@@ -527,6 +521,42 @@
             case vm_orders.OrderOutcome.POSTPONED:
                 return False
 
+    async def _order_maintenance(
+        self, request: maintenance.DrainRequest
+    ) -> vm_orders.OrderOutcome:
+        # The list in memory doesn't show the effect of the order. The next one
+        # is read a full interval after it.
+        self._listed_at = self._clock.monotonic()
+        outcome = await self._orders.begin_maintenance(
+            request.vm_id, request.wave
+        )
+        if outcome is vm_orders.OrderOutcome.BEGUN:
+            self._down.add(request.vm_id)
+        return outcome
+
+    async def _order_withdrawn(
+        self, request: maintenance.DrainRequest
+    ) -> vm_orders.OrderOutcome:
+        """Orders the maintenance of a VM that its wave doesn't ask for now.
+
+        The platform may carry it out, so the limit of the wave holds; it is 1
+        if the wave isn't known any more.
+        """
+        await self._refresh_vms()
+        wave = self._waves.waves.get(request.wave)
+        others = {
+            other.vm_id
+            for other in self._fleet_cache.list_drain_requests()
+            if other.wave == request.wave
+        }
+        if wave is not None:
+            others.update(wave.vm_ids)
+        others.discard(request.vm_id)
+        limit = wave.max_count if wave is not None else 1
+        if sum(self._may_be_down(vm_id) for vm_id in others) >= limit:
+            return vm_orders.OrderOutcome.POSTPONED
+        return await self._order_maintenance(request)
+
     def _are_all_maintained(self, wave: maintenance.Wave) -> bool:
         return all(self._is_maintained(wave, name) for name in wave.vm_ids)
 
--- a/src/fireflywell/node/request_closer.py
+++ b/src/fireflywell/node/request_closer.py
@@ -18,6 +18,9 @@
 _SETTLE_DELAY = datetime.timedelta(seconds=2)
 
 StoreRequest = Callable[[maintenance.DrainRequest], Awaitable[bool]]
+OrderMaintenance = Callable[
+    [maintenance.DrainRequest], Awaitable[vm_orders.OrderOutcome]
+]
 
 
 class RequestCloser:
@@ -32,6 +35,7 @@
         "_clock",
         "_completed_waves",
         "_fleet_cache",
+        "_order_maintenance",
         "_orders",
         "_ready_since",
         "_refused",
@@ -46,6 +50,7 @@
         waves: maintenance_waves.MaintenanceWaves,
         orders: vm_orders.VmOrders,
         store_request: StoreRequest,
+        order_maintenance: OrderMaintenance,
         completed_waves: Set[int],
         clock: clock_lib.Clock,
     ) -> None:
@@ -56,6 +61,8 @@
         self._waves = waves
         self._orders = orders
         self._store_request = store_request
+        # Orders a VM's maintenance if the limit of its wave permits that.
+        self._order_maintenance = order_maintenance
         # VMs whose request was due in this tenure. No earlier owner has ordered
         # what a later request for them asks for.
         self._seen_due: set[str] = set()
@@ -132,10 +139,7 @@
             return
         if not self._orders.may_send(vm_id):
             return
-        outcome = await self._orders.begin_maintenance(
-            request.vm_id, request.wave
-        )
-        match outcome:
+        match await self._order_maintenance(request):
             case vm_orders.OrderOutcome.BEGUN:
                 done = dataclasses.replace(
                     request, phase=maintenance.DrainPhase.DONE
--- a/tests/test_node_closed_requests.py
+++ b/tests/test_node_closed_requests.py
@@ -111,6 +111,28 @@
         self.assertEqual(world.ordered, [])
         self.assertIs(world.find_phase("m-1"), _DONE)
 
+    def test_vms_that_come_back_are_maintained_within_the_limit(self) -> None:
+        """Fails if more VMs than the wave permits are down (rule LIMIT).
+
+        A new controller repeats the orders that its predecessor may have sent
+        for drained VMs. It ordered all of them at once.
+        """
+        world = fleet_orders.World()
+        world.load_waves()
+        world.add_wave(1, "m-1", "m-2", "m-3")
+        for name in ("m-1", "m-2", "m-3"):
+            world.fleet.add_vm(name, instance_id=f"w-{name}")
+            world.add_request(name, 1, "ready")
+        world.store.put(
+            row_store.RowKey(tables.STATUS, "", "wave/1"),
+            fleet_cache.encode_wave_state("completed"),
+        )
+        anyio.run(world.run, 6)
+        self.assertEqual(world.ordered, [("m-1", "wave 1")])
+        world.fleet.set_state("m-1", maintenance.VmState.UP)
+        anyio.run(world.run, 6)
+        self.assertEqual(len(world.ordered), 2)
+
 
 class RefusedWaveTest(unittest.TestCase):
     """Maintenance that the platform refuses as not of its wave."""
