Name open starts as the reason for which work waits

While all workers had as many starts without an answer as they may have, the log said that other steps go first. Operators then look at the order of the work, not at the workers.

test_waiting_work failed on the code before: the reason for a unit held off by open starts was `behind_other_work`.

--- a/src/fireflywell/scheduling/wait_reasons.py
+++ b/src/fireflywell/scheduling/wait_reasons.py
@@ -20,6 +20,7 @@
         draining: Leave soon.
         cordoned: Are kept free for maintenance or a move.
         paused: Refused or failed starts a moment ago.
+        open_starts: Haven't answered as many starts as they may have.
         label: Lack the required label.
         max_per_worker: Run as many units of the step as allowed.
         ticket: Have no ticket of the advice service.
@@ -32,6 +33,7 @@
     draining: int = 0
     cordoned: int = 0
     paused: int = 0
+    open_starts: int = 0
     label: int = 0
     max_per_worker: int = 0
     ticket: int = 0
@@ -270,6 +272,7 @@
         ("draining", worker.instance.is_draining),
         ("cordoned", worker.is_cordoned),
         ("paused", now_s < worker.avoid_until_s),
+        ("open_starts", worker.open_starts >= workers_lib.MAX_OPEN_STARTS),
         (
             "label",
             bool(spec.required_label)
--- a/tests/test_waiting_work.py
+++ b/tests/test_waiting_work.py
@@ -8,6 +8,7 @@
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import wait_reasons
 from fireflywell.scheduling import waiting_work
+from fireflywell.scheduling import workers as workers_lib
 from fireflywell.telemetry import prometheus_metrics
 from tests import captured_log
 from tests import node_world
@@ -200,6 +201,18 @@
         )
         self.assertEqual(run.worker_id, first.worker_id)
 
+    def test_open_starts(self) -> None:
+        """Fails if open starts hold work off and the reason is another."""
+        limit = workers_lib.MAX_OPEN_STARTS
+        small = model.ResourceAmounts(100, 100)
+        self.add_job(node_world.make_step(2 * limit + 1, demand=small))
+        self.assertEqual(len(self.state.plan(0.0)), 2 * limit)
+        self.add_job(node_world.make_step(demand=small), job_id=_OTHER_ID)
+        self.assertEqual(
+            self.find_reason(),
+            wait_reasons.NoWorkerFits(wait_reasons.Obstacles(open_starts=2)),
+        )
+
     def test_missing_ticket(self) -> None:
         """Fails if a unit without a ticket passes for one behind others."""
         policy = model.QueuePolicy(
