Let short units use reserved workers until the reserving step fits

Since overdue steps reserve workers in their turn, a gang reserves as many as hold all of it, up to the whole pool, and nothing else starts there. If one of the workers runs a long unit, the others stay empty until that has ended: in a simulation with four workers and a unit of 60 s, 29 small jobs waited for up to 59 s beside three empty workers. A long-running unit that waits for a large part of a worker holds up the rest of that worker in the same way; that is older.

Units that are expected to end before the reserving step fits may now use its workers, as they don't delay it. Expected ends follow from the durations that the steps name or have shown.

--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -50,7 +50,7 @@
         self._free = {
             worker.worker_id: _FreeResources(worker) for worker in workers
         }
-        # Workers that are reserved for a step.
+        # Workers that are closed to all steps but one.
         self._withheld: set[str] = set()
         self._largest_cpu = 0
         self._update_largest_cpu()
@@ -247,7 +247,7 @@
     for worker in workers:
         if only_rack and worker.instance.rack != only_rack:
             continue
-        if reservations.is_reserved_for_other(worker, step):
+        if reservations.is_closed_to(worker, step):
             continue
         if needs_ticket and worker.worker_id not in step.tickets:
             continue
--- a/src/fireflywell/scheduling/planning_pass.py
+++ b/src/fireflywell/scheduling/planning_pass.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 import dataclasses
 import itertools
+import math
 
 from fireflywell.scheduling import jobs
 from fireflywell.scheduling import model
@@ -130,6 +131,12 @@
     return _Shape(spec.demand, spec.required_label, spec.is_filling)
 
 
+def _find_longest_duration(step: jobs.StepOccurrence) -> float:
+    """Returns the expected duration of a unit; inf if it is unknown."""
+    duration_s = step.expected_unit_duration_s
+    return duration_s if duration_s > 0 else math.inf
+
+
 def place_units(
     ranked: Sequence[RankedStep],
     workers: Sequence[workers_lib.Worker],
@@ -220,9 +227,10 @@
                 key=lambda item: item.rank.arrived_s,
             )
         )
-        # Shapes of which no more units fit and for which no worker is left to
-        # reserve. Both last for a pass, in which capacity only decreases.
-        self._unfitting: set[_Shape] = set()
+        # Shapes of which no more units fit, with the shortest duration for
+        # which that is known, and those for which no worker is left to reserve.
+        # Both last for a pass, in which capacity only decreases.
+        self._unfitting: dict[_Shape, float] = {}
         self._unreservable: set[_Shape] = set()
         # Workers for the units of each long-running step.
         self._candidates: dict[str, Sequence[workers_lib.Worker]] = {}
@@ -293,7 +301,7 @@
         if not step.spec.is_filling and not self._capacity.has_enough_cpu(step):
             return 0
         shape = _find_shape(step)
-        if shape in self._unfitting or not _is_startable(step):
+        if self._is_unfitting(step, shape) or not _is_startable(step):
             return 0
         units = self._list_waiting(step)
         workers = self._list_candidates(step)
@@ -310,11 +318,18 @@
                 self._capacity,
             )
         if shape is not None and len(chosen) < min(max_units, len(units)):
-            self._unfitting.add(shape)
+            self._unfitting[shape] = _find_longest_duration(step)
         self._placed_counts[step.key] += len(chosen)
         self.placements.extend(chosen)
         return len(chosen)
 
+    def _is_unfitting(
+        self, step: jobs.StepOccurrence, shape: _Shape | None
+    ) -> bool:
+        if shape is None or shape not in self._unfitting:
+            return False
+        return _find_longest_duration(step) >= self._unfitting[shape]
+
     def _reserve(self, step: jobs.StepOccurrence) -> bool:
         shape = _find_shape(step)
         if shape in self._unreservable or not _is_startable(step):
@@ -322,7 +337,9 @@
         workers = self._reservations.reserve(step, self._list_candidates(step))
         if shape is not None and not workers:
             self._unreservable.add(shape)
-        self._capacity.withhold(workers)
+        self._capacity.withhold(
+            [w for w in workers if self._reservations.is_closed(w)]
+        )
         return bool(workers)
 
     def _list_candidates(
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -225,7 +225,7 @@
             rank = ranking.rank_step(step, now_s, start_s, mean)
             ranked.append(planning_pass.RankedStep(rank, step))
         ranked.sort(key=lambda item: item.rank.sort_key)
-        self.reservations = reservations.Reservations()
+        self.reservations = reservations.Reservations(now_s)
         placements = planning_pass.place_units(
             ranked,
             tuple(self.workers.values()),
