Store the progress of other jobs although a row is rejected

Callers would see no job of a service end any more. A batch that the store rejects as invalid, such as one with a row above its limit, was repeated unchanged for ever, and changed jobs are written in the same order each time. An unexpected error in the writer's task lost the changes of its batch: a final state among them was never stored.

After a rejection fewer jobs are written at a time, until the row that is rejected by itself is known. It is logged once as `progress.rejected` and is tried again after the others. After an unexpected error the changes are marked again before the task ends, and its next run stores them.

--- a/src/fireflywell/node/progress_writer.py
+++ b/src/fireflywell/node/progress_writer.py
@@ -2,6 +2,8 @@
 
 import collections
 from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
 import datetime
 import random
 
@@ -42,6 +44,13 @@
 _ROWS_PER_SWEEP = 20
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Rejected:
+    """The store rejected a transaction as invalid."""
+
+    reason: str
+
+
 class ProgressWriter:
     """Writes changed jobs of one service while its tenure lasts.
 
@@ -53,10 +62,12 @@
     __slots__ = (
         "_state",
         "_clock",
+        "_batch_size",
         "_ended_at_s",
         "_in_flight",
         "_is_store_unreachable",
         "_on_tenure_lost",
+        "_rejected",
         "_retention",
         "_store",
         "_stored",
@@ -87,6 +98,10 @@
         # Jobs of the transaction that has no answer yet.
         self._in_flight: frozenset[str] = frozenset()
         self._is_store_unreachable = False
+        # Jobs per transaction, fewer after the store has rejected one.
+        self._batch_size = _JOBS_PER_WRITE
+        # Jobs whose row was rejected by itself; each is logged once.
+        self._rejected: set[str] = set()
         # When each final state was stored, on the store's clock.
         self._ended_at_s: dict[str, float] = {}
 
@@ -197,26 +212,26 @@
         stored.set()
 
     async def _store_batch(self) -> None:
-        jobs = self._state.take_dirty(_JOBS_PER_WRITE)
+        jobs = self._state.take_dirty(self._batch_size)
         self._in_flight = frozenset(job.job_id for job in jobs)
+        try:
+            await self._store_jobs(jobs)
+        except Exception:
+            # The supervisor starts this task again; the changes must not be
+            # lost with it.
+            self._mark_dirty(jobs)
+            self._wake.set()
+            raise
+        finally:
+            self._signal_stored()
+
+    async def _store_jobs(self, jobs: list[jobs_lib.Job]) -> None:
         service = self._tenure.service
-        expected = [self._tenure.make_condition()]
-        puts = []
         now_s = self._store.now_s()
-        for job in jobs:
-            finished = self._state.finished.get(job.job_id)
-            reason = finished.reason if finished else ""
-            row_key = tables.locate_progress(service, job.job_id)
-            expected.append(row_store.Condition(row_key, job.row_version))
-            progress = job_rows.snapshot_progress(job, now_s, reason)
-            puts.append(
-                row_store.Put(row_key, job_rows.encode_progress(progress))
-            )
-        result = await self._transact(
-            row_store.Transaction(tuple(expected), tuple(puts))
-        )
-        match result:
+        transaction = self._make_transaction(jobs, now_s)
+        match await self._transact(transaction):
             case row_store.Committed(version=version):
+                self._batch_size = min(_JOBS_PER_WRITE, 2 * self._batch_size)
                 for job in jobs:
                     job.row_version = version
                     self._mark_final_stored(job, now_s)
@@ -225,12 +240,52 @@
                 for job in jobs:
                     row_key = tables.locate_progress(service, job.job_id)
                     job.row_version = conflict.find_version(row_key)
-                    self._state.dirty[job.job_id] = True
+                self._mark_dirty(jobs)
+            case _Rejected(reason=reason):
+                await self._isolate_rejected(jobs, reason)
             case None:
-                for job in jobs:
-                    self._state.dirty[job.job_id] = True
+                self._mark_dirty(jobs)
                 await self._clock.sleep(_RETRY_DELAY)
-        self._signal_stored()
+
+    def _make_transaction(
+        self, jobs: list[jobs_lib.Job], now_s: float
+    ) -> row_store.Transaction:
+        expected = [self._tenure.make_condition()]
+        puts = []
+        for job in jobs:
+            finished = self._state.finished.get(job.job_id)
+            reason = finished.reason if finished else ""
+            row_key = tables.locate_progress(self._tenure.service, job.job_id)
+            expected.append(row_store.Condition(row_key, job.row_version))
+            progress = job_rows.snapshot_progress(job, now_s, reason)
+            puts.append(
+                row_store.Put(row_key, job_rows.encode_progress(progress))
+            )
+        return row_store.Transaction(tuple(expected), tuple(puts))
+
+    async def _isolate_rejected(
+        self, jobs: list[jobs_lib.Job], reason: str
+    ) -> None:
+        """Writes fewer jobs at a time, and a single rejected one last.
+
+        One row that the store never accepts must not keep the others out.
+        """
+        self._batch_size = max(1, len(jobs) // 2)
+        if len(jobs) > 1:
+            self._mark_dirty(jobs)
+        else:
+            (job,) = jobs
+            self._state.dirty.setdefault(job.job_id, False)
+            if job.job_id not in self._rejected:
+                self._rejected.add(job.job_id)
+                logs.log_event(
+                    "progress.rejected", job=job.job_id, error=reason
+                )
+        await self._clock.sleep(_RETRY_DELAY)
+
+    def _mark_dirty(self, jobs: Iterable[jobs_lib.Job]) -> None:
+        for job in jobs:
+            self._state.dirty[job.job_id] = True
 
     def _mark_final_stored(self, job: jobs_lib.Job, now_s: float) -> None:
         if not job.state.is_final or job.job_id in self._state.dirty:
@@ -251,9 +306,12 @@
 
     async def _transact(
         self, transaction: row_store.Transaction
-    ) -> row_store.Committed | row_store.Conflict | None:
+    ) -> row_store.Committed | row_store.Conflict | _Rejected | None:
+        """Returns the result; None if the store doesn't answer."""
         try:
             result = await self._store.transact(transaction)
+        except errors.PlatformRejectedError as error:
+            return _Rejected(str(error))
         except errors.PlatformError as error:
             if not self._is_store_unreachable:
                 self._is_store_unreachable = True
@@ -281,7 +339,7 @@
         match result:
             case row_store.Conflict() as conflict:
                 self._check_owner(conflict)
-            case row_store.Committed() | None:
+            case _:
                 return
 
     async def _remove_jobs(self, job_ids: list[str]) -> None:
