Repeat an order at once after its time limit has passed

The pause of 150 ms before a start or stop is repeated keeps calls that fail at once from being made in a loop. After a lost answer the time limit of the call has passed already, and the pause only added to it, so the pause now counts from when the call was sent.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -22,8 +22,7 @@
 from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
 
-_MAX_QUEUED_STARTS = 512
-_MAX_QUEUED_THROTTLES = 512
+_MAX_QUEUED_ORDERS = 512
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=150)
 
@@ -138,7 +137,7 @@
         """
         match command:
             case StartCommand(run=run) if (
-                _count_queued(self._start_sender) >= _MAX_QUEUED_STARTS
+                _count_queued(self._start_sender) >= _MAX_QUEUED_ORDERS
             ):
                 self._state.refuse_start(
                     run, orders.Refusal.NO_ROOM, self._now_s()
@@ -146,7 +145,7 @@
             case StartCommand():
                 self._start_sender.send_nowait(command)
             case ThrottleCommand(run=run) if (
-                _count_queued(self._order_sender) >= _MAX_QUEUED_THROTTLES
+                _count_queued(self._order_sender) >= _MAX_QUEUED_ORDERS
             ):
                 run.is_share_confirmed = False
             case _ if command not in self._open_orders:
@@ -244,6 +243,7 @@
             attempts += 1
             sent_s = self._now_s()
             run.unanswered_starts += 1
+            sent_s = self._now_s()
             try:
                 outcome = await self._client.start(
                     dataclasses.replace(order, timeout=timeout)
@@ -256,9 +256,7 @@
                 continue
             except errors.PlatformError as error:
                 self._log_unanswered_start(run, str(error))
-                # A connection that ends at once must not be tried in a loop
-                # without pause.
-                await self._clock.sleep(_RETRY_DELAY)
+                await self._pause_since(sent_s)
                 continue
             run.unanswered_starts -= 1
             self._times.record(self._now_s() - sent_s)
@@ -303,13 +301,14 @@
         ):
             await self._clock.sleep(_RETRY_DELAY)
             return False
+        sent_s = self._now_s()
         try:
             outcome = await self._client.stop(
                 orders.StopOrder(unit, number, self._token)
             )
         except errors.PlatformError:
-            await self._clock.sleep(_RETRY_DELAY)
-            return not self._has_run(unit, number)
+            await self._pause_since(sent_s)
+            return (unit, number) not in self._worker.runs
         self._record_answer(outcome)
         match outcome:
             case orders.Accepted():
@@ -323,7 +322,7 @@
                 return True
             case _:
                 await self._clock.sleep(_RETRY_DELAY)
-                return not self._has_run(unit, number)
+                return (unit, number) not in self._worker.runs
 
     async def _throttle(self, run: jobs_lib.Run, percent: int) -> None:
         is_current = run.share_percent == percent
@@ -347,6 +346,12 @@
             case _:
                 self._log_failed_throttle(run, repr(outcome))
 
+    async def _pause_since(self, sent_s: float) -> None:
+        """Keeps calls from being repeated in a loop if they fail at once."""
+        elapsed = datetime.timedelta(seconds=self._now_s() - sent_s)
+        if elapsed < _RETRY_DELAY:
+            await self._clock.sleep(_RETRY_DELAY - elapsed)
+
     def _log_failed_throttle(self, run: jobs_lib.Run, reason: str) -> None:
         logs.log_event(
             "worker.pace_failed",
@@ -360,9 +365,6 @@
             case orders.Accepted() | orders.Refused():
                 self.answered_s = self._now_s()
 
-    def _has_run(self, unit: str, number: int) -> bool:
-        return (unit, number) in self._worker.runs
-
     def _log_refusal(self, run: jobs_lib.Run, reason: str) -> None:
         self._metrics.count("node.runs.refused")
         logs.log_event(
