Excuse a lost worker in the soak by the lease of a start only

A worker that was disturbed as a wait began excused as much as the loss of an owner, 11.1 s, so that units which were queued for it passed the check. Without a lost owner, all that it can hold back is a unit that was started on it, until the lease in that start is over: 6.1 s. The new test failed on the check before ("False is not true": a wait of 9.2 s wasn't found).

--- a/tests/test_soak_waits.py
+++ b/tests/test_soak_waits.py
@@ -102,6 +102,18 @@
         self.assertTrue(self.find(bound_s + 0.1, silent, losses[0]))
         self.assertTrue(self.find(_ACCEPTED_S + 30.0, silent, *losses))
 
+    def test_worker_that_falls_silent_excuses_the_lease_of_a_start(
+        self,
+    ) -> None:
+        """Fails if a lost worker excuses as much as a lost owner, too."""
+        silent = soak_waits.FaultSeen(
+            soak_plan.LinkFault("w3", link_proxy.Silent(), math.inf),
+            _ACCEPTED_S - 1.0,
+        )
+        bound_s = _ACCEPTED_S + soak_waits.START_LEASE_S + soak_waits.ALLOWED_S
+        self.assertFalse(self.find(bound_s - 0.1, silent))
+        self.assertTrue(self.find(bound_s + 0.1, silent))
+
     def test_silent_worker_alone_excuses_nothing(self) -> None:
         """Fails if a worker lost long ago excuses waits beside others."""
         silent = soak_waits.FaultSeen(
--- a/tools/soak_waits.py
+++ b/tools/soak_waits.py
@@ -34,7 +34,7 @@
 
 # A start that got no answer may be carried out until the lease in it is over,
 # and its unit waits until then.
-_START_LEASE_S = soak_plan.MAX_HOLD_S * (1 + worker_leases.CLOCK_DRIFT)
+START_LEASE_S = soak_plan.MAX_HOLD_S * (1 + worker_leases.CLOCK_DRIFT)
 
 # A successor can't know what runs on a worker that it doesn't reach. It waits
 # for the former owner's lease, the time for which that one still renews the
@@ -43,7 +43,7 @@
 TAKEOVER_S = (
     soak_plan.LEASE_S
     + worker_leases.RENEWAL_GRACE.total_seconds()
-    + _START_LEASE_S
+    + START_LEASE_S
 )
 
 # Waits that are described one by one.
@@ -112,7 +112,7 @@
         worker_faults = _list_worker_faults(job.service, records, faults)
         for name, wait, pause_s in _list_waits(job, records, observed.ended_s):
             held = [
-                soak_spans.Span(item.at_s, item.at_s + _START_LEASE_S)
+                soak_spans.Span(item.at_s, item.at_s + START_LEASE_S)
                 for item in records.held
                 if item.unit.startswith(name)
             ]
@@ -249,7 +249,7 @@
         case soak_plan.PlatformFault(
             fault=values.StartsUnanswered(worker=worker)
         ):
-            yield worker, soak_spans.Span(begun_s, begun_s + _START_LEASE_S)
+            yield worker, soak_spans.Span(begun_s, begun_s + START_LEASE_S)
 
 
 def _find_grace(
@@ -257,18 +257,20 @@
     excuses: Iterable[soak_spans.Span],
     worker_faults: Iterable[soak_spans.Span],
 ) -> float:
-    """Returns for how long silent workers may hold a unit back.
+    """Returns for how long disturbed workers may hold a unit back.
 
-    That is so if one was disturbed as the wait began or during it, or if an
-    owner was lost while one was.
+    A successor has to wait for workers that don't answer. Without one, a unit
+    may have been started on a worker that was disturbed just then.
     """
-    nearby = soak_spans.Span(wait.begun_s - CALM_S, wait.ended_s)
     losses = [item for item in excuses if item.overlaps(wait)]
+    nearby = soak_spans.Span(wait.begun_s - CALM_S, wait.ended_s)
+    grace_s = 0.0
     for fault in worker_faults:
-        is_new = nearby.begun_s <= fault.begun_s <= nearby.ended_s
-        if is_new or any(fault.overlaps(loss) for loss in losses):
+        if any(fault.overlaps(loss) for loss in losses):
             return TAKEOVER_S
-    return 0.0
+        if nearby.begun_s <= fault.begun_s <= nearby.ended_s:
+            grace_s = START_LEASE_S
+    return grace_s
 
 
 def _find_room(
