Skip jobs that missed their objective when VMs are counted

Each 150 ms the owner computed the critical path of every active job twice, to find that most of a backlog has missed its objective and calls no VM. With 900 jobs that took 22 ms on this machine, on a busy owner a third of its core. Jobs that missed it once are skipped now: 4 ms in the same state, with about half of the jobs missed.

--- a/src/fireflywell/scheduling/capacity.py
+++ b/src/fireflywell/scheduling/capacity.py
@@ -52,7 +52,13 @@
 class DemandEstimator:
     """Estimates how many VMs a service needs beyond those of its own pool."""
 
-    __slots__ = ("_arrivals", "_empty_since_s", "_hold_until_s", "_last_need")
+    __slots__ = (
+        "_arrivals",
+        "_empty_since_s",
+        "_hold_until_s",
+        "_last_need",
+        "_missed",
+    )
 
     def __init__(self) -> None:
         self._arrivals: collections.deque[_Arrival] = collections.deque()
@@ -60,6 +66,8 @@
         # Monotonic time since when the service has no worker; None if it has.
         self._empty_since_s: float | None = None
         self._hold_until_s = 0.0
+        # Identifiers of active jobs that have missed their objective.
+        self._missed: set[str] = set()
 
     def record_arrival(self, now_s: float, core_seconds: float) -> None:
         """Records an accepted job and its work in core-seconds."""
@@ -90,19 +98,7 @@
             sum(a.core_seconds for a in arrivals) / _ARRIVAL_WINDOW_S,
             self._forecast_rate(now_s),
         )
-        backlog = 0.0
-        for job in state.jobs.values():
-            if job.is_long_running:
-                continue
-            critical_path_s = ranking.compute_critical_path_s(
-                job, 0, remaining=False
-            )
-            objective_s = ranking.compute_objective_s(job, 0)
-            if now_s - job.arrived_s > objective_s:
-                # Has missed its objective, so more VMs don't help.
-                continue
-            work = ranking.compute_remaining_work(job)
-            backlog += work / max(0.5, critical_path_s)
+        backlog = self._compute_backlog(state, now_s)
         if self._has_no_worker(state, now_s):
             # The size of a VM isn't known before the first one has come.
             return int(bool(state.jobs))
@@ -125,6 +121,31 @@
             self._empty_since_s = now_s
         return now_s - self._empty_since_s > _NO_WORKER_DELAY_S
 
+    def _compute_backlog(
+        self, state: service_state.ServiceState, now_s: float
+    ) -> float:
+        """Returns the cores that finish the jobs within their critical paths.
+
+        Jobs that have missed their objective don't count, because more VMs
+        don't help them. They stay missed, so that a backlog of thousands of
+        them costs no processor time.
+        """
+        self._missed.intersection_update(state.jobs)
+        backlog = 0.0
+        for job_id, job in state.jobs.items():
+            if job_id in self._missed or job.is_long_running:
+                continue
+            critical_path_s = ranking.compute_critical_path_s(
+                job, 0, remaining=False
+            )
+            objective_s = ranking.compute_objective_s(job, 0)
+            if now_s - job.arrived_s > objective_s:
+                self._missed.add(job_id)
+                continue
+            work = ranking.compute_remaining_work(job)
+            backlog += work / max(0.5, critical_path_s)
+        return backlog
+
     def _forecast_rate(self, now_s: float) -> float:
         """Returns the expected arrival rate after `_VM_LEAD_TIME_S`.
 
