Move the requests for stops out of the service's state

`stop_requests` now holds the pending stops, those of runs without a unit and the repeats; what a restart of the worker means for a run is decided by the run.

--- a/src/fireflywell/scheduling/evictions.py
+++ b/src/fireflywell/scheduling/evictions.py
@@ -95,7 +95,7 @@
         and step.spec.is_long_running
         and step.spec.may_be_away > 0
         and not step.spec.is_gang
-        and not run.may_be_of_former_incarnation
+        and not run.may_start_on_next_incarnation
         and step.job.job_id in state.jobs
     )
 
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -99,8 +99,12 @@
         return self.phase in (RunPhase.SENDING, RunPhase.START_UNKNOWN)
 
     @property
-    def may_be_of_former_incarnation(self) -> bool:
-        """Whether an answer to its start may be of a former incarnation."""
+    def may_start_on_next_incarnation(self) -> bool:
+        """Whether an order to the worker's former incarnation is open.
+
+        The next incarnation may carry it out, and an answer to it may be the
+        former one's.
+        """
         return (
             self.phase is not RunPhase.SENDING
             and self.may_start_until_ms == math.inf
@@ -119,6 +123,30 @@
         self.may_start_until_ms = -math.inf
         self.confirmed_s = now_s
 
+    def end_incarnation(self) -> bool:
+        """Records that the worker restarted while start orders are open.
+
+        The next incarnation's clock differs from that of the lease in the
+        order, so only a confirmed stop and a later report end the run.
+
+        Returns:
+            Whether the run's stop has to be requested now.
+        """
+        if self.may_start_on_next_incarnation and (
+            self.is_start_open or self.phase is RunPhase.STOPPING
+        ):
+            return False
+        is_unwanted = self.phase in (
+            RunPhase.STOPPING,
+            RunPhase.AWAITING_REPORT,
+        )
+        self.phase = (
+            RunPhase.STOPPING if is_unwanted else RunPhase.START_UNKNOWN
+        )
+        self.may_start_until_ms = math.inf
+        self.stop_requested_s = None
+        return True
+
     def is_over(self, clock_ms: int, requested_s: float) -> bool:
         """Returns whether a complete report without the run proves its end.
 
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -18,6 +18,7 @@
 from fireflywell.scheduling import planning_pass
 from fireflywell.scheduling import ranking
 from fireflywell.scheduling import reservations
+from fireflywell.scheduling import stop_requests
 from fireflywell.scheduling import workers as workers_lib
 
 # Run numbers of a unit that belong to one fencing token. Each owner starts
@@ -40,21 +41,6 @@
 _FAILURE_PAUSE_S = 4.0
 
 
-# A run that reports still list this long after a stop was requested is stopped
-# again.
-_STOP_RETRY_INTERVAL_S = 1.0
-_MAX_ORPHAN_STOPS = 2000
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class StopRequest:
-    """Request to stop a run on a worker."""
-
-    worker_id: str
-    unit: str
-    run: int
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class FinishedJob:
     """A job in a final state; the reason is empty if it completed."""
@@ -77,16 +63,15 @@
     __slots__ = (
         "_first_run_number",
         "_mean_work_by_queue",
-        "_orphan_stop_times",
         "_overdue_share",
         "_recurring_job_ids",
+        "_stop_requests",
         "_waiting_steps",
         "dirty",
         "final_states",
         "finished",
         "is_recovery_complete",
         "jobs",
-        "pending_stops",
         "reservations",
         "stop_timeout_s",
         "workers",
@@ -115,12 +100,9 @@
         self.dirty: dict[str, bool] = {}
         # Jobs whose final state isn't stored yet.
         self.finished: dict[str, FinishedJob] = {}
-        # Stops that haven't been sent yet, oldest first.
-        self.pending_stops: collections.deque[StopRequest] = collections.deque()
         # Reservations of the last planning pass.
         self.reservations = reservations.Reservations()
-        # When the stop of a run without a matching unit was last requested.
-        self._orphan_stop_times: dict[StopRequest, float] = {}
+        self._stop_requests = stop_requests.StopRequests()
         # Whether all units that a previous owner left running were found. Until
         # then, units of recovered jobs aren't started.
         self.is_recovery_complete = False
@@ -130,6 +112,11 @@
         """Whether any ready step has waiting units."""
         return bool(self._waiting_steps)
 
+    @property
+    def pending_stops(self) -> collections.deque[stop_requests.StopRequest]:
+        """Stops that haven't been sent yet, oldest first."""
+        return self._stop_requests.pending
+
     def list_waiting_steps(self) -> tuple[jobs_lib.StepOccurrence, ...]:
         """Returns the ready steps that have waiting units."""
         return tuple(self._waiting_steps.values())
@@ -145,7 +132,7 @@
             # No transmission is open, and none follows.
             run.may_start_until_ms = -math.inf
         run.phase = jobs_lib.RunPhase.STOPPING
-        self._request_stop(run)
+        self._stop_requests.add(run)
 
     def add_job(self, job: jobs_lib.Job) -> None:
         """Adds a job unless it was added before, and queues its ready steps.
@@ -238,7 +225,7 @@
 
     def confirm_start(self, run: jobs_lib.Run, now_s: float) -> None:
         """Marks a run as running after its worker accepted the start."""
-        if not run.may_be_of_former_incarnation:
+        if not run.may_start_on_next_incarnation:
             run.confirm(now_s)
 
     def refuse_start(
@@ -262,7 +249,7 @@
         worker = self.workers.get(run.worker_id)
         match reason:
             case orders.Refusal.OLD_RUN:
-                if not run.may_be_of_former_incarnation:
+                if not run.may_start_on_next_incarnation:
                     run.confirm_over(now_s)
                 return
             case orders.Refusal.NO_TICKET:
@@ -283,7 +270,7 @@
             # caller can't spare its unit.
             may_be_stopped = not run.unit.step.spec.may_be_away
             if may_be_stopped and reason is not orders.Refusal.LEASE_OVER:
-                self._request_stop(run)
+                self._stop_requests.add(run)
 
     def mark_start_unknown(self, run: jobs_lib.Run) -> None:
         """Marks a start without an answer as unknown.
@@ -349,7 +336,7 @@
         for key, run in tuple(worker.runs.items()):
             if key not in listed and run.is_over(report.clock_ms, requested_s):
                 self._drop_run(run)
-        self._repeat_stops(worker, now_s)
+        self._stop_requests.repeat(worker, now_s)
         return last_end
 
     def find_unknown_jobs(self, report: orders.WorkerReport) -> frozenset[str]:
@@ -398,7 +385,8 @@
         dropped = []
         for run in tuple(worker.runs.values()):
             if run.unanswered_starts:
-                self._stop_start_of_former_incarnation(run)
+                if run.end_incarnation():
+                    self._stop_requests.add(run)
             elif (
                 run.phase is jobs_lib.RunPhase.SENDING
                 or run.confirmed_s < requested_s
@@ -560,7 +548,7 @@
             run = self._adopt_run(worker, item, now_s)
             if run is None:
                 return
-        if run.is_start_open or run.may_be_of_former_incarnation:
+        if run.is_start_open or run.may_start_on_next_incarnation:
             run.confirm(now_s)
         run.percent = item.percent
         run.load = item.load
@@ -578,9 +566,10 @@
             and not unit.runs
         )
         if unit is None or not can_adopt:
-            self._stop_orphan_run(
-                StopRequest(worker.worker_id, item.unit, item.run), now_s
+            request = stop_requests.StopRequest(
+                worker.worker_id, item.unit, item.run
             )
+            self._stop_requests.add_orphan(request, now_s)
             return None
         run = jobs_lib.Run(unit, item.run, worker.worker_id, now_s)
         run.confirm(now_s)
@@ -596,66 +585,6 @@
         worker.add_run(run)
         return run
 
-    def _request_stop(self, run: jobs_lib.Run) -> None:
-        self.pending_stops.append(
-            StopRequest(run.worker_id, run.unit.name, run.number)
-        )
-
-    def _repeat_stops(self, worker: workers_lib.Worker, now_s: float) -> None:
-        """Requests the stops again that a worker hasn't confirmed in time.
-
-        A start that the next incarnation may carry out is settled by its stop
-        only.
-        """
-        for run in worker.runs.values():
-            if run.phase is not jobs_lib.RunPhase.STOPPING and not (
-                run.may_be_of_former_incarnation
-            ):
-                continue
-            if run.stop_requested_s is None:
-                run.stop_requested_s = now_s
-            elif now_s - run.stop_requested_s >= _STOP_RETRY_INTERVAL_S:
-                run.stop_requested_s = now_s
-                self._request_stop(run)
-
-    def _stop_start_of_former_incarnation(self, run: jobs_lib.Run) -> None:
-        """Stops a run whose open start the next incarnation may carry out.
-
-        That one's clock differs from the clock of the lease in the order.
-        """
-        is_known = run.phase is jobs_lib.RunPhase.STOPPING or (
-            run.may_be_of_former_incarnation
-        )
-        if is_known and run.may_start_until_ms == math.inf:
-            return
-        if run.phase in (
-            jobs_lib.RunPhase.STOPPING,
-            jobs_lib.RunPhase.AWAITING_REPORT,
-        ):
-            run.phase = jobs_lib.RunPhase.STOPPING
-        else:
-            run.phase = jobs_lib.RunPhase.START_UNKNOWN
-        run.may_start_until_ms = math.inf
-        run.stop_requested_s = None
-        self._request_stop(run)
-
-    def _stop_orphan_run(self, request: StopRequest, now_s: float) -> None:
-        """Requests the stop of a run that no unit accounts for.
-
-        Reports list the run until it has ended, so the request is repeated only
-        after `_STOP_RETRY_INTERVAL_S`.
-        """
-        requested_s = self._orphan_stop_times.get(request)
-        if (
-            requested_s is not None
-            and now_s - requested_s < _STOP_RETRY_INTERVAL_S
-        ):
-            return
-        if len(self._orphan_stop_times) > _MAX_ORPHAN_STOPS:
-            self._orphan_stop_times.clear()
-        self._orphan_stop_times[request] = now_s
-        self.pending_stops.append(request)
-
     def _find_unit(self, name: str) -> jobs_lib.Unit | None:
         parts = jobs_lib.parse_unit_name(name)
         if parts is None:
--- a/tests/test_scheduling_service_state.py
+++ b/tests/test_scheduling_service_state.py
@@ -5,7 +5,7 @@
 from fireflywell.scheduling import job_rows
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
-from fireflywell.scheduling import service_state
+from fireflywell.scheduling import stop_requests
 from tests import node_world
 from tests import scheduling_samples as samples
 
@@ -127,7 +127,7 @@
             self.state.apply_report("w1", report, at_s, at_s)
         self.assertEqual(
             list(self.state.pending_stops),
-            [service_state.StopRequest("w1", "x.0.0.0", 1)],
+            [stop_requests.StopRequest("w1", "x.0.0.0", 1)],
         )
 
     def test_end_of_a_gang_member_ends_the_others(self) -> None:
