Let a worker be filled at once, and keep planning and calls cheap

In the burst of 2 s to 8 s the owner uses its whole core and reads answers late, so that six starts for each round trip didn't fill a worker, and each pass counted the open starts of all workers twice.

--- a/src/fireflywell/http_client.py
+++ b/src/fireflywell/http_client.py
@@ -276,7 +276,7 @@
         self._address = address
         self._host = host
         self._port = int(port)
-        # `_acquire_connection` closes stale connections when it reaches them.
+        # `_take_idle_connection` closes stale connections when it reaches them.
         for connection in self._idle:
             connection.is_stale = True
 
@@ -293,16 +293,19 @@
         limit_bytes: int | None,
         connect_timeout: datetime.timedelta | None,
     ) -> Response:
-        first_timeout = connect_timeout or timeout
-        connection: Connection | None = None
+        connection = await self._take_idle_connection()
+        first_timeout = timeout
+        if connection is None and connect_timeout is not None:
+            first_timeout = connect_timeout
         is_reusable = False
         try:
             with anyio.fail_after(first_timeout.total_seconds()) as scope:
-                connection = await self._acquire_connection()
-                if connect_timeout is not None:
-                    scope.deadline = (
-                        anyio.current_time() + timeout.total_seconds()
-                    )
+                if connection is None:
+                    connection = await self._open_connection()
+                    if connect_timeout is not None:
+                        scope.deadline = (
+                            anyio.current_time() + timeout.total_seconds()
+                        )
                 response, is_reusable = await connection.exchange(
                     request,
                     _SlidingDeadline(scope, timeout, self._clock),
@@ -328,7 +331,7 @@
                 else:
                     await connection.close()
 
-    async def _acquire_connection(self) -> Connection:
+    async def _take_idle_connection(self) -> Connection | None:
         oldest_allowed = self._clock.monotonic() - _IDLE_TIMEOUT
         while self._idle:
             connection = self._idle.pop()
@@ -338,6 +341,9 @@
             ):
                 return connection
             await connection.close()
+        return None
+
+    async def _open_connection(self) -> Connection:
         if self._port > _MAX_PORT:
             raise errors.PlatformUnavailableError(
                 f"{self._address} can't be reached: ports end at {_MAX_PORT}"
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -35,6 +35,9 @@
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=150)
 
+# Starts that are sent to one worker at the same time.
+_MAX_CONCURRENT_STARTS = 6
+
 # Stops and throttles that are sent to one worker at the same time.
 _MAX_CONCURRENT_OTHER_ORDERS = 2
 
@@ -157,7 +160,7 @@
                                 self._order_sender.run_starts,
                                 restart,
                             )
-                            for number in range(workers_lib.MAX_OPEN_STARTS)
+                            for number in range(_MAX_CONCURRENT_STARTS)
                         ),
                         *(
                             supervisor_lib.Child(
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -38,6 +38,10 @@
     ENDED = enum.auto()  # The run has ended or was never started.
 
 
+# Planning checks the phase of each run in each pass.
+_OPEN_START_PHASES = (RunPhase.SENDING, RunPhase.START_UNKNOWN)
+
+
 class Run:
     """One attempt to run a unit on a worker."""
 
@@ -96,7 +100,7 @@
     @property
     def is_start_open(self) -> bool:
         """Whether the worker hasn't confirmed that it has the order."""
-        return self.phase in (RunPhase.SENDING, RunPhase.START_UNKNOWN)
+        return self.phase in _OPEN_START_PHASES
 
     @property
     def may_start_on_next_incarnation(self) -> bool:
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -6,10 +6,10 @@
 from fireflywell.scheduling import jobs
 from fireflywell.scheduling import model
 
-# Starts without an answer that a worker may have. Answers take milliseconds and
-# a planning pass follows each of them, so only a worker that doesn't answer
-# reaches the limit; further units then go to other workers.
-MAX_OPEN_STARTS = 6
+# Starts without an answer that a worker may have: enough to fill an empty
+# worker at once, because a busy owner reads answers late. Further units go to
+# other workers.
+MAX_OPEN_STARTS = 12
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/test_scheduling_open_starts.py
+++ b/tests/test_scheduling_open_starts.py
@@ -157,8 +157,10 @@
 
     def test_units_go_to_other_workers(self) -> None:
         """Fails if units queue behind starts that a worker doesn't answer."""
-        step = node_world.make_step(30, demand=model.ResourceAmounts(1000, 1))
         limit = workers_lib.MAX_OPEN_STARTS
+        step = node_world.make_step(
+            3 * limit, demand=model.ResourceAmounts(1000, 1)
+        )
         self.assertEqual(self.place(step), {"w1": limit, "w2": limit})
         self.assertEqual(self.state.plan(2.0), [])
         for run in tuple(self.state.workers["w2"].runs.values()):
