Excuse one takeover for each disturbed worker in the soak

The check excused one takeover from the start of a wait. That was too strict where a worker fell silent after a successor had started units on it, and was too kind where the owner of another service was lost.

Now each disturbed worker excuses the first loss of an owner while it is disturbed or after, so that a series of lost successors still doesn't begin the wait anew, and only losses of the owner of the service count. The soak reads the owner from the store when it makes a fault. A pause that is too short for the lease to lapse takes no owner away.

--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -172,7 +172,8 @@
     async def make_fault(self, fault: soak_plan.Fault) -> None:
         """Makes a fault and heals it again."""
         fault = await self._find_target(fault)
-        seen = soak_waits.FaultSeen(fault, self._now_s())
+        services = await self._find_services(fault)
+        seen = soak_waits.FaultSeen(fault, self._now_s(), services=services)
         self.faults.append(seen)
         disturbance = soak_configuration.describe_disturbance(
             fault, self._shape.nodes, self._now_s()
@@ -190,17 +191,40 @@
         match fault:
             case soak_plan.KillOwner(service=service, down_s=down_s):
                 return soak_plan.KillNode(
-                    await self._find_owner(service), down_s
+                    await self._find_owner(service) or 0, down_s
                 )
             case soak_plan.PauseOwner(service=service, seconds=seconds):
                 return soak_plan.PauseNode(
-                    await self._find_owner(service), seconds
+                    await self._find_owner(service) or 0, seconds
                 )
             case _:
                 return fault
 
-    async def _find_owner(self, service: str) -> int:
-        """Returns the number of a service's owner, or 0 if none is known."""
+    async def _find_services(
+        self, fault: soak_plan.Fault
+    ) -> frozenset[str] | None:
+        """Returns the services of a disturbed node, None if not known."""
+        match fault:
+            case (
+                soak_plan.KillNode(node=node)
+                | soak_plan.PauseNode(node=node)
+                | soak_plan.TermNode(node=node)
+            ):
+                number = node
+            case soak_plan.LinkFault(link=link) | soak_plan.ResetLink(
+                link=link
+            ) if link.startswith("node-"):
+                number = int(link.removeprefix("node-"))
+            case _:
+                return None
+        services = self._shape.services
+        owners = {name: await self._find_owner(name) for name in services}
+        return frozenset(
+            name for name, owner in owners.items() if owner in (number, None)
+        )
+
+    async def _find_owner(self, service: str) -> int | None:
+        """Returns the number of a service's owner, None if not known."""
         answer = await anyio.to_thread.run_sync(
             local_processes.send_request,
             "GET",
@@ -208,13 +232,14 @@
             f"{tables.OWNERS}&part={service}",
         )
         if answer is None or answer.status != 200:
-            return 0
+            return None
         for row in json.loads(answer.body)["rows"]:
             if row["key"] == tables.OWNER_KEY:
                 value = base64.b64decode(row["value"])
                 owner = owner_records.decode_owner(value)
-                return int(owner.node.partition("-")[2] or 0)
-        return 0
+                number = owner.node.removeprefix("node-")
+                return int(number) if number else None
+        return None
 
     def _now_s(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/tools/soak_waits.py
+++ b/tools/soak_waits.py
@@ -38,8 +38,8 @@
 
 # A successor can't know what runs on a worker that it doesn't reach. It waits
 # for the former owner's lease, the time for which that one still renews the
-# leases on workers, and the last of these leases. It is counted once from the
-# start of a wait: losing the successors, too, must not begin it anew.
+# leases on workers, and the last of these leases. Each disturbance of a worker
+# allows it once: losing the successors, too, must not begin it anew.
 TAKEOVER_S = (
     soak_plan.LEASE_S
     + worker_leases.RENEWAL_GRACE.total_seconds()
@@ -61,11 +61,13 @@
         fault: The fault.
         begun_s: When it began.
         ended_s: When it healed; infinite before that.
+        services: Services whose owner it disturbed; None if that isn't known.
     """
 
     fault: soak_plan.Fault
     begun_s: float
     ended_s: float = math.inf
+    services: frozenset[str] | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -99,33 +101,33 @@
         observed: From the start of the traffic until the records were read.
         stalls: When the machine gave the soak no processor time.
     """
-    excuses = [soak_spans.Span(-math.inf, observed.begun_s + CALM_S)]
-    excuses += [soak_spans.Span(s.begun_s, s.ended_s + CALM_S) for s in stalls]
-    excuses += [s for f in faults for s in _list_excuses(f)]
+    start = soak_spans.Span(-math.inf, observed.begun_s + CALM_S)
+    stalled = [soak_spans.Span(s.begun_s, s.ended_s + CALM_S) for s in stalls]
     found = []
+    excuses: dict[str, list[soak_spans.Span]] = {}
     room: dict[str, list[soak_spans.Span]] = {}
     for job in jobs:
         if job.accepted_s is None:
             continue
-        if job.service not in room:
-            room[job.service] = _find_room(job.service, records, faults)
-        worker_faults = _list_worker_faults(job.service, records, faults)
+        service = job.service
+        if service not in room:
+            room[service] = _find_room(service, records, faults)
+            excuses[service] = [
+                start,
+                *_excuse(service, records, faults, stalled),
+            ]
         for name, wait, pause_s in _list_waits(job, records, observed.ended_s):
             held = [
                 soak_spans.Span(item.at_s, item.at_s + START_LEASE_S)
                 for item in records.held
                 if item.unit.startswith(name)
             ]
-            for span in soak_spans.intersect(wait, room[job.service]):
-                grace_s = _find_grace(span, excuses, worker_faults)
-                rest = soak_spans.Span(
-                    span.begun_s + max(grace_s, pause_s), span.ended_s
-                )
-                found.append(
-                    WaitSeen(
-                        name, span, soak_spans.measure(rest, excuses + held)
-                    )
+            pause = soak_spans.Span(wait.begun_s, wait.begun_s + pause_s)
+            for span in soak_spans.intersect(wait, room[service]):
+                counted_s = soak_spans.measure(
+                    span, [*excuses[service], *held, pause]
                 )
+                found.append(WaitSeen(name, span, counted_s))
     return found
 
 
@@ -217,16 +219,66 @@
             yield away
 
 
-def _list_worker_faults(
-    service: str, records: values.Records, faults: Iterable[FaultSeen]
+def _excuse(
+    service: str,
+    records: values.Records,
+    faults: Iterable[FaultSeen],
+    stalled: Iterable[soak_spans.Span],
 ) -> list[soak_spans.Span]:
+    """Returns when faults may keep a service's work from starting."""
+    own = sorted(
+        (
+            seen
+            for seen in faults
+            if seen.services is None or service in seen.services
+        ),
+        key=lambda seen: seen.begun_s,
+    )
+    excuses = [*stalled, *(span for f in own for span in _list_excuses(f))]
+    losses = [span for f in own if _takes_owner(f) for span in _list_excuses(f)]
     workers = {item.worker for item in records.lives if item.service == service}
-    return [
-        span
-        for seen in faults
-        for worker, span in _list_unsound(seen)
-        if worker in workers
-    ]
+    for seen in faults:
+        for worker, span in _list_unsound(seen):
+            if worker not in workers:
+                continue
+            # A unit may have been started there just then.
+            excuses.append(
+                soak_spans.Span(span.begun_s, span.begun_s + START_LEASE_S)
+            )
+            first = [loss for loss in losses if loss.overlaps(span)][:1]
+            takeovers = first + [s for s in stalled if s.overlaps(span)]
+            excuses += [
+                soak_spans.Span(item.begun_s, item.begun_s + TAKEOVER_S)
+                for item in takeovers
+            ]
+    return excuses
+
+
+def _takes_owner(seen: FaultSeen) -> bool:
+    """Returns whether the service gets another owner.
+
+    A node renews its lease three times while it lasts, so the last renewal may
+    be a third of it old when a node stands still.
+    """
+    is_long = seen.ended_s - seen.begun_s > soak_plan.LEASE_S * 2 / 3
+    match seen.fault:
+        case (
+            soak_plan.KillNode()
+            | soak_plan.KillAllNodes()
+            | soak_plan.TermNode()
+        ):
+            return True
+        case soak_plan.PauseNode():
+            return is_long
+        case soak_plan.LinkFault(link=link, state=link_proxy.Silent()):
+            return is_long and _is_node(link)
+        case soak_plan.PlatformFault(
+            fault=values.StoreDown(seconds=seconds)
+            | values.StoreSlow(seconds=seconds)
+        ):
+            return seconds > soak_plan.LEASE_S * 2 / 3
+        case _:
+            return False
 
 
 def _list_unsound(seen: FaultSeen) -> Iterator[tuple[str, soak_spans.Span]]:
@@ -252,27 +304,6 @@
             yield worker, soak_spans.Span(begun_s, begun_s + START_LEASE_S)
 
 
-def _find_grace(
-    wait: soak_spans.Span,
-    excuses: Iterable[soak_spans.Span],
-    worker_faults: Iterable[soak_spans.Span],
-) -> float:
-    """Returns for how long disturbed workers may hold a unit back.
-
-    A successor has to wait for workers that don't answer. Without one, a unit
-    may have been started on a worker that was disturbed just then.
-    """
-    losses = [item for item in excuses if item.overlaps(wait)]
-    nearby = soak_spans.Span(wait.begun_s - CALM_S, wait.ended_s)
-    grace_s = 0.0
-    for fault in worker_faults:
-        if any(fault.overlaps(loss) for loss in losses):
-            return TAKEOVER_S
-        if nearby.begun_s <= fault.begun_s <= nearby.ended_s:
-            grace_s = START_LEASE_S
-    return grace_s
-
-
 def _find_room(
     service: str, records: values.Records, faults: Iterable[FaultSeen]
 ) -> list[soak_spans.Span]:
