--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -409,9 +409,11 @@
         logs.log_event("worker.dropped", worker=worker_id, reason=reason)
 
     def _handle_session_change(self) -> None:
-        for worker_id, running in self._sessions.items():
-            if running.session.has_reported:
-                self._assigned_workers.mark_reported(worker_id)
+        # After the recovery, no report is missing. This runs after each order.
+        if not self._state.is_recovery_complete:
+            for worker_id, running in self._sessions.items():
+                if running.session.has_reported:
+                    self._assigned_workers.mark_reported(worker_id)
         self._writer.wake()
         self._wake_planner()
 
