Shorten time limits of workers' answers only after a loss

In the burst its owner uses its whole core and reads answers late. Time limits of 0.25 s took some of them as lost, closed their connections and sent the calls again, when the owner had no time for that.

The shorter limit holds for 3 s after a call had no answer within the longest limit.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -241,7 +241,6 @@
         while self._may_send(run, order):
             timeout = self._times.choose_timeout(attempts, orders.ORDER_TIMEOUT)
             attempts += 1
-            sent_s = self._now_s()
             run.unanswered_starts += 1
             sent_s = self._now_s()
             try:
@@ -255,6 +254,7 @@
                 await self._clock.sleep(_RETRY_DELAY)
                 continue
             except errors.PlatformError as error:
+                self._times.record_loss(timeout, orders.ORDER_TIMEOUT)
                 self._log_unanswered_start(run, str(error))
                 await self._pause_since(sent_s)
                 continue
--- a/src/fireflywell/node/report_schedule.py
+++ b/src/fireflywell/node/report_schedule.py
@@ -37,6 +37,7 @@
         "_clock",
         "_losses",
         "_short_wait_until_s",
+        "_timeout",
         "_times",
         "_unanswered_since_s",
     )
@@ -46,6 +47,8 @@
     ) -> None:
         self._clock = clock
         self._times = times
+        # Time limit of the last request.
+        self._timeout = orders.REPORT_TIMEOUT
         # Report requests without an answer since the last answer.
         self._losses = 0
         # Monotonic time of the first of them that no answer to an order
@@ -63,6 +66,7 @@
         timeout = self._times.choose_timeout(
             self._losses, orders.REPORT_TIMEOUT
         )
+        self._timeout = timeout
         if self._losses or is_idle:
             return ReportTiming(datetime.timedelta(), timeout)
         is_short = self._now_s() < self._short_wait_until_s
@@ -108,6 +112,7 @@
         """
         now_s = self._now_s()
         self._losses += 1
+        self._times.record_loss(self._timeout, orders.REPORT_TIMEOUT)
         self._short_wait_until_s = now_s + _SHORT_WAIT_PERIOD.total_seconds()
         since_s = self._unanswered_since_s
         if since_s is None or self.is_answering(order_answered_s):
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -103,7 +103,7 @@
         self._acknowledged_end = 0
         # Highest acknowledged number that the worker has received.
         self._received_end = 0
-        times = answer_times.AnswerTimes()
+        times = answer_times.AnswerTimes(clock)
         self._report_schedule = report_schedule.ReportSchedule(clock, times)
         self._wake = anyio.Event()
         self._order_sender = order_sender.OrderSender(
