Reserve workers for the four best steps only, and read the clock less

Backfilling needs reservations for the first steps of the order only. A step with a reservation keeps it while others end; the turn of the oldest overdue step isn't affected.

--- a/src/fireflywell/node/answer_times.py
+++ b/src/fireflywell/node/answer_times.py
@@ -73,13 +73,15 @@
             longest: Longest time limit, which is used before the first answer.
         """
         is_long = (losses + 1) % _CALLS_PER_LONG_TIMEOUT == 0
-        is_lossy = self._now_s() < self._lossy_until_s
-        if is_long or not is_lossy or self._mean_s is None:
+        if is_long or self._mean_s is None or not self._is_lossy():
             return longest
         estimate = datetime.timedelta(
             seconds=self._mean_s + _DEVIATIONS * self._deviation_s
         )
         return min(longest, max(_SHORTEST_TIMEOUT, estimate))
 
+    def _is_lossy(self) -> bool:
+        return self._lossy_until_s > 0 and self._now_s() < self._lossy_until_s
+
     def _now_s(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -238,15 +238,16 @@
         run.may_start_until_ms = order.lease_until_ms
         self._leases.extend()
         attempts = 0
-        while self._may_send(run, order):
+        # The caller has checked that the first transmission may be sent.
+        while not attempts or self._may_send(run, order):
             timeout = self._times.choose_timeout(attempts, orders.ORDER_TIMEOUT)
             attempts += 1
             run.unanswered_starts += 1
             sent_s = self._now_s()
+            if timeout != order.timeout:
+                order = dataclasses.replace(order, timeout=timeout)
             try:
-                outcome = await self._client.start(
-                    dataclasses.replace(order, timeout=timeout)
-                )
+                outcome = await self._client.start(order)
             except errors.PlatformUnavailableError:
                 run.unanswered_starts -= 1
                 if not run.unanswered_starts and attempts >= _MAX_SEND_ATTEMPTS:
--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -244,10 +244,11 @@
     best_cost = 0.0
     data_rack = step.spec.preferred_rack
     needs_ticket = step.job.policy.advice is not None
+    has_reservations = not reservations.is_empty
     for worker in workers:
         if only_rack and worker.instance.rack != only_rack:
             continue
-        if reservations.is_closed_to(worker, step):
+        if has_reservations and reservations.is_closed_to(worker, step):
             continue
         if needs_ticket and worker.worker_id not in step.tickets:
             continue
--- a/src/fireflywell/scheduling/planning_pass.py
+++ b/src/fireflywell/scheduling/planning_pass.py
@@ -26,6 +26,10 @@
 # would hold up the process.
 _MAX_LARGE_STEPS = 8
 
+# Steps of short units that reserve workers by their rank in one pass, the best
+# first. Looking for workers for hundreds of them would hold up the process.
+_MAX_RESERVING_STEPS = 4
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RankedStep:
@@ -185,6 +189,7 @@
         "_own_usable",
         "_placed_counts",
         "_reservations",
+        "_reserving_count",
         "_share",
         "_unfitting",
         "_unreservable",
@@ -236,6 +241,7 @@
         self._candidates: dict[str, Sequence[workers_lib.Worker]] = {}
         # Whether the step whose turn it is waits for its reserved workers.
         self._is_turn_over = False
+        self._reserving_count = 0
         self.placements: list[placement.Placement] = []
 
     @property
@@ -259,7 +265,7 @@
             count = self._place(step, max_units)
             if not count:
                 if reservations_lib.may_reserve(step, item.rank, self._now_s):
-                    self._reserve(step)
+                    self._reserve_by_rank(step, is_serving)
                 return
             if not is_serving:
                 self._share.record_other(step.spec, count)
@@ -330,6 +336,13 @@
             return False
         return _find_longest_duration(step) >= self._unfitting[shape]
 
+    def _reserve_by_rank(
+        self, step: jobs.StepOccurrence, is_serving: bool
+    ) -> None:
+        if is_serving or self._reserving_count < _MAX_RESERVING_STEPS:
+            has_reserved = self._reserve(step)
+            self._reserving_count += has_reserved and not is_serving
+
     def _reserve(self, step: jobs.StepOccurrence) -> bool:
         shape = _find_shape(step)
         if shape in self._unreservable or not _is_startable(step):
--- a/src/fireflywell/scheduling/reservations.py
+++ b/src/fireflywell/scheduling/reservations.py
@@ -53,6 +53,11 @@
         self._holds: dict[str, _Hold] = {}
         self._ends_by_worker: dict[str, list[_ExpectedEnd]] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no worker is reserved."""
+        return not self._holds
+
     def is_closed_to(
         self, worker: workers_lib.Worker, step: jobs.StepOccurrence
     ) -> bool:
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -124,7 +124,8 @@
         Runs whose start was answered leave the list, so that a planning pass
         doesn't look at all runs of each worker.
         """
-        self._unanswered = [r for r in self._unanswered if r.is_start_open]
+        if self._unanswered:
+            self._unanswered = [r for r in self._unanswered if r.is_start_open]
         return len(self._unanswered)
 
     def accepts_runs(self, now_s: float) -> bool:
