Read the time for a new connection from the client's clock

The time limit of a call on a new connection was computed from the event loop's clock; only the passed clock is read elsewhere. 7 tests of the client pass.

--- a/src/fireflywell/http_client.py
+++ b/src/fireflywell/http_client.py
@@ -301,11 +301,12 @@
         try:
             with anyio.fail_after(first_timeout.total_seconds()) as scope:
                 if connection is None:
+                    started = self._clock.monotonic()
                     connection = await self._open_connection()
+                    elapsed = self._clock.monotonic() - started
                     if connect_timeout is not None:
-                        scope.deadline = (
-                            anyio.current_time() + timeout.total_seconds()
-                        )
+                        extension = elapsed + timeout - connect_timeout
+                        scope.deadline += extension.total_seconds()
                 response, is_reusable = await connection.exchange(
                     request,
                     _SlidingDeadline(scope, timeout, self._clock),
