--- a/src/fireflywell/node/first_report.py
+++ b/src/fireflywell/node/first_report.py
@@ -63,6 +63,8 @@
     ) -> orders.WorkerReport | orders.OrderOutcome:
         """Returns the first answer to several requests.
 
+        A call that fails at once shows that another one is of no use yet.
+
         Raises:
             PlatformError: None was answered.
         """
@@ -86,6 +88,7 @@
                 group.start_soon(request, failed, group.cancel_scope)
                 with anyio.move_on_after(_SPACING.total_seconds()):
                     await failed.wait()
+                    break
         if not answers:
             raise failures[-1]
         return answers[0]
--- a/tests/test_node_first_report.py
+++ b/tests/test_node_first_report.py
@@ -74,6 +74,14 @@
             self._renew(client, 1)
         self.assertEqual(client.calls, 3)
 
+    def test_call_that_fails_at_once_is_not_repeated_at_once(self) -> None:
+        """Fails if a worker that is down is called several times at once."""
+        client = _Client(*(errors.AnswerLostError("lost") for _ in range(9)))
+        client.delay_s = 0.0
+        with self.assertRaises(errors.AnswerLostError):
+            self._renew(client, 1)
+        self.assertEqual(client.calls, 1)
+
     def _renew(
         self, client: _Client, times: int
     ) -> list[orders.WorkerReport | orders.OrderOutcome]:
