--- a/tools/soak_seeds.py
+++ b/tools/soak_seeds.py
@@ -37,6 +37,11 @@
         "the runs of a worker that came back under its id were dropped while "
         "their starts were still on their way to it",
     ),
+    KnownSeed(
+        2015,
+        "two workers fell silent one after the other shortly before their "
+        "owners were lost, and inherited work waited for each from the claim",
+    ),
     *(
         KnownSeed(
             seed,
