Let reads of the in-memory store lag behind

Nothing in the tests could show what a reader does with a state that is older than its own writes: the store for tests and the emulator always answered with the newest one. Reads and followers can now see the state of a given version, or that of some seconds ago, as the platform's store may return it.

--- a/src/fireflywell/standins/row_store.py
+++ b/src/fireflywell/standins/row_store.py
@@ -1,5 +1,6 @@
 """In-memory row store with faults on demand, for tests and the emulator."""
 
+import collections
 import datetime
 
 import anyio
@@ -21,11 +22,15 @@
             without an answer.
         calls: Number of calls so far.
         delay_s: Time that each call takes.
+        read_lag_s: How old the state is that reads and followers see.
+        read_version: Version whose state reads and followers see; None for
+            the state that `read_lag_s` tells.
     """
 
     __slots__ = (
         "_changed",
         "_clock",
+        "_commit_times",
         "_history",
         "_oldest",
         "_rows",
@@ -34,6 +39,8 @@
         "delay_s",
         "is_down",
         "lose_answers",
+        "read_lag_s",
+        "read_version",
     )
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -42,11 +49,22 @@
         self._history: list[row_store.Row] = []
         self._oldest = 0
         self._version = 0
+        # When each version was written, for reads that lag behind.
+        self._commit_times: collections.deque[tuple[float, int]] = (
+            collections.deque(maxlen=_HISTORY_ROWS)
+        )
         self._changed = anyio.Event()
         self.is_down = False
         self.lose_answers = 0
         self.calls = 0
         self.delay_s = 0.0
+        self.read_lag_s = 0.0
+        self.read_version: int | None = None
+
+    @property
+    def version(self) -> int:
+        """The newest version."""
+        return self._version
 
     def now_s(self) -> float:
         """Returns the store's steady clock, in seconds."""
@@ -116,10 +134,11 @@
     ) -> row_store.Page:
         """Reads the rows of a partition; see `RowStore.read`."""
         await self._begin_call()
+        version = self._find_read_version()
         rows = sorted(
             (
                 row
-                for row_key, row in self._rows.items()
+                for row_key, row in self._list_rows_at(version).items()
                 if row_key.table == table
                 and row_key.partition == partition
                 and row_key.key >= first
@@ -127,12 +146,13 @@
             ),
             key=lambda row: row.row_key.key,
         )
-        return row_store.Page(tuple(rows), self._version)
+        return row_store.Page(tuple(rows), version)
 
     async def list_partitions(self, table: str) -> tuple[str, ...]:
         """Returns the partitions of a table; see `RowStore.list_partitions`."""
         await self._begin_call()
-        names = {p.partition for p in self._rows if p.table == table}
+        rows = self._list_rows_at(self._find_read_version())
+        names = {p.partition for p in rows if p.table == table}
         return tuple(sorted(names))
 
     async def follow(
@@ -155,7 +175,36 @@
             raise errors.BacklogTooLargeError(
                 f"the changes have {size_bytes} bytes, more than {limit_bytes}"
             )
-        return row_store.Page(tuple(changes), self._version)
+        return row_store.Page(tuple(changes), self._find_read_version())
+
+    def _find_read_version(self) -> int:
+        """Returns the version whose state a read sees now."""
+        if self.read_version is not None:
+            return self.read_version
+        if not self.read_lag_s:
+            return self._version
+        latest_s = self.now_s() - self.read_lag_s
+        versions = (v for at_s, v in self._commit_times if at_s <= latest_s)
+        return max(versions, default=0)
+
+    def _list_rows_at(
+        self, version: int
+    ) -> dict[row_store.RowKey, row_store.Row]:
+        """Returns the rows as of a version that the history reaches back to."""
+        if version >= self._version:
+            return self._rows
+        rows = dict(self._rows)
+        for row in self._history:
+            if row.version > version:
+                rows.pop(row.row_key, None)
+        for row in self._history:
+            if row.version > version:
+                break
+            if row.is_removed:
+                rows.pop(row.row_key, None)
+            else:
+                rows[row.row_key] = row
+        return rows
 
     def _check_history(self, after: int) -> None:
         if after < self._oldest:
@@ -164,10 +213,11 @@
     def _list_changes(self, table: str, after: int) -> list[row_store.Row]:
         # Each change by itself, as the platform's store returns them: a row
         # that was written twice comes twice.
+        version = self._find_read_version()
         return [
             row
             for row in self._history
-            if row.version > after and row.row_key.table == table
+            if after < row.version <= version and row.row_key.table == table
         ]
 
     def _apply(
@@ -176,6 +226,7 @@
         removes: tuple[row_store.RowKey, ...],
     ) -> None:
         self._version += 1
+        self._commit_times.append((self.now_s(), self._version))
         for item in puts:
             row = row_store.Row(item.row_key, item.value, self._version)
             self._rows[item.row_key] = row
