Report reads of the store that show an earlier state

Reads of the store may show a state from before one that the same node has already seen, in a transaction's answer or an earlier read. Nothing recorded that, so it couldn't be told from the logs of a run.

The client now keeps the newest version of any answer, those of transactions and conflicts included. An answer to a read, a list of partitions or a feed whose version is below the newest one known when the call was sent counts as `node.store.stale_reads` and logs `store.stale_read`. Nothing else changes.

The test fails without the change, as no line is logged.

--- a/src/fireflywell/platform/store.py
+++ b/src/fireflywell/platform/store.py
@@ -16,6 +16,7 @@
 from fireflywell import http_client
 from fireflywell.coordination import row_store
 from fireflywell.platform import json_values
+from fireflywell.platform import store_versions
 from fireflywell.telemetry import metrics as metrics_lib
 
 # A call usually takes 4 to 10 ms, up to 60 times as long if the store is slow.
@@ -37,7 +38,7 @@
 class PlatformStore:
     """Reads, writes and follows rows of the platform's store over HTTP."""
 
-    __slots__ = ("_client", "_clock", "_metrics", "_offset_s")
+    __slots__ = ("_client", "_clock", "_metrics", "_offset_s", "_versions")
 
     def __init__(
         self,
@@ -49,6 +50,7 @@
         self._metrics = metrics
         self._clock = clock
         self._offset_s: float | None = None
+        self._versions = store_versions.StoreVersions(metrics)
 
     def now_s(self) -> float:
         """Returns an estimate of the store's monotonic clock, in seconds."""
@@ -67,9 +69,11 @@
         self._metrics.record_duration("node.store.transact", response.elapsed)
         if response.status == 412:
             answer = self._parse_response(response)
+            self._versions.observe(answer)
             with _report_unreadable():
                 return row_store.Conflict(_decode_rows(answer, []))
         answer = self._decode_response(response)
+        self._versions.observe(answer)
         with _report_unreadable():
             return row_store.Committed(_read_version(answer))
 
@@ -145,6 +149,7 @@
         timeout: datetime.timedelta = _CALL_TIMEOUT,
         limit_bytes: int | None = None,
     ) -> dict[str, Any]:
+        known = self._versions.newest
         response = await self._call(
             "GET",
             f"{path}?{urllib.parse.urlencode(query, errors='surrogatepass')}",
@@ -152,7 +157,11 @@
             timeout,
             limit_bytes,
         )
-        return self._decode_response(response)
+        answer = self._decode_response(response)
+        self._versions.observe_read(
+            answer, query["table"], query.get("part", ""), known
+        )
+        return answer
 
     async def _call(
         self,
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -24,6 +24,7 @@
 from fireflywell.platform import store
 from fireflywell.standins import row_store as store_standin
 from fireflywell.telemetry import metrics as metrics_lib
+from tests import captured_log
 from tests import node_world
 
 _SETTINGS = """
@@ -248,6 +249,45 @@
         self.assertEqual(target.now_s(), 50)
 
 
+class StaleReadTest(unittest.TestCase):
+    """Answers to reads that show an earlier state of the store."""
+
+    def test_answer_from_before_a_known_version_is_reported(self) -> None:
+        """Fails if nothing shows that a read's answer is an earlier state."""
+        page = {"rows": [], "has_more": False}
+        client = StubClient(
+            {"row_version": 7},
+            {**page, "row_version": 6},
+            {**page, "row_version": 7},
+            {"parts": [], "row_version": 5},
+            {"rows": [], "row_version": 4},
+            {"rows": [], "row_version": 9},
+        )
+        target = store.PlatformStore(
+            client,  # type: ignore[arg-type]
+            clock_lib.ManualClock(),
+            metrics_lib.NullMetrics(),
+        )
+
+        async def run() -> None:
+            await target.transact(row_store.Transaction())
+            await target.read("op", "p")
+            await target.read("op", "p")
+            await target.list_partitions("op")
+            await target.follow("op", 3, datetime.timedelta())
+            await target.follow("op", 3, datetime.timedelta())
+
+        with captured_log.capture_log() as lines:
+            anyio.run(run)
+        found = [
+            (line["table"], line["partition"], line["version"], line["known"])
+            for line in captured_log.select_event(lines, "store.stale_read")
+        ]
+        self.assertEqual(
+            found, [("op", "p", 6, 7), ("op", "", 5, 7), ("op", "", 4, 7)]
+        )
+
+
 class VmOrderTest(unittest.TestCase):
     """Answers to orders for VMs."""
 
