Load a service only from reads that show its owner's claim

A new owner read the list of assigned workers and the stored progress without comparing the version of the page with its claim. Reads may show the store some seconds ago. With a list from before the former owner stored it, the recovery was complete at once, and inherited units could start beside their runs. With progress from before an end was stored, a unit that was done started again. A job that a worker's report names counted as missing for good.

`RowStore.read` now takes the version that a page must not precede, and raises `StaleReadError`, a `PlatformError`, for an older one, so the existing retries apply. The three reads name the claim's version: what former owners stored was stored before the claim, as the claim changes a condition of their writes. A read over several pages now returns the earliest of their versions, since a reader that follows from the first one lost the changes that a later, older page doesn't show.

--- a/src/fireflywell/coordination/row_store.py
+++ b/src/fireflywell/coordination/row_store.py
@@ -9,6 +9,8 @@
 import datetime
 from typing import Protocol
 
+from fireflywell import errors
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowKey:
@@ -100,7 +102,9 @@
     Attributes:
         rows: Rows of a read, or changed rows of a follow call in order of
             their versions.
-        version: Newest version of the store that the page covers.
+        version: Version of the store whose state the page shows. Reads may
+            show an earlier state than the present one; transactions are
+            always applied to the present one.
         has_more: Whether a further read is needed.
     """
 
@@ -124,7 +128,12 @@
         """Applies a transaction if all its conditions hold."""
 
     async def read(
-        self, table: str, partition: str, first: str = "", end: str = ""
+        self,
+        table: str,
+        partition: str,
+        first: str = "",
+        end: str = "",
+        at_least: int = 0,
     ) -> Page:
         """Returns the rows of a partition of a table in a range of keys.
 
@@ -133,6 +142,10 @@
             partition: The partition.
             first: First key of the range; empty for the first of all.
             end: Key after the range; empty for no end.
+            at_least: Version of the store that the page must not precede.
+
+        Raises:
+            StaleReadError: The page shows an earlier state than that.
         """
 
     async def list_partitions(self, table: str) -> tuple[str, ...]:
@@ -164,3 +177,25 @@
 
     def now_s(self) -> float:
         """Returns an estimate of the store's monotonic clock, in seconds."""
+
+
+def check_version(
+    version: int, at_least: int, table: str, partition: str
+) -> None:
+    """Checks that a page doesn't show an earlier state than its reader needs.
+
+    Args:
+        version: Version of the page.
+        at_least: Version that it must not precede.
+        table: Table that was read.
+        partition: Partition that was read.
+
+    Raises:
+        StaleReadError: The page precedes the version.
+    """
+    if version < at_least:
+        raise errors.StaleReadError(
+            f"the read of table {table}, partition {partition!r}, shows the "
+            f"store at version {version}, but version {at_least} is needed; "
+            "read it again later"
+        )
--- a/src/fireflywell/errors.py
+++ b/src/fireflywell/errors.py
@@ -40,6 +40,10 @@
     """The call was sent without a usable answer; it may have been executed."""
 
 
+class StaleReadError(PlatformError):
+    """A read shows the store as it was before the moment that it must show."""
+
+
 class AnswerTooLargeError(PlatformError):
     """The answer is larger than the limit that the caller set."""
 
--- a/src/fireflywell/node/assigned_workers.py
+++ b/src/fireflywell/node/assigned_workers.py
@@ -115,7 +115,9 @@
         """
         row_key = tables.locate_assigned_workers(self._tenure.service)
         requested_at = self._clock.monotonic()
-        page = await self._store.read(row_key.table, row_key.partition)
+        page = await self._store.read(
+            row_key.table, row_key.partition, at_least=self._tenure.version
+        )
         # The duration of the read isn't subtracted, because the estimate of
         # the store's clock may be behind by as much.
         waited = requested_at - self._claimed_at
--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -98,7 +98,11 @@
         for job_id in job_ids - self._missing_jobs:
             row_key = tables.locate_job(self._service, job_id)
             page = await self._store.read(
-                row_key.table, row_key.partition, job_id, job_id + "\x7f"
+                row_key.table,
+                row_key.partition,
+                job_id,
+                job_id + "\x7f",
+                self._claim_version,
             )
             if not any(row.row_key.key == job_id for row in page.rows):
                 self._missing_jobs.add(job_id)
@@ -115,7 +119,9 @@
             PlatformError: The store doesn't answer.
         """
         table = tables.name_progress_table(self._service)
-        page = await self._store.read(table, self._service)
+        page = await self._store.read(
+            table, self._service, at_least=self._claim_version
+        )
         self._stored_progress = {row.row_key.key: row for row in page.rows}
 
     def apply_snapshot(self, rows: tuple[row_store.Row, ...]) -> None:
--- a/src/fireflywell/platform/store.py
+++ b/src/fireflywell/platform/store.py
@@ -78,11 +78,16 @@
             return row_store.Committed(_read_version(answer))
 
     async def read(
-        self, table: str, partition: str, first: str = "", end: str = ""
+        self,
+        table: str,
+        partition: str,
+        first: str = "",
+        end: str = "",
+        at_least: int = 0,
     ) -> row_store.Page:
         """Reads the rows of a partition; see `RowStore.read`."""
         rows: list[row_store.Row] = []
-        version = 0
+        version: int | None = None
         while True:
             query = {"table": table, "part": partition}
             if first:
@@ -94,9 +99,11 @@
             with _report_unreadable():
                 has_more = _read_flag(answer, "has_more")
                 rows.extend(_decode_rows(answer, min_length=int(has_more)))
-                # The result has the version of the first page, so that a caller
-                # that follows from it also gets the changes between two pages.
-                version = version or _read_version(answer)
+                found = _read_version(answer)
+            row_store.check_version(found, at_least, table, partition)
+            # A caller that follows from the earliest version also gets the
+            # changes that another page doesn't show.
+            version = found if version is None else min(version, found)
             if not has_more:
                 return row_store.Page(tuple(rows), version)
             first = rows[-1].row_key.key + "\x00"
--- a/src/fireflywell/standins/row_store.py
+++ b/src/fireflywell/standins/row_store.py
@@ -130,11 +130,17 @@
         return row_store.Committed(self._version)
 
     async def read(
-        self, table: str, partition: str, first: str = "", end: str = ""
+        self,
+        table: str,
+        partition: str,
+        first: str = "",
+        end: str = "",
+        at_least: int = 0,
     ) -> row_store.Page:
         """Reads the rows of a partition; see `RowStore.read`."""
         await self._begin_call()
         version = self._find_read_version()
+        row_store.check_version(version, at_least, table, partition)
         rows = sorted(
             (
                 row
--- a/tests/limited_link.py
+++ b/tests/limited_link.py
@@ -49,10 +49,15 @@
         return await self._store.list_partitions(table)
 
     async def read(
-        self, table: str, partition: str, first: str = "", end: str = ""
+        self,
+        table: str,
+        partition: str,
+        first: str = "",
+        end: str = "",
+        at_least: int = 0,
     ) -> row_store.Page:
         """Reads the rows of a partition; see `RowStore.read`."""
-        page = await self._store.read(table, partition, first, end)
+        page = await self._store.read(table, partition, first, end, at_least)
         await self._deliver(page, self._call_limit)
         return page
 
--- a/tests/partitioned_world.py
+++ b/tests/partitioned_world.py
@@ -45,11 +45,16 @@
         return await self._store.transact(transaction, timeout)
 
     async def read(
-        self, table: str, partition: str, first: str = "", end: str = ""
+        self,
+        table: str,
+        partition: str,
+        first: str = "",
+        end: str = "",
+        at_least: int = 0,
     ) -> row_store.Page:
         """Reads rows unless this node is cut off."""
         await self._check(table)
-        return await self._store.read(table, partition, first, end)
+        return await self._store.read(table, partition, first, end, at_least)
 
     async def list_partitions(self, table: str) -> tuple[str, ...]:
         """Lists partitions unless this node is cut off."""
--- a/tests/test_waiting_counts.py
+++ b/tests/test_waiting_counts.py
@@ -32,12 +32,17 @@
         return self._store.now_s()
 
     async def read(
-        self, table: str, partition: str, first: str = "", end: str = ""
+        self,
+        table: str,
+        partition: str,
+        first: str = "",
+        end: str = "",
+        at_least: int = 0,
     ) -> row_store.Page:
         """Records the table and reads its rows after 20 ms."""
         self.tables.append(table)
         await anyio.sleep(0.02)
-        return await self._store.read(table, partition, first, end)
+        return await self._store.read(table, partition, first, end, at_least)
 
 
 class WaitingCountsTest(unittest.TestCase):
