Follow tables without going back to an earlier state

A later one, after lost history, a large backlog or a restart of the task, could bring back entries of workers that had been replaced, and withdrawn or missing waves. Over several partitions the position was the first page's version, so changes that a later, older page lacks never came. And the rows counted as up to date whatever the answer showed, so an owner stored counts of waiting jobs as present that lacked the last seconds.

The position is the earliest version of all pages. The rows count as up to date only by an answer that is at least as new as the newest version known when the call was sent.

Owners store no counts of waiting jobs meanwhile. There is no additional call.

--- a/src/fireflywell/coordination/row_store.py
+++ b/src/fireflywell/coordination/row_store.py
@@ -120,6 +120,10 @@
     `AnswerLostError` if it may have been executed.
     """
 
+    @property
+    def newest_version(self) -> int:
+        """The newest version of the store that any answer has shown."""
+
     async def transact(
         self,
         transaction: Transaction,
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -247,6 +247,7 @@
             self._loader.apply_snapshot,
             self._loader.apply_changes,
             on_confirmed=self._loader.mark_confirmed,
+            find_needed_version=lambda: self._tenure.version,
         )
         children = (
             supervisor_lib.Child("jobs", follower.run, restart),
--- a/src/fireflywell/node/table_follower.py
+++ b/src/fireflywell/node/table_follower.py
@@ -30,16 +30,22 @@
     last. A follower that is behind therefore loads all rows again once the
     changes are larger than the table: otherwise larger answers increase the
     delay, and a longer delay the answers.
+
+    Reads may show an earlier state. A snapshot is passed on only if it shows
+    what the user needs and everything that was passed on before, also by an
+    earlier run of the task; an older one is read again.
     """
 
     __slots__ = (
         "_clock",
         "_confirmed_at",
         "_failures",
+        "_find_needed_version",
         "_list_partitions",
         "_on_changes",
         "_on_confirmed",
         "_on_snapshot",
+        "_passed_version",
         "_pause",
         "_snapshot_bytes",
         "_store",
@@ -56,7 +62,23 @@
         on_changes: Callable[[tuple[row_store.Row, ...]], None],
         pause: datetime.timedelta = datetime.timedelta(milliseconds=20),
         on_confirmed: Callable[[datetime.timedelta], None] | None = None,
+        find_needed_version: Callable[[], int] | None = None,
     ) -> None:
+        """Creates a follower; `run` starts it.
+
+        Args:
+            store: The store.
+            clock: The clock.
+            table: The table.
+            list_partitions: Returns the partitions whose rows are read.
+            on_snapshot: Gets all rows.
+            on_changes: Gets changed rows.
+            pause: Time between calls.
+            on_confirmed: Gets the monotonic time of each call whose answer
+                showed that the rows were up to date when it was sent.
+            find_needed_version: Returns the version of the store that a
+                snapshot must not precede; None if any is good for a start.
+        """
         self._store = store
         self._clock = clock
         self._table = table
@@ -70,6 +92,9 @@
         self._on_confirmed = on_confirmed
         # Monotonic time at which the passed rows were last up to date.
         self._confirmed_at: datetime.timedelta | None = None
+        self._find_needed_version = find_needed_version
+        # Version of the newest state of which rows were passed on.
+        self._passed_version = 0
 
     async def run(self) -> None:
         """Follows the table until cancelled."""
@@ -105,22 +130,27 @@
 
     async def _load_snapshot(self) -> int:
         started = self._clock.monotonic()
-        rows: list[row_store.Row] = []
-        version: int | None = None
-        for partition in self._list_partitions():
-            page = await self._store.read(self._table, partition)
-            rows.extend(page.rows)
-            version = page.version if version is None else version
-        if version is None:
-            page = await self._store.read(self._table, "")
-            version = page.version
+        known = self._store.newest_version
+        needed = self._passed_version
+        if self._find_needed_version is not None:
+            needed = max(needed, self._find_needed_version())
+        pages = [
+            await self._store.read(self._table, partition, at_least=needed)
+            for partition in self._list_partitions() or ("",)
+        ]
+        rows = tuple(row for page in pages for row in page.rows)
         self._snapshot_bytes = sum(len(row.value) for row in rows)
-        self._on_snapshot(tuple(rows))
-        self._mark_confirmed(started)
+        self._on_snapshot(rows)
+        self._passed_version = max(page.version for page in pages)
+        # The changes that the oldest page doesn't show are still to come.
+        version = min(page.version for page in pages)
+        if version >= known:
+            self._mark_confirmed(started)
         return version
 
     async def _follow_once(self, version: int) -> int:
         sent_at = self._clock.monotonic()
+        known = self._store.newest_version
         page = await self._store.follow(
             self._table,
             version,
@@ -129,7 +159,9 @@
         )
         if page.rows:
             self._on_changes(page.rows)
-        self._mark_confirmed(sent_at)
+        self._passed_version = max(self._passed_version, page.version)
+        if page.version >= known:
+            self._mark_confirmed(sent_at)
         return max(version, page.version)
 
     def _mark_confirmed(self, at: datetime.timedelta) -> None:
--- a/src/fireflywell/platform/store.py
+++ b/src/fireflywell/platform/store.py
@@ -52,6 +52,11 @@
         self._offset_s: float | None = None
         self._versions = store_versions.StoreVersions(metrics)
 
+    @property
+    def newest_version(self) -> int:
+        """The newest version of the store that any answer has shown."""
+        return self._versions.newest
+
     def now_s(self) -> float:
         """Returns an estimate of the store's monotonic clock, in seconds."""
         return self._clock.monotonic().total_seconds() + (self._offset_s or 0.0)
--- a/src/fireflywell/standins/row_store.py
+++ b/src/fireflywell/standins/row_store.py
@@ -66,6 +66,11 @@
         """The newest version."""
         return self._version
 
+    @property
+    def newest_version(self) -> int:
+        """The newest version; see `RowStore.newest_version`."""
+        return self._version
+
     def now_s(self) -> float:
         """Returns the store's steady clock, in seconds."""
         return self._clock.monotonic().total_seconds()
--- a/tests/limited_link.py
+++ b/tests/limited_link.py
@@ -32,6 +32,11 @@
         self._call_limit = call_limit
         self.delivered_bytes = 0.0
 
+    @property
+    def newest_version(self) -> int:
+        """The newest version of the store."""
+        return self._store.newest_version
+
     def now_s(self) -> float:
         """Returns the store's monotonic time in seconds."""
         return self._store.now_s()
