Ignore rows that are older than the cached ones

The registry of workers, the requested waves and the list of spare VMs took any row that they were given, and a drain request that was removed came back with an older row. After a read of an earlier state, sessions could go back to a worker's former address, workers that were gone were listed again, and a wave had the VMs that operators had taken out of it.

The caches now keep the version of each row that they applied, that of a removal included, and ignore older rows.

The tests failed before, for example with "['old'] != ['new']" for an entry and "('m-1', 'm-2') != ('m-1',)" for a wave.

--- a/src/fireflywell/node/fleet_cache.py
+++ b/src/fireflywell/node/fleet_cache.py
@@ -26,7 +26,9 @@
         "_is_loaded",
         "_listeners",
         "_needs",
+        "_removed",
         "_requests",
+        "_spare_pool_version",
         "spare_pool_vms",
     )
 
@@ -36,7 +38,10 @@
         self._needs: dict[str, tuple[int, int]] = {}
         # VMs that belong to the spare pool, whichever pool they are in now.
         self.spare_pool_vms: frozenset[str] = frozenset()
+        self._spare_pool_version = 0
         self._requests: dict[str, tuple[maintenance.DrainRequest, int]] = {}
+        # Version at which each drain request was removed.
+        self._removed: dict[str, int] = {}
         self._is_loaded = False
 
     @property
@@ -74,8 +79,10 @@
     def clear(self) -> None:
         """Drops all rows, for when nothing keeps them up to date."""
         self._requests = {}
+        self._removed = {}
         self._needs = {}
         self.spare_pool_vms = frozenset()
+        self._spare_pool_version = 0
         self._is_loaded = False
 
     def load_rows(self, rows: tuple[row_store.Row, ...]) -> None:
@@ -86,8 +93,8 @@
     def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
         """Applies rows of the fleet's partition and calls the listeners.
 
-        Rows of drain requests and needs that aren't newer than the cached ones
-        are ignored.
+        Rows that are older than the cached ones are ignored, so that a read of
+        an earlier state doesn't set the cache back.
         """
         self._apply_drain_requests(rows)
         for row in rows:
@@ -109,7 +116,9 @@
         """
         key = row.row_key.key
         if key == _SPARE_POOL_KEY:
-            self.spare_pool_vms = frozenset(msgpack.unpackb(row.value))
+            if row.version >= self._spare_pool_version:
+                self.spare_pool_vms = frozenset(msgpack.unpackb(row.value))
+                self._spare_pool_version = row.version
         elif key.startswith(_NEED_PREFIX):
             service = key.removeprefix(_NEED_PREFIX)
             cached = self._needs.get(service)
@@ -125,10 +134,12 @@
             if not row.row_key.key.startswith(_REQUEST_PREFIX):
                 continue
             vm_id = row.row_key.key.removeprefix(_REQUEST_PREFIX)
-            if row.version <= self.get_version(vm_id):
+            known = max(self.get_version(vm_id), self._removed.get(vm_id, 0))
+            if row.version <= known:
                 continue
             if row.is_removed:
                 self._requests.pop(vm_id, None)
+                self._removed[vm_id] = row.version
                 continue
             try:
                 wave, phase, deadline_s, max_concurrent, target = (
--- a/src/fireflywell/node/instance_registry.py
+++ b/src/fireflywell/node/instance_registry.py
@@ -10,7 +10,13 @@
 class InstanceRegistry:
     """Holds the listed workers; entries that can't be decoded are left out."""
 
-    __slots__ = ("_decode", "_instances", "_is_loaded", "_reported")
+    __slots__ = (
+        "_decode",
+        "_instances",
+        "_is_loaded",
+        "_reported",
+        "_versions",
+    )
 
     def __init__(
         self, decode: Callable[[str, bytes], workers_lib.WorkerInstance]
@@ -18,6 +24,9 @@
         self._decode = decode
         self._instances: dict[str, workers_lib.WorkerInstance] = {}
         self._is_loaded = False
+        # Version of the last applied row of each worker. An older row, which a
+        # read of an earlier state returns, is ignored.
+        self._versions: dict[str, int] = {}
         # Workers whose malformed entry was logged; each is logged once.
         self._reported: set[str] = set()
 
@@ -41,11 +50,19 @@
     def clear(self) -> None:
         """Drops all workers, for when nothing keeps them up to date."""
         self._instances = {}
+        self._versions = {}
         self._is_loaded = False
 
     def replace_all(self, rows: tuple[row_store.Row, ...]) -> None:
-        """Replaces all workers by those of a full read."""
-        self._instances = {}
+        """Replaces all workers by those of a full read.
+
+        Rows that are older than those applied before are ignored.
+        """
+        names = {row.row_key.key for row in rows}
+        for instance_id in tuple(self._versions):
+            if instance_id not in names:
+                self._instances.pop(instance_id, None)
+                del self._versions[instance_id]
         self._is_loaded = True
         self.apply_rows(rows)
 
@@ -53,6 +70,9 @@
         """Adds, replaces and removes workers by changed rows."""
         for row in rows:
             instance_id = row.row_key.key
+            if row.version < self._versions.get(instance_id, 0):
+                continue
+            self._versions[instance_id] = row.version
             if row.is_removed:
                 self._instances.pop(instance_id, None)
                 continue
--- a/src/fireflywell/node/maintenance_waves.py
+++ b/src/fireflywell/node/maintenance_waves.py
@@ -22,6 +22,7 @@
         "_first_seen_at_s",
         "_numbers_by_key",
         "_store",
+        "_versions",
         "is_loaded",
         "waves",
     )
@@ -35,6 +36,8 @@
         self._store = store
         self._first_seen_at_s: dict[int, float] = {}
         self._numbers_by_key: dict[str, int] = {}
+        # Version of the last applied row by key; older ones are ignored.
+        self._versions: dict[str, int] = {}
         self.is_loaded = False
         self.waves: dict[int, maintenance.Wave] = {}
 
@@ -53,6 +56,9 @@
             key = row.row_key.key
             if not key.startswith("wave/"):
                 continue
+            if row.version < self._versions.get(key, 0):
+                continue
+            self._versions[key] = row.version
             if row.is_removed:
                 self._remove(key)
                 continue
