Act on drain requests and waves as of the owner's claim

A new owner of a service planned as soon as the node's cache of the fleet's rows was loaded, whatever state it showed. Without a drain request that the former owner had marked as ready, units started on a VM whose maintenance could begin at any time. The fleet's owner didn't wait for the cache at all and took reads of wave states as present: it ran a completed wave again, closed requests whose wave it hadn't read, and moved a second VM for a need that a pending move met.

A service's owner now reads the fleet's partition once while it loads, not before its claim. The fleet's owner reads the same and the waves before its first order, and the states of waves likewise; these moved to a module of their own. A node that owned nothing follows the fleet's rows from its claim on, as its cache is cleared when the last owner ends.

Each claim costs one more read of the fleet's partition, of some milliseconds, and one more of the waves for the fleet. While reads are behind, owners wait until they have reached their claim, as they do for the other reads.

--- a/src/fireflywell/node/fleet_cache.py
+++ b/src/fireflywell/node/fleet_cache.py
@@ -199,6 +199,30 @@
     )
 
 
+async def read_rows(
+    store: row_store.RowStore,
+    cache: FleetCache,
+    partition: str,
+    at_least: int,
+) -> None:
+    """Reads all rows of the fleet's partition into a cache.
+
+    The cache may be behind. A new owner thereby knows what former owners stored
+    before its claim.
+
+    Args:
+        store: The store.
+        cache: The cache.
+        partition: The fleet's partition.
+        at_least: Version of the store that the read must not precede.
+
+    Raises:
+        PlatformError: The store doesn't answer or shows an older state.
+    """
+    page = await store.read(tables.FLEET, partition, at_least=at_least)
+    cache.apply_rows(page.rows)
+
+
 async def store_drain_request(
     store: row_store.RowStore,
     cache: FleetCache,
--- a/src/fireflywell/node/fleet_controller.py
+++ b/src/fireflywell/node/fleet_controller.py
@@ -22,8 +22,8 @@
 from fireflywell.node import ownership
 from fireflywell.node import ownership_guard
 from fireflywell.node import request_closer
-from fireflywell.node import tables
 from fireflywell.node import vm_orders
+from fireflywell.node import wave_states
 from fireflywell.scheduling import capacity
 from fireflywell.scheduling import maintenance
 from fireflywell.supervision import policies
@@ -42,9 +42,6 @@
 # then the former owner's lease has expired and it gives no more orders.
 _START_DELAY_SHARE = 1.1
 
-_RUNNING = "running"
-_COMPLETED = "completed"
-
 
 class FleetController:
     """Runs maintenance waves and moves of VMs during one tenure."""
@@ -59,6 +56,7 @@
         "_find_spare_pool",
         "_guard",
         "_heartbeat",
+        "_is_loaded",
         "_listed_at",
         "_idle_since_s",
         "_moving",
@@ -72,6 +70,7 @@
         "_tenure",
         "_vms",
         "_wake",
+        "_wave_states",
         "_waves",
         "_lease",
     )
@@ -95,6 +94,9 @@
         self._client = client
         self._fleet_cache = cache
         self._waves = waves
+        self._wave_states = wave_states.WaveStates(store, tenure)
+        # Whether everything that former owners stored is known.
+        self._is_loaded = False
         self._heartbeat = heartbeat
         self._guard = ownership_guard.OwnershipGuard(
             tenure, store, heartbeat, clock
@@ -171,6 +173,9 @@
                 if not await self._guard.confirm():
                     self.stop()
                     return
+                if not self._is_loaded:
+                    await self._load()
+                    self._is_loaded = True
                 await self._advance_moves()
                 await self._closer.close_withdrawn()
                 for _, wave in sorted(self._waves.waves.items()):
@@ -179,6 +184,18 @@
             except errors.PlatformError as error:
                 logs.log_event("fleet.delayed", error=str(error))
 
+    async def _load(self) -> None:
+        """Reads what was stored before the claim, on which orders depend.
+
+        The caches may lack drain requests of the former owner, and the waves
+        that it created them for.
+        """
+        version = self._tenure.version
+        await fleet_cache.read_rows(
+            self._store, self._fleet_cache, ownership.FLEET_SERVICE, version
+        )
+        await self._waves.read_rows(version)
+
     async def _advance_moves(self) -> None:
         """Moves spare VMs to the pools that need them, and back."""
         spare = self._find_spare_pool()
@@ -388,10 +405,10 @@
 
     async def _advance_wave(self, wave: maintenance.Wave) -> None:
         if wave.number not in self._started_waves:
-            if await self._is_completed(wave):
+            if await self._wave_states.is_completed(wave):
                 self._completed_waves.add(wave.number)
                 return
-            await self._write_wave_state(wave, _RUNNING)
+            await self._wave_states.write(wave, wave_states.RUNNING)
             self._started_waves.add(wave.number)
         await self._refresh_vms()
         await self._create_drain_requests(wave)
@@ -404,7 +421,7 @@
         await self._refresh_vms(force=True)
         if not self._are_all_maintained(wave):
             return
-        if await self._write_wave_state(wave, _COMPLETED):
+        if await self._wave_states.write(wave, wave_states.COMPLETED):
             self._completed_waves.add(wave.number)
 
     def _may_be_down(self, vm_id: str) -> bool:
@@ -581,37 +598,3 @@
             request,
             (self._tenure.make_condition(),),
         )
-
-    async def _is_completed(self, wave: maintenance.Wave) -> bool:
-        row = await self._read_wave_state(wave)
-        return row is not None and _COMPLETED.encode() in row.value
-
-    async def _write_wave_state(
-        self, wave: maintenance.Wave, state: str
-    ) -> bool:
-        """Stores a wave's state; returns False if its row has changed."""
-        row = await self._read_wave_state(wave)
-        row_key = _locate_wave_state(wave)
-        result = await self._store.transact(
-            row_store.Transaction(
-                (row_store.Condition(row_key, row.version if row else 0),),
-                (row_store.Put(row_key, fleet_cache.encode_wave_state(state)),),
-            )
-        )
-        if isinstance(result, row_store.Conflict):
-            return False
-        logs.log_event("wave.state", wave=wave.number, state=state)
-        return True
-
-    async def _read_wave_state(
-        self, wave: maintenance.Wave
-    ) -> row_store.Row | None:
-        row_key = _locate_wave_state(wave)
-        page = await self._store.read(
-            row_key.table, row_key.partition, row_key.key, row_key.key + "\x00"
-        )
-        return page.rows[0] if page.rows else None
-
-
-def _locate_wave_state(wave: maintenance.Wave) -> row_store.RowKey:
-    return row_store.RowKey(tables.STATUS, "", f"wave/{wave.number}")
--- a/src/fireflywell/node/maintenance_waves.py
+++ b/src/fireflywell/node/maintenance_waves.py
@@ -4,9 +4,15 @@
 
 from fireflywell import errors
 from fireflywell.coordination import row_store
+from fireflywell.node import tables
 from fireflywell.scheduling import maintenance
 from fireflywell.telemetry import logs
 
+_KEY_PREFIX = "wave/"
+
+# The key after all those with the prefix.
+_KEYS_END = "wave0"
+
 
 class MaintenanceWaves:
     """Holds the requested waves and computes their deadlines.
@@ -54,7 +60,7 @@
         """Applies the waves among changed rows of the operator's table."""
         for row in rows:
             key = row.row_key.key
-            if not key.startswith("wave/"):
+            if not key.startswith(_KEY_PREFIX):
                 continue
             if row.version < self._versions.get(key, 0):
                 continue
@@ -80,6 +86,20 @@
                 max_count=wave.max_count,
             )
 
+    async def read_rows(self, at_least: int) -> None:
+        """Reads and applies the requested waves.
+
+        Args:
+            at_least: Version of the store that the read must not precede.
+
+        Raises:
+            PlatformError: The store doesn't answer or shows an older state.
+        """
+        page = await self._store.read(
+            tables.OPERATOR, "", _KEY_PREFIX, _KEYS_END, at_least
+        )
+        self.apply_rows(page.rows)
+
     def _remove(self, key: str) -> None:
         number = self._numbers_by_key.pop(key, None)
         if number is None or number in self._numbers_by_key.values():
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -212,6 +212,8 @@
             self._fleet_cache.load_rows,
             self._fleet_cache.apply_rows,
             _FLEET_PAUSE,
+            # An owner must know which VMs its predecessor has emptied.
+            find_needed_version=lambda: self._gate.newest_claim,
         )
         callers, readiness = self._listeners
         children = (
@@ -286,6 +288,7 @@
         on_changes: Callable[[tuple[row_store.Row, ...]], None],
         pause: datetime.timedelta = datetime.timedelta(milliseconds=20),
         on_confirmed: Callable[[datetime.timedelta], None] | None = None,
+        find_needed_version: Callable[[], int] | None = None,
     ) -> table_follower.TableFollower:
         return table_follower.TableFollower(
             self._dependencies.store,
@@ -296,6 +299,7 @@
             on_changes,
             pause,
             on_confirmed,
+            find_needed_version,
         )
 
     async def _drain(self) -> None:
@@ -360,7 +364,7 @@
         )
         self._owners[tenure.service] = owner
 
-        self._gate.add_owner()
+        self._gate.add_owner(tenure.version)
 
         async def run() -> None:
             try:
@@ -394,7 +398,7 @@
             self._clock,
             self._random,
         )
-        self._gate.add_owner()
+        self._gate.add_owner(tenure.version)
 
         async def run() -> None:
             try:
--- a/src/fireflywell/node/ownership_gate.py
+++ b/src/fireflywell/node/ownership_gate.py
@@ -14,14 +14,25 @@
     entries of all workers, which change several times a second.
     """
 
-    __slots__ = ("_changed", "_owner_count")
+    __slots__ = ("_changed", "_newest_claim", "_owner_count")
 
     def __init__(self) -> None:
         self._owner_count = 0
+        self._newest_claim = 0
         self._changed = anyio.Event()
 
-    def add_owner(self) -> None:
-        """Counts an owner that starts on this node."""
+    @property
+    def newest_claim(self) -> int:
+        """Version of the newest claim of this node's owners so far."""
+        return self._newest_claim
+
+    def add_owner(self, claim_version: int) -> None:
+        """Counts an owner that starts on this node.
+
+        Args:
+            claim_version: Version of the store at its claim.
+        """
+        self._newest_claim = max(self._newest_claim, claim_version)
         self._owner_count += 1
         self._signal()
 
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -285,6 +285,12 @@
             try:
                 await self._assigned_workers.load(orphan_timeout)
                 await self._loader.load_progress()
+                await fleet_cache.read_rows(
+                    self._store,
+                    self._fleet_cache,
+                    ownership.FLEET_SERVICE,
+                    self._tenure.version,
+                )
                 return
             except errors.PlatformError as error:
                 logs.log_event(
