Take a node as silent only by a state from after its lease

A node counted as silent once its row hadn't changed for the lease on the reader's clock, also if nothing had been read since, or if reads showed the state of some seconds ago. Its services were then claimed while it went on giving orders. A process that had just started counted as gone while the nodes' rows still showed its predecessor, and so did a node that the list of partitions didn't show yet. An older row counted as a renewal or as another process.

The heartbeat now remembers the versions and times of its own renewals. A state at version v shows all that was stored before the call of its newest own renewal up to v, and a row's version was made before the answer to the next own renewal. A process is silent if the time so proven is later than its last renewal by more than the lease. Another process at its address counts only by rows that are as new as the row that names the owner; a node that was never seen is given the time of one lease. Older rows and positions are ignored.

So that takeovers don't wait for the next heartbeat, the node renews early, once, when another node's lease has just ended without a renewal. The early renewal is the only additional call; there is none while all nodes renew in time.

--- a/src/fireflywell/node/directory.py
+++ b/src/fireflywell/node/directory.py
@@ -161,18 +161,38 @@
 
 
 class _ObservedNode:
-    __slots__ = ("changed_at", "first_seen_at", "record")
+    __slots__ = ("changed_at", "first_seen_at", "record", "version")
 
-    def __init__(self, record: NodeRecord, now: datetime.timedelta) -> None:
+    def __init__(
+        self,
+        record: NodeRecord,
+        version: int,
+        changed_at: datetime.timedelta,
+        now: datetime.timedelta,
+    ) -> None:
         self.record = record
+        # Version of the row.
+        self.version = version
         self.first_seen_at = now
-        self.changed_at = now
+        self.changed_at = changed_at
 
 
 class NodeDirectory:
-    """Tracks the nodes and when each was last seen to renew its row."""
+    """Tracks the nodes and when each was last seen to renew its row.
 
-    __slots__ = ("_clock", "_lease", "_observed")
+    Reads of the store may show an earlier state. A process therefore counts as
+    silent only by a state that is known to be from after its lease, and never
+    because nothing was read.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_first_missed_at",
+        "_lease",
+        "_observed",
+        "_proven_at",
+        "_shown_version",
+    )
 
     def __init__(
         self, clock: clock_lib.Clock, lease: datetime.timedelta
@@ -180,14 +200,35 @@
         self._clock = clock
         self._lease = lease
         self._observed: dict[str, _ObservedNode] = {}
+        # Version of the newest state whose rows were observed.
+        self._shown_version = 0
+        # The observed rows show all renewals that were stored before this time.
+        self._proven_at: datetime.timedelta | None = None
+        # When each node that was never seen was asked for first.
+        self._first_missed_at: dict[str, datetime.timedelta] = {}
 
     @property
     def size(self) -> int:
         """Number of nodes seen so far, including those that have ended."""
         return len(self._observed)
 
-    def observe(self, rows: tuple[row_store.Row, ...]) -> None:
-        """Records the processes and renewals in nodes' rows read just now."""
+    def observe(
+        self,
+        rows: tuple[row_store.Row, ...],
+        version: int = 0,
+        proven_at: datetime.timedelta | None = None,
+        find_latest: Callable[[int], datetime.timedelta | None] | None = None,
+    ) -> None:
+        """Records the processes and renewals in nodes' rows read just now.
+
+        Args:
+            rows: The rows; those older than the ones seen before are ignored.
+            version: Version of the state that the rows complete.
+            proven_at: Monotonic time; the state shows all that was stored
+                before it. None if no such time is known.
+            find_latest: Returns the time by which a version was surely made,
+                if one is known. Otherwise a row counts as renewed just now.
+        """
         now = self._clock.monotonic()
         for row in rows:
             try:
@@ -196,35 +237,84 @@
                 logs.log_event("node.unreadable", error=str(error))
                 continue
             observed = self._observed.get(record.name)
+            if observed is not None and row.version <= observed.version:
+                continue
+            latest = find_latest(row.version) if find_latest else None
+            changed_at = now if latest is None else latest
             if observed is None or (
                 observed.record.incarnation != record.incarnation
             ):
-                self._observed[record.name] = _ObservedNode(record, now)
-            elif observed.record != record:
+                self._observed[record.name] = _ObservedNode(
+                    record, row.version, changed_at, now
+                )
+                self._first_missed_at.pop(record.name, None)
+            else:
                 observed.record = record
-                observed.changed_at = now
+                observed.version = row.version
+                observed.changed_at = changed_at
+        self._shown_version = max(self._shown_version, version)
+        if proven_at is not None and (
+            self._proven_at is None or proven_at > self._proven_at
+        ):
+            self._proven_at = proven_at
 
     def list_live(self) -> tuple[NodeRecord, ...]:
-        """Returns nodes that renewed within the lease and aren't stopping."""
-        oldest = self._clock.monotonic() - self._lease
+        """Returns nodes that aren't known to be silent or stopping."""
         return tuple(
             node.record
             for name, node in sorted(self._observed.items())
-            if node.changed_at >= oldest and not node.record.is_stopping
+            if not self._is_silent_since(node.changed_at)
+            and not node.record.is_stopping
         )
 
-    def has_incarnation_expired(self, name: str, incarnation: str) -> bool:
+    def has_incarnation_expired(
+        self, name: str, incarnation: str, named_at: int
+    ) -> bool:
         """Returns whether a process of a node can no longer give orders.
 
-        That is so if another process runs at its address, if it hasn't renewed
-        its row for longer than the lease, or if its node was never seen.
+        That is so if another process runs at its address, or if it hasn't
+        renewed its row for longer than the lease.
+
+        Args:
+            name: Name of the node.
+            incarnation: The process.
+            named_at: Version of the store at which the process was alive: that
+                of the row that names it as an owner.
         """
         observed = self._observed.get(name)
         if observed is None:
-            return True
+            # The list of nodes may be behind. A living node renews its row
+            # before its lease ends, and is then seen by that.
+            return self._is_silent_since(
+                self._first_missed_at.setdefault(name, self._clock.monotonic())
+            )
         if observed.record.incarnation != incarnation:
-            return True
-        return self._clock.monotonic() - observed.changed_at > self._lease
+            # If both are older, the row may be that of its predecessor.
+            return max(observed.version, self._shown_version) >= named_at
+        return self._is_silent_since(observed.changed_at)
+
+    def find_next_expiry(
+        self, after: datetime.timedelta
+    ) -> datetime.timedelta | None:
+        """Returns when the next process may be found to be silent.
+
+        Args:
+            after: Processes whose lease ended before this monotonic time are
+                left out.
+
+        Returns:
+            Monotonic time at which the lease of a process ends that isn't known
+            to be silent; None if there is none.
+        """
+        return min(
+            (
+                node.changed_at + self._lease
+                for node in self._observed.values()
+                if node.changed_at + self._lease >= after
+                and not self._is_silent_since(node.changed_at)
+            ),
+            default=None,
+        )
 
     def measure_age(self, name: str) -> datetime.timedelta:
         """Returns the time since a node's process was first seen, or zero."""
@@ -233,6 +323,12 @@
             return datetime.timedelta()
         return self._clock.monotonic() - observed.first_seen_at
 
+    def _is_silent_since(self, at: datetime.timedelta) -> bool:
+        """Returns whether a node that renewed at a time lets its lease end."""
+        return self._proven_at is not None and (
+            self._proven_at - at > self._lease
+        )
+
 
 def locate_node(name: str) -> row_store.RowKey:
     """Returns the row key of a node's row.
--- a/src/fireflywell/node/heartbeat.py
+++ b/src/fireflywell/node/heartbeat.py
@@ -8,6 +8,7 @@
 from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import directory as directory_lib
+from fireflywell.node import renewal_times
 from fireflywell.node import settings as node_settings
 from fireflywell.node import tables
 from fireflywell.supervision import supervisor as supervisor_lib
@@ -31,6 +32,13 @@
 # during a start are read as changes, too.
 _MIN_BACKLOG_NODES = 32
 
+# The node renews early when another one has been silent for its lease, so that
+# a takeover doesn't wait for the next renewal. It pauses for at least this.
+_SHORTEST_PAUSE = datetime.timedelta(milliseconds=50)
+
+# Added to the time of such a renewal, so that it is surely after the lease.
+_EXPIRY_MARGIN = datetime.timedelta(milliseconds=1)
+
 # A node whose renewals have failed for this share of the lease isn't ready: it
 # can't accept jobs without the store, so callers go to other nodes.
 _FAILING_SHARE = 0.6
@@ -54,12 +62,15 @@
         "_incarnation",
         "_is_store_lost",
         "_lease",
+        "_renewal_times",
         "_renewed_at",
+        "_renewed_version",
         "_seen_version",
         "_settings",
         "_stopping",
         "_store",
         "_valid_since",
+        "_valid_since_version",
         "_version",
         "renewal_count",
     )
@@ -84,6 +95,9 @@
         self._seen_version: int | None = None
         self._renewed_at: datetime.timedelta | None = None
         self._valid_since: datetime.timedelta | None = None
+        self._valid_since_version = 0
+        self._renewed_version = 0
+        self._renewal_times = renewal_times.RenewalTimes()
         self._stopping = False
         self._is_store_lost = False
         self.renewal_count = 0
@@ -108,6 +122,20 @@
         """Start of the last unbroken period of valid leases, monotonic."""
         return self._valid_since
 
+    @property
+    def valid_since_version(self) -> int:
+        """Version of the store at the renewal that began that period."""
+        return self._valid_since_version
+
+    @property
+    def renewed_version(self) -> int:
+        """Version of the store at the last renewal, under a second ago.
+
+        A read that must show what others stored shortly before should not show
+        an earlier state than this. It is older while renewals fail.
+        """
+        return self._renewed_version
+
     @property
     def is_failing(self) -> bool:
         """Whether renewals have failed for too long to accept jobs."""
@@ -126,13 +154,22 @@
     async def run(self) -> None:
         """Renews the lease until cancelled."""
         interval = self._lease / _RENEWALS_PER_LEASE
+        is_early = False
         while True:
             started = self._clock.monotonic()
             await self._renew_once()
-            elapsed = self._clock.monotonic() - started
-            await self._clock.sleep(
-                max(interval - elapsed, datetime.timedelta(milliseconds=50))
+            due_at = started + interval
+            # While reads are behind, an early renewal proves nothing about
+            # leases that ended before the last one.
+            expiry = self._directory.find_next_expiry(started - interval)
+            # At most every other renewal is early, however many nodes expire.
+            is_early = not is_early and (
+                expiry is not None and expiry + _EXPIRY_MARGIN < due_at
             )
+            if is_early and expiry is not None:
+                due_at = expiry + _EXPIRY_MARGIN
+            pause = due_at - self._clock.monotonic()
+            await self._clock.sleep(max(pause, _SHORTEST_PAUSE))
 
     async def announce_stop(self) -> None:
         """Marks this node as stopping in its row, so that others see it."""
@@ -147,10 +184,16 @@
                 rows = await self._read_nodes()
                 self._version = _find_version(rows, self._settings.name)
             started = self._clock.monotonic()
-            if await self._write_row():
+            version = await self._write_row()
+            if version is not None:
                 if not self.is_valid:
                     self._valid_since = started
+                    self._valid_since_version = version
                 self._renewed_at = started
+                self._renewed_version = version
+                self._renewal_times.record(
+                    version, started, self._clock.monotonic()
+                )
                 await self._read_nodes()
                 self.renewal_count += 1
         except errors.PlatformError as error:
@@ -172,8 +215,14 @@
                 )
             except (errors.HistoryLostError, errors.BacklogTooLargeError):
                 page = await self._read_all_nodes()
-        self._seen_version = page.version
-        self._directory.observe(page.rows)
+        # A read of an earlier state must not set the position back.
+        self._seen_version = max(self._seen_version or 0, page.version)
+        self._directory.observe(
+            page.rows,
+            page.version,
+            self._renewal_times.find_earliest(page.version),
+            self._renewal_times.find_latest,
+        )
         return page.rows
 
     def _compute_backlog_limit(self) -> int:
@@ -183,9 +232,14 @@
     async def _read_all_nodes(self) -> row_store.Page:
         listed = await self._store.list_partitions(tables.NODES)
         pages: list[row_store.Page] = []
+        seen_version = self._seen_version or 0
 
         async def read_one(name: str) -> None:
-            pages.append(await self._store.read(tables.NODES, name))
+            pages.append(
+                await self._store.read(
+                    tables.NODES, name, at_least=seen_version
+                )
+            )
 
         with supervisor_lib.raise_single_error():
             async with anyio.create_task_group() as group:
@@ -200,7 +254,8 @@
             min(page.version for page in pages),
         )
 
-    async def _write_row(self) -> bool:
+    async def _write_row(self) -> int | None:
+        """Writes this node's row; returns the version, None in a conflict."""
         row_key = directory_lib.locate_node(self._settings.name)
         self._beats += 1
         record = directory_lib.NodeRecord(
@@ -222,12 +277,12 @@
         match result:
             case row_store.Committed(version=version):
                 self._version = version
-                return True
+                return version
             case row_store.Conflict() as conflict:
                 # An earlier write was applied and its answer was lost, or the
                 # previous process at this address wrote last.
                 self._version = conflict.find_version(row_key)
-                return False
+                return None
 
     def _record_failure(self, error: Exception) -> None:
         if not self._is_store_lost:
--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -226,7 +226,7 @@
                 service not in self._releasing
             )
         return self._directory.has_incarnation_expired(
-            record.node, record.incarnation
+            record.node, record.incarnation, cached[1]
         )
 
     def _count_owned(self) -> dict[str, int]:
