Confirm an ownership only by a read from after the renewal

After its node's lease had lapsed and was renewed, an owner read its row once more before the next order, and took any state for the present. With one from before another node's claim it went on giving orders for the service or for VMs beside the new owner. With one from before its own claim it stopped, although it was the owner.

The read must now show at least the renewal that made the lease valid again, and the owner's own claim. It doesn't show a claim that another node makes after that renewal by a state from before it; the follower of the owner rows does.

Owners without a lapse don't read, as before.

--- a/src/fireflywell/node/ownership_guard.py
+++ b/src/fireflywell/node/ownership_guard.py
@@ -65,14 +65,21 @@
             has owned it. True otherwise, also while the lease is expired.
 
         Raises:
-            PlatformError: The store doesn't answer.
+            PlatformError: The store doesn't answer, or shows the state before
+                the renewal of the lease.
         """
         if self.permits_orders or not self._heartbeat.is_valid:
             return True
         started = self._clock.monotonic()
         row_key = tables.locate_owner(self._tenure.service)
+        # An earlier state may lack the claim of another node, or this one's.
+        needed = max(self._tenure.version, self._heartbeat.valid_since_version)
         page = await self._store.read(
-            row_key.table, row_key.partition, row_key.key, row_key.key + "\x00"
+            row_key.table,
+            row_key.partition,
+            row_key.key,
+            row_key.key + "\x00",
+            needed,
         )
         versions = [row.version for row in page.rows if row.row_key == row_key]
         if versions != [self._tenure.version]:
--- a/tests/test_node_silence.py
+++ b/tests/test_node_silence.py
@@ -11,6 +11,8 @@
 from fireflywell.node import directory as directory_lib
 from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import owner_records
+from fireflywell.node import ownership
+from fireflywell.node import ownership_guard
 from fireflywell.node import tables
 from fireflywell.standins import row_store as store_standin
 from tests import node_world
@@ -264,6 +266,59 @@
                 self.assertLess(waited, limit_s)
 
 
+class GuardTest(unittest.TestCase):
+    """An owner that confirms its ownership after its lease has lapsed."""
+
+    def run_guard(self, *, is_claimed: bool) -> tuple[bool, bool]:
+        """Lets the lease lapse while another node may claim the service.
+
+        Returns:
+            Whether the guard reports the ownership as kept, and whether it
+            permits orders, while reads show the state before the lapse. A read
+            that is refused counts as kept.
+        """
+
+        async def run() -> tuple[bool, bool]:
+            world = World()
+            async with anyio.create_task_group() as group:
+                world.start(group, "a", "a-1")
+                await world.advance(2)
+                before = world.store.version
+                tenure = ownership.Tenure(
+                    node_world.SERVICE, 1, world.claim("a", "a-1"), False
+                )
+                guard = ownership_guard.OwnershipGuard(
+                    tenure, world.store, world.heartbeats["a"], world.clock
+                )
+                if is_claimed:
+                    before = world.store.version
+                await world.kill("a")
+                await world.advance(2 * _LEASE_S)
+                if is_claimed:
+                    world.claim("b", "b-1")
+                await world.heartbeats["a"]._renew_once()
+                world.store.read_version = before
+                try:
+                    is_kept = await guard.confirm()
+                except Exception:
+                    is_kept = True
+                permits = guard.permits_orders
+                world.store.read_version = None
+                self.assertEqual(await guard.confirm(), not is_claimed)
+                group.cancel_scope.cancel()
+            return is_kept, permits
+
+        return anyio.run(run)
+
+    def test_claim_of_another_node_is_not_overlooked(self) -> None:
+        """Fails if a former owner confirms itself by a read of the past."""
+        self.assertEqual(self.run_guard(is_claimed=True), (True, False))
+
+    def test_read_from_before_the_claim_does_not_end_the_tenure(self) -> None:
+        """Fails if an owner stops because a read doesn't show its own claim."""
+        self.assertEqual(self.run_guard(is_claimed=False), (True, False))
+
+
 class OldRowTest(unittest.TestCase):
     """Rows of nodes from before those that were read."""
 
