Tell callers of missing jobs only by a recent state

A node answered 410 for an accepted job, and refused its cancellation for good, if its read of the store showed the state from before the job was stored. Counts of waiting jobs that a node made itself lacked the jobs of the last seconds in the same way.

That a job doesn't exist is now told only by a state that is at least as new as the node's last renewal of its lease, so about a second old at most. Otherwise the answer is the one for a store that can't be reached, which callers repeat. A state that holds the job is used however old it is. The rows of a count must be as new.

The tests failed before: "UnknownJob() is not an instance of OutcomeUnknown", and "StaleReadError not raised" for the state and the count.

There is no additional call. While reads are more than a second behind, callers get an error for jobs that the node doesn't know, and for counts while no owner stores them.

--- a/src/fireflywell/node/job_frontend.py
+++ b/src/fireflywell/node/job_frontend.py
@@ -1,6 +1,7 @@
 """Submits, reads and cancels jobs for callers, on any node."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import datetime
 
@@ -79,11 +80,16 @@
 
 
 class JobFrontend:
-    """Serves callers' requests about jobs directly from the store."""
+    """Serves callers' requests about jobs directly from the store.
+
+    Reads may show an earlier state. That a job doesn't exist is therefore only
+    told by a state that is as new as the node's last renewal of its lease.
+    """
 
     __slots__ = (
         "_clock",
         "_commits",
+        "_find_needed_version",
         "_metrics",
         "_services",
         "_store",
@@ -95,12 +101,25 @@
         store: row_store.RowStore,
         clock: clock_lib.Clock,
         metrics: metrics_lib.Metrics,
+        find_needed_version: Callable[[], int] = lambda: 0,
     ) -> None:
+        """Creates a frontend.
+
+        Args:
+            store: The store.
+            clock: The clock.
+            metrics: Receives samples.
+            find_needed_version: Returns the version of the store that a state
+                must not precede if jobs are missing in it.
+        """
         self._metrics = metrics
+        self._find_needed_version = find_needed_version
         self._store = store
         self._clock = clock
         self._commits = group_commit.GroupCommit(store, clock)
-        self._waiting = waiting_counts.WaitingCounter(store, metrics)
+        self._waiting = waiting_counts.WaitingCounter(
+            store, metrics, find_needed_version
+        )
         # Service of each recently used job, by job id.
         self._services: collections.OrderedDict[str, str] = (
             collections.OrderedDict()
@@ -161,8 +180,9 @@
         """Returns a job's state; `QUEUED` until its owner stores another.
 
         Raises:
-            PlatformError: The store doesn't answer, or the stored progress
-                can't be read until the owner writes it again.
+            PlatformError: The store doesn't answer, it shows an earlier state
+                that lacks the job, or the stored progress can't be read until
+                the owner writes it again.
         """
         service = self._services.get(job_id, policy.service)
         progress = await self._read_row(tables.locate_progress(service, job_id))
@@ -175,8 +195,7 @@
         if job_id in self._services:
             # Accepted here, and its owner has stored no progress yet.
             return JobStatus(jobs_lib.JobState.QUEUED)
-        job = await self._read_row(tables.locate_job(service, job_id))
-        if job is None:
+        if not await self._is_stored(tables.locate_job(service, job_id)):
             return UnknownJob()
         self._remember(job_id, service)
         return JobStatus(jobs_lib.JobState.QUEUED)
@@ -217,10 +236,11 @@
         self, job_id: str, policy: model.QueuePolicy
     ) -> Cancelled | UnknownJob:
         service = self._services.get(job_id, policy.service)
-        if job_id not in self._services:
-            job = await self._read_row(tables.locate_job(service, job_id))
-            if job is None:
-                return UnknownJob()
+        is_known = job_id in self._services or await self._is_stored(
+            tables.locate_job(service, job_id)
+        )
+        if not is_known:
+            return UnknownJob()
         row_key = tables.locate_cancel(service, job_id)
         await self._store.transact(
             row_store.Transaction((), (row_store.Put(row_key, b""),))
@@ -230,10 +250,28 @@
     async def _read_row(
         self, row_key: row_store.RowKey
     ) -> row_store.Row | None:
-        page = await self._store.read(
+        page = await self._read_page(row_key)
+        return page.rows[0] if page.rows else None
+
+    async def _is_stored(self, row_key: row_store.RowKey) -> bool:
+        """Returns whether a row exists.
+
+        Raises:
+            PlatformError: The store doesn't answer, or shows an earlier state
+                that lacks the row.
+        """
+        needed = self._find_needed_version()
+        page = await self._read_page(row_key)
+        if not page.rows:
+            row_store.check_version(
+                page.version, needed, row_key.table, row_key.partition
+            )
+        return bool(page.rows)
+
+    async def _read_page(self, row_key: row_store.RowKey) -> row_store.Page:
+        return await self._store.read(
             row_key.table, row_key.partition, row_key.key, row_key.key + "\x00"
         )
-        return page.rows[0] if page.rows else None
 
     def _remember(self, job_id: str, service: str) -> None:
         self._services[job_id] = service
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -148,7 +148,10 @@
             dependencies.decode_wave, store
         )
         self._job_frontend = job_frontend.JobFrontend(
-            store, clock, dependencies.metrics
+            store,
+            clock,
+            dependencies.metrics,
+            lambda: self._heartbeat.renewed_version,
         )
         self._owners: dict[str, service_owner.ServiceOwner] = {}
         self._owners_tree = supervisor_lib.Supervisor("owners", clock, rng)
--- a/src/fireflywell/node/waiting_counts.py
+++ b/src/fireflywell/node/waiting_counts.py
@@ -1,6 +1,7 @@
 """Counts the accepted jobs of each queue that have not started."""
 
 import collections
+from collections.abc import Callable
 import dataclasses
 
 import anyio
@@ -70,12 +71,30 @@
     many callers ask.
     """
 
-    __slots__ = ("_cached_counts", "_locks", "_metrics", "_store")
+    __slots__ = (
+        "_cached_counts",
+        "_find_needed_version",
+        "_locks",
+        "_metrics",
+        "_store",
+    )
 
     def __init__(
-        self, store: row_store.RowStore, metrics: metrics_lib.Metrics
+        self,
+        store: row_store.RowStore,
+        metrics: metrics_lib.Metrics,
+        find_needed_version: Callable[[], int] = lambda: 0,
     ) -> None:
+        """Creates a counter.
+
+        Args:
+            store: The store.
+            metrics: Receives samples.
+            find_needed_version: Returns the version of the store that the rows
+                which are counted must not precede.
+        """
         self._store = store
+        self._find_needed_version = find_needed_version
         self._metrics = metrics
         self._cached_counts: dict[str, WaitingCounts] = {}
         self._locks: collections.defaultdict[str, anyio.Lock] = (
@@ -86,7 +105,7 @@
         """Returns how many jobs of a queue have not started.
 
         Raises:
-            PlatformError: The store doesn't answer.
+            PlatformError: The store doesn't answer or shows an earlier state.
         """
         counts = await self._read_stored(policy.service)
         if counts is None:
@@ -124,9 +143,12 @@
             return counts
 
     async def _count_rows(self, service: str) -> dict[str, int]:
-        jobs = await self._store.read(tables.name_jobs_table(service), service)
+        needed = self._find_needed_version()
+        jobs = await self._store.read(
+            tables.name_jobs_table(service), service, at_least=needed
+        )
         progress = await self._store.read(
-            tables.name_progress_table(service), service
+            tables.name_progress_table(service), service, at_least=needed
         )
         not_waiting = {row.row_key.key for row in progress.rows}
         not_waiting.update(
