Verify the fleet's ownership before each order for a VM

An owner of the fleet whose lease was valid learned only by its follower of the owner rows that another node had claimed the fleet. It could be replaced after its lease had lapsed and was renewed, if the claim was made by a state from before the renewal. While reads were some seconds behind, it went on ordering longer than the new owner waits before its first order (rule ONE).

Before each order the owner now writes a row of the fleet's partition on the condition that its tenure lasts, since transactions are always applied to the present state. If the write is applied, any claim was made after it, and the new owner's wait of 1.1 leases from its claim ends after this node's lease. The lease is checked once more after the write.

Each order for a VM costs one transaction, and waits for it. It doesn't wait for reads that are behind.

--- a/src/fireflywell/node/fleet_controller.py
+++ b/src/fireflywell/node/fleet_controller.py
@@ -341,6 +341,8 @@
         """
         if not self._orders.may_send(name):
             return False
+        if not await self._verify_tenure():
+            return False
         # The list in memory doesn't show the effect of the order. The next one
         # is read a full interval after it.
         self._listed_at = self._clock.monotonic()
@@ -360,6 +362,21 @@
                 self._moving.pop(name, None)
                 return True
 
+    async def _verify_tenure(self) -> bool:
+        """Returns whether this node may order now; stops if it was replaced.
+
+        The lease of an owner that was replaced may be valid, and its follower
+        of the owner rows may be behind.
+
+        Raises:
+            PlatformError: The store doesn't answer.
+        """
+        if await self._guard.verify():
+            # The lease may have lapsed during the call.
+            return self._guard.permits_orders
+        self.stop()
+        return False
+
     def _get_request_wave(self, name: str) -> int:
         """Returns the wave that a VM's next drain request has to keep.
 
@@ -541,6 +558,8 @@
     async def _order_maintenance(
         self, request: maintenance.DrainRequest
     ) -> vm_orders.OrderOutcome:
+        if not await self._verify_tenure():
+            return vm_orders.OrderOutcome.POSTPONED
         # The list in memory doesn't show the effect of the order. The next one
         # is read a full interval after it.
         self._listed_at = self._clock.monotonic()
--- a/src/fireflywell/node/ownership_guard.py
+++ b/src/fireflywell/node/ownership_guard.py
@@ -72,20 +72,49 @@
             return True
         started = self._clock.monotonic()
         row_key = tables.locate_owner(self._tenure.service)
-        # An earlier state may lack the claim of another node, or this one's.
-        needed = max(self._tenure.version, self._heartbeat.valid_since_version)
         page = await self._store.read(
             row_key.table,
             row_key.partition,
             row_key.key,
             row_key.key + "\x00",
-            needed,
+            # An earlier state may lack this or another node's claim.
+            max(self._tenure.version, self._heartbeat.valid_since_version),
         )
         versions = [row.version for row in page.rows if row.row_key == row_key]
         if versions != [self._tenure.version]:
-            logs.log_event(
-                "ownership.lost", service=self._tenure.service, owner=""
-            )
+            self._log_loss()
             return False
         self._confirmed_at = started
         return True
+
+    async def verify(self) -> bool:
+        """Checks the ownership by a write, which reads that are behind can't.
+
+        If the write is applied, any claim of another node is made after it. A
+        new owner that waits for the lease before its first order thus gives
+        none before this node's lease, and so the orders that follow on the
+        check, have ended.
+
+        Returns:
+            False if another node owns the service or has owned it.
+
+        Raises:
+            PlatformError: The store doesn't answer.
+        """
+        result = await self._store.transact(
+            row_store.Transaction(
+                (self._tenure.make_condition(),),
+                (
+                    row_store.Put(
+                        tables.locate_check(self._tenure.service), b""
+                    ),
+                ),
+            )
+        )
+        if isinstance(result, row_store.Conflict):
+            self._log_loss()
+            return False
+        return True
+
+    def _log_loss(self) -> None:
+        logs.log_event("ownership.lost", service=self._tenure.service, owner="")
--- a/src/fireflywell/node/tables.py
+++ b/src/fireflywell/node/tables.py
@@ -13,6 +13,9 @@
 ASSIGNED_WORKERS = "rosters"
 QUEUES = "queues"
 
+# Written by owners to check that they still own their service; never read.
+OWNER_CHECKS = "checks"
+
 # Drain requests and needs for VMs change often, and only nodes that own a
 # service or the fleet read them.
 FLEET = "upkeep"
@@ -44,6 +47,11 @@
     return row_store.RowKey(OWNERS, service, OWNER_KEY)
 
 
+def locate_check(service: str) -> row_store.RowKey:
+    """Returns the row key that an owner writes to check its ownership."""
+    return row_store.RowKey(OWNER_CHECKS, service, OWNER_KEY)
+
+
 def locate_assigned_workers(service: str) -> row_store.RowKey:
     """Returns the row key of the list of workers that may run units."""
     return row_store.RowKey(ASSIGNED_WORKERS, service, "workers")
--- a/tests/test_node_ownership_guard.py
+++ b/tests/test_node_ownership_guard.py
@@ -81,6 +81,37 @@
             await self._advance(2)
             group.cancel_scope.cancel()
 
+    async def run_replaced(self, read_lag_s: float) -> None:
+        """Lets another node claim the fleet, and then stores a need for a VM.
+
+        This node's lease is valid, and it hasn't read the claim.
+
+        Args:
+            read_lag_s: How old the state is that reads show from the claim on.
+        """
+        async with anyio.create_task_group() as group:
+            group.start_soon(self.heartbeat.run)
+            await self._advance(0.2)
+            version = self._write_owner("n1", 1)
+            self._set_rows(
+                (
+                    fleet_cache.locate_spare_pool_vms(_FLEET),
+                    msgpack.packb(["m-1"]),
+                )
+            )
+            group.start_soon(self._make_controller(version).run)
+            await self._advance(1)
+            # The controller's loop waits on the real clock between passes.
+            self._set_rows((fleet_cache.locate_need(_FLEET, "desk"), b"0"))
+            await self._advance(2)
+            self._write_owner("n2", 2)
+            self.store.read_lag_s = read_lag_s
+            # The new owner waits for this long before its first order.
+            await self._advance(1.1 * self._lease.total_seconds())
+            self._set_rows((fleet_cache.locate_need(_FLEET, "desk"), b"1"))
+            await self._advance(3)
+            group.cancel_scope.cancel()
+
     def _write_owner(self, node: str, token: int) -> int:
         record = owner_records.OwnerRecord(node, f"{node}-1", token)
         return self.store.put(
@@ -131,6 +162,21 @@
         self.assertTrue(world.heartbeat.is_valid)
         self.assertEqual(world.fleet.orders, [])
 
+    def test_replaced_owner_gives_no_order_while_its_lease_is_valid(
+        self,
+    ) -> None:
+        """Fails if a VM gets orders from two owners (rule ONE).
+
+        The owner's lease lapsed and was renewed, and another node claimed the
+        fleet after that by a state from before the renewal.
+        """
+        for read_lag_s in (0.0, 5.0):
+            with self.subTest(read_lag_s=read_lag_s):
+                world = FleetWorld()
+                anyio.run(world.run_replaced, read_lag_s)
+                self.assertTrue(world.heartbeat.is_valid)
+                self.assertEqual(world.fleet.orders, [])
+
     def test_owner_goes_on_if_nobody_claimed_the_duty(self) -> None:
         """Fails if an owner gives no orders after a short store outage."""
         world = FleetWorld()
