Treat each job from before the claim as inherited, however it arrives

What callers saw: a unit could run twice at once after a change of owners.

Evidence: test_job_from_the_feed_waits_for_the_recovery and test_job_from_a_later_snapshot_waits_for_the_recovery failed before with "AssertionError: False is not true" for is_recovered.

The version of a job's row against that of the claim now decides alone.

Jobs stored after the claim start as before. No additional call.

--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -126,7 +126,7 @@
 
     def apply_snapshot(self, rows: tuple[row_store.Row, ...]) -> None:
         """Applies all rows of the table and marks the jobs as loaded."""
-        self.apply_changes(rows)
+        self._apply_rows(rows, is_fetched=False)
         if self._is_first_snapshot:
             logs.log_event(
                 "ownership.loaded",
@@ -172,15 +172,16 @@
         now_s = self._clock.monotonic().total_seconds()
         job = service_state.make_job(submission, self._store.now_s(), now_s)
         # An earlier owner started nothing after the claim, so it can't have
-        # started a job that was stored later.
-        job.is_recovered = is_fetched or (
-            self._is_first_snapshot and row.version < self._claim_version
-        )
+        # started a job that was stored later. The row's version tells that;
+        # when the row arrives doesn't, because a snapshot may be behind.
+        job.is_recovered = is_fetched or row.version < self._claim_version
         self._restore_progress(job)
         self._state.add_job(job)
-        if not job.is_recovered:
-            if not job.is_long_running:
-                self._record_arrival(now_s, ranking.compute_work(job))
+        if not job.is_recovered and not job.is_long_running:
+            self._record_arrival(now_s, ranking.compute_work(job))
+        # Inherited jobs of the first snapshot are counted in
+        # `ownership.loaded`.
+        if not job.is_recovered or not self._is_first_snapshot:
             logs.log_event(
                 "job.seen",
                 job=job_id,
@@ -188,6 +189,8 @@
                 units=sum(s.count for s in submission.request.steps),
                 age_s=round(now_s - job.arrived_s, 3),
                 row_version=row.version,
+                claim_version=self._claim_version,
+                is_recovered=job.is_recovered,
             )
 
     def _restore_progress(self, job: jobs_lib.Job) -> None:
--- a/tests/test_node_job_loader.py
+++ b/tests/test_node_job_loader.py
@@ -5,6 +5,7 @@
 import anyio
 
 from fireflywell import clock as clock_lib
+from fireflywell.coordination import row_store
 from fireflywell.node import job_loader
 from fireflywell.node import ownership
 from fireflywell.node import tables
@@ -61,6 +62,79 @@
         self.assertEqual(recovered, {_EARLIER: True, _LATER: False})
 
 
+class _BehindWorld:
+    """A new owner whose first snapshot lacks a job from before its claim."""
+
+    def __init__(self) -> None:
+        world = node_world.NodeWorld()
+        self._world = world
+        self.state = service_state.ServiceState(2)
+        earlier = samples.make_job(_EARLIER).submission
+        self.job_row = self._put(
+            tables.locate_job(node_world.SERVICE, _EARLIER),
+            job_rows.encode_submission(earlier),
+        )
+        claim = self._put(tables.locate_owner(node_world.SERVICE), b"owner")
+        later = samples.make_job(_LATER).submission
+        self.later_row = self._put(
+            tables.locate_job(node_world.SERVICE, _LATER),
+            job_rows.encode_submission(later),
+        )
+        self.loader = job_loader.JobLoader(
+            ownership.Tenure(node_world.SERVICE, 2, claim.version, False),
+            self.state,
+            _Writer(),  # type: ignore[arg-type]
+            world.store,
+            world.clock,
+            lambda: None,
+            lambda *_: None,
+        )
+
+    def _put(self, row_key: row_store.RowKey, value: bytes) -> row_store.Row:
+        return row_store.Row(
+            row_key, value, self._world.store.put(row_key, value)
+        )
+
+    async def load(self) -> None:
+        """Reads the progress and applies a snapshot that lacks the job."""
+        await self.loader.load_progress()
+        self.loader.apply_snapshot(())
+
+
+class SnapshotBehindTest(unittest.TestCase):
+    """A job from before the claim that the first snapshot lacks."""
+
+    def test_job_from_the_feed_waits_for_the_recovery(self) -> None:
+        """Fails if units start beside their runs under an earlier owner.
+
+        Only rows of the first snapshot were compared with the claim, so the
+        job counted as new and was placed at once (rule TWICE).
+        """
+
+        async def run() -> None:
+            world = _BehindWorld()
+            await world.load()
+            world.loader.apply_changes((world.job_row,))
+            self.assertTrue(world.state.jobs[_EARLIER].is_recovered)
+            samples.add_worker(world.state, "w1")
+            self.assertEqual(world.state.plan(1.0), [])
+            world.state.is_recovery_complete = True
+            self.assertEqual(len(world.state.plan(1.1)), 1)
+
+        anyio.run(run)
+
+    def test_job_from_a_later_snapshot_waits_for_the_recovery(self) -> None:
+        """Fails if rows of a later snapshot aren't compared with the claim."""
+
+        async def run() -> None:
+            world = _BehindWorld()
+            await world.load()
+            world.loader.apply_snapshot((world.job_row, world.later_row))
+            self.assertTrue(world.state.jobs[_EARLIER].is_recovered)
+
+        anyio.run(run)
+
+
 class FetchedJobTest(unittest.TestCase):
     """A job that isn't in the first snapshot, but runs on a worker."""
 
