--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -54,6 +54,7 @@
         self._store = store
         self._clock = clock
         self._on_change = on_change
+        # Progress of jobs that haven't been added yet.
         self._stored_progress: dict[str, row_store.Row] = {}
         self._loaded = anyio.Event()
         # Monotonic time at which the applied rows were last up to date.
@@ -135,11 +136,18 @@
                 final=len(self._state.final_states),
             )
         self._loaded.set()
-        self._stored_progress = {}
 
     def apply_changes(self, rows: tuple[row_store.Row, ...]) -> None:
-        """Adds new jobs to the state and cancels those with a cancel row."""
+        """Adds new jobs to the state and cancels those with a cancel row.
+
+        Args:
+            rows: Changed rows of the table in order of their versions.
+        """
         self._apply_rows(rows, is_fetched=False)
+        # All rows from before the claim were passed on by then. Their progress
+        # is held until that, because the first snapshot may lack some of them.
+        if any(row.version > self._claim_version for row in rows):
+            self._stored_progress = {}
 
     def _apply_rows(
         self, rows: tuple[row_store.Row, ...], *, is_fetched: bool
@@ -194,7 +202,7 @@
             )
 
     def _restore_progress(self, job: jobs_lib.Job) -> None:
-        row = self._stored_progress.get(job.job_id)
+        row = self._stored_progress.pop(job.job_id, None)
         if row is None:
             return
         try:
--- a/tests/test_node_job_loader.py
+++ b/tests/test_node_job_loader.py
@@ -69,10 +69,16 @@
         world = node_world.NodeWorld()
         self._world = world
         self.state = service_state.ServiceState(2)
-        earlier = samples.make_job(_EARLIER).submission
+        job = samples.make_job(_EARLIER, node_world.make_step(2))
         self.job_row = self._put(
             tables.locate_job(node_world.SERVICE, _EARLIER),
-            job_rows.encode_submission(earlier),
+            job_rows.encode_submission(job.submission),
+        )
+        job.steps[0].units[0].is_done = True
+        job.steps[0].done_count = 1
+        self._put(
+            tables.locate_progress(node_world.SERVICE, _EARLIER),
+            job_rows.encode_progress(job_rows.snapshot_progress(job, 1.0, "")),
         )
         claim = self._put(tables.locate_owner(node_world.SERVICE), b"owner")
         later = samples.make_job(_LATER).submission
@@ -100,6 +106,11 @@
         await self.loader.load_progress()
         self.loader.apply_snapshot(())
 
+    def count_done_units(self) -> int:
+        """Returns how many units of the job are done."""
+        units = self.state.jobs[_EARLIER].steps[0].units
+        return sum(unit.is_done for unit in units)
+
 
 class SnapshotBehindTest(unittest.TestCase):
     """A job from before the claim that the first snapshot lacks."""
@@ -134,6 +145,45 @@
 
         anyio.run(run)
 
+    def test_units_that_are_done_stay_done(self) -> None:
+        """Fails if a job that arrives late starts without its progress.
+
+        The stored progress was dropped after the first snapshot, so that
+        units that were done started again (rule TWICE).
+        """
+
+        async def run() -> None:
+            for way in ("feed", "snapshot", "fetch"):
+                with self.subTest(way):
+                    world = _BehindWorld()
+                    await world.load()
+                    match way:
+                        case "feed":
+                            world.loader.apply_changes((world.job_row,))
+                        case "snapshot":
+                            world.loader.apply_snapshot((world.job_row,))
+                        case _:
+                            await world.loader.fetch_unknown(
+                                frozenset({_EARLIER})
+                            )
+                    self.assertEqual(world.count_done_units(), 1)
+
+        anyio.run(run)
+
+    def test_progress_is_dropped_once_all_earlier_jobs_were_delivered(
+        self,
+    ) -> None:
+        """Fails if progress of jobs that never arrive is held for ever."""
+
+        async def run() -> None:
+            world = _BehindWorld()
+            await world.load()
+            self.assertEqual(set(world.loader._stored_progress), {_EARLIER})
+            world.loader.apply_changes((world.later_row,))
+            self.assertEqual(world.loader._stored_progress, {})
+
+        anyio.run(run)
+
 
 class FetchedJobTest(unittest.TestCase):
     """A job that isn't in the first snapshot, but runs on a worker."""
