Start no owner for a claim that another one has followed

Cause: the answer to a claim set the cached row of the owner without a look at its version. If the follower had already delivered a newer row, the cache went back to the older one, an owner was started for a tenure that was over, and the newer row wasn't delivered again. An owner that was replaced while it was being started wasn't stopped either.

Evidence: test_no_owner_starts_for_a_tenure_that_is_over failed before with "'a' != 'c'", test_owner_that_is_replaced_while_it_starts_is_stopped with "['a starts desk'] != ['a starts desk', 'a stops desk']".

The answer now takes the same way as any other row, which keeps the newest version, and an owner runs only while the row of its claim is the newest one known, before and after its start. Answers to releases already took that way. ownership.claimed logs the version of the claim; ownership.observed is now written for own claims, too.

--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -213,7 +213,7 @@
             self._wake.set()
         is_own = record.incarnation == self._heartbeat.incarnation
         if not is_own and service in self._owned:
-            logs.log_event("ownership.lost", service=service, owner=record.node)
+            self._log_lost(service)
             self._owned.pop(service)()
 
     def _is_unowned(self, service: str) -> bool:
@@ -276,12 +276,11 @@
         record = owner_records.OwnerRecord(
             self._name, self._heartbeat.incarnation, token
         )
+        value = owner_records.encode_owner(record)
         result = await self._store.transact(
             row_store.Transaction(
                 expected=(row_store.Condition(row_key, version),),
-                puts=(
-                    row_store.Put(row_key, owner_records.encode_owner(record)),
-                ),
+                puts=(row_store.Put(row_key, value),),
             )
         )
         match result:
@@ -291,23 +290,51 @@
                 # that comes with the conflict tells which.
                 self.apply_rows(rows)
             case row_store.Committed(version=committed):
-                self._rows[service] = (record, committed)
                 self._unowned_since.pop(service, None)
+                self._apply_owner_row(row_store.Row(row_key, value, committed))
                 tenure = Tenure(
                     service,
                     token,
                     committed,
                     is_first=cached is None,
                 )
-                self._metrics.count("node.takeovers")
-                logs.log_event(
-                    "ownership.claimed",
-                    service=service,
-                    token=token,
-                    previous=previous,
-                )
-                self._claimed_at[service] = self._clock.monotonic()
-                self._owned[service] = await self._run_owner(tenure)
+                await self._start_owner(tenure, previous)
+
+    async def _start_owner(self, tenure: Tenure, previous: str) -> None:
+        """Starts the owner for a claim, unless another claim has followed it.
+
+        Args:
+            tenure: The claimed tenure.
+            previous: Node that owned the service before; may be empty.
+        """
+        service = tenure.service
+        if not self._is_current(tenure):
+            self._log_lost(service)
+            return
+        self._metrics.count("node.takeovers")
+        logs.log_event(
+            "ownership.claimed",
+            service=service,
+            token=tenure.token,
+            previous=previous,
+            version=tenure.version,
+        )
+        self._claimed_at[service] = self._clock.monotonic()
+        stop = await self._run_owner(tenure)
+        if self._is_current(tenure):
+            self._owned[service] = stop
+        else:
+            self._log_lost(service)
+            stop()
+
+    def _is_current(self, tenure: Tenure) -> bool:
+        """Returns whether no later row of a service's owner is known."""
+        return self._rows[tenure.service][1] == tenure.version
+
+    def _log_lost(self, service: str) -> None:
+        logs.log_event(
+            "ownership.lost", service=service, owner=self.find_owner(service)
+        )
 
     async def _rebalance(self) -> None:
         if any(self._is_unowned(name) for name in self.list_partitions()):
--- a/tests/test_node_ownership.py
+++ b/tests/test_node_ownership.py
@@ -168,6 +168,96 @@
         self.assertEqual(world.events[-1][0], "a")
 
 
+class _OvertakenStore(store_standin.MemoryRowStore):
+    """A store whose answer to a claim arrives after the next claim."""
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        super().__init__(clock)
+        # Called between a claim of the service and its answer.
+        self.on_claim: Callable[[], None] | None = None
+
+    async def transact(
+        self,
+        transaction: row_store.Transaction,
+        timeout: datetime.timedelta | None = None,
+    ) -> row_store.Committed | row_store.Conflict:
+        """Applies a transaction and delays its answer."""
+        result = await super().transact(transaction, timeout)
+        is_claim = transaction.puts[0].row_key == tables.locate_owner(_SERVICE)
+        if is_claim and self.on_claim is not None:
+            on_claim, self.on_claim = self.on_claim, None
+            on_claim()
+        return result
+
+
+class _OvertakenWorld(World):
+    """Nodes over a store whose answers are overtaken."""
+
+    def make_store(self) -> _OvertakenStore:
+        """Returns the store of all nodes."""
+        return _OvertakenStore(self.clock)
+
+
+class OvertakenClaimTest(unittest.TestCase):
+    """A claim whose answer arrives after another node's claim was read."""
+
+    def _claim_elsewhere(self, world: World) -> None:
+        """Stores the next claim, by another node, and passes it on."""
+        record = owner_records.OwnerRecord("c", "c", 2)
+        world.store.put(
+            tables.locate_owner(_SERVICE), owner_records.encode_owner(record)
+        )
+        world.managers["a"].apply_rows(
+            tuple(world.store.list_table(tables.OWNERS))
+        )
+
+    def test_no_owner_starts_for_a_tenure_that_is_over(self) -> None:
+        """Fails if a late answer starts an owner that was already replaced.
+
+        The answer set the cached row back to the older claim. The owner then
+        gave orders beside its successor until a write was refused, and the
+        node didn't learn of the newer row again.
+        """
+
+        async def run() -> None:
+            world = _OvertakenWorld("a")
+            assert isinstance(world.store, _OvertakenStore)
+            world.store.on_claim = lambda: self._claim_elsewhere(world)
+            await world.managers["a"].reconcile()
+            self.assertEqual(world.managers["a"].find_owner(_SERVICE), "c")
+            self.assertNotIn(f"a starts {_SERVICE}", world.events)
+
+        anyio.run(run)
+
+    def test_owner_that_is_replaced_while_it_starts_is_stopped(self) -> None:
+        """Fails if an owner runs on that was replaced before it had started.
+
+        The row of the next claim found no owner to stop.
+        """
+
+        async def run() -> None:
+            world = World("a")
+            manager = world.managers["a"]
+            start = manager._run_owner
+
+            async def start_late(
+                tenure: ownership.Tenure,
+            ) -> Callable[[], None]:
+                stop = await start(tenure)
+                if tenure.service == _SERVICE:
+                    self._claim_elsewhere(world)
+                return stop
+
+            manager._run_owner = start_late
+            await manager.reconcile()
+            self.assertEqual(
+                [event for event in world.events if _SERVICE in event],
+                [f"a starts {_SERVICE}", f"a stops {_SERVICE}"],
+            )
+
+        anyio.run(run)
+
+
 class ChoiceTest(unittest.TestCase):
     """Choice of the node that is to own a service."""
 
