Start new jobs at once only if the former owner has surely stopped

What callers saw: a unit could run twice at once after a change of owners. By the tests: a claim gets no answer, the former owner wakes, renews its lease and reads that it still owns the service, and only then the store applies the claim. Its successor took jobs that were stored after the claim for new and started them at once, although the former owner goes on until it reads the changed row.

Cause: that the former owner's lease is over was judged before the claim was sent, and held for true when the store applied it, however late. The same holds for a renewal between the last read of the node's row and a claim that is answered in time.

A claim of an expired lease is now followed by one read of the former owner's row. If the read covers the claim and the row wasn't renewed since the lease was found to be over, the former owner was stopped at the claim: after any later renewal it reads the owner's row first, which names its successor. A service without a former owner, a release, which is written after the owner has stopped, and a tenure of the same process need no read. If an earlier claim of this node was applied without an answer, the owner before that claim is the one that is checked. Tenure.is_former_owner_stopped holds the result; without the proof all jobs count as recovered until the recovery is complete. ownership.claimed logs the proof.

--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -26,6 +26,7 @@
         "_claim_version",
         "_clock",
         "_confirmed_at",
+        "_is_former_owner_stopped",
         "_missing_jobs",
         "_loaded",
         "_record_arrival",
@@ -49,6 +50,7 @@
         self._record_arrival = record_arrival
         self._service = tenure.service
         self._claim_version = tenure.version
+        self._is_former_owner_stopped = tenure.is_former_owner_stopped
         self._state = state
         self._writer = writer
         self._store = store
@@ -179,17 +181,21 @@
             return
         now_s = self._clock.monotonic().total_seconds()
         job = service_state.make_job(submission, self._store.now_s(), now_s)
-        # An earlier owner started nothing after the claim, so it can't have
-        # started a job that was stored later. The row's version tells that;
-        # when the row arrives doesn't, because a snapshot may be behind.
-        job.is_recovered = is_fetched or row.version < self._claim_version
+        # The row's version tells whether an earlier owner can have started the
+        # job; when the row arrives doesn't, because a snapshot may be behind.
+        is_inherited = is_fetched or row.version < self._claim_version
+        # Until the recovery is complete, a former owner may start new jobs if
+        # it isn't proved that it stopped before the claim.
+        job.is_recovered = is_inherited or not (
+            self._is_former_owner_stopped or self._state.is_recovery_complete
+        )
         self._restore_progress(job)
         self._state.add_job(job)
-        if not job.is_recovered and not job.is_long_running:
+        if not is_inherited and not job.is_long_running:
             self._record_arrival(now_s, ranking.compute_work(job))
         # Inherited jobs of the first snapshot are counted in
         # `ownership.loaded`.
-        if not job.is_recovered or not self._is_first_snapshot:
+        if not is_inherited or not self._is_first_snapshot:
             logs.log_event(
                 "job.seen",
                 job=job_id,
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -141,6 +141,7 @@
             self._list_services,
             self._start_owner,
             dependencies.metrics,
+            settings.bounds.lease,
         )
         self._gate = ownership_gate.OwnershipGate()
         self._fleet_cache = fleet_cache.FleetCache()
--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -17,6 +17,7 @@
 from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import directory as directory_lib
+from fireflywell.node import former_owners
 from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import owner_changes
 from fireflywell.node import owner_records
@@ -55,12 +56,16 @@
         token: Fencing token; workers reject orders with a lower one.
         version: Version of the owner's row, a condition of all writes.
         is_first: Whether the service never had an owner before.
+        is_former_owner_stopped: Whether it is proved that the former owner
+            had stopped when the store applied the claim. Otherwise it may
+            have started jobs that were stored after the claim.
     """
 
     service: str
     token: int
     version: int
     is_first: bool
+    is_former_owner_stopped: bool = False
 
     def make_condition(self) -> row_store.Condition:
         """Returns a condition that fails once the owner's row has changed."""
@@ -77,6 +82,7 @@
         "_claimed_at",
         "_clock",
         "_directory",
+        "_former_owners",
         "_heartbeat",
         "_list_services",
         "_metrics",
@@ -100,6 +106,7 @@
         list_services: Callable[[], tuple[str, ...]],
         run_owner: Callable[[Tenure], Awaitable[Callable[[], None]]],
         metrics: metrics_lib.Metrics,
+        lease: datetime.timedelta,
     ) -> None:
         self._metrics = metrics
         self._name = name
@@ -114,6 +121,9 @@
         # Callback that stops the owner, for each service that this node owns.
         self._owned: dict[str, Callable[[], None]] = {}
         self._changes = owner_changes.OwnerChanges(clock)
+        self._former_owners = former_owners.FormerOwners(
+            heartbeat.incarnation, store, clock, directory, lease
+        )
         self._claimed_at: dict[str, datetime.timedelta] = {}
         # Releases that may not be stored yet, by service.
         self._releasing: dict[str, row_store.Transaction] = {}
@@ -268,6 +278,8 @@
         return cached[0].successor
 
     async def _claim(self, service: str) -> None:
+        if not self._is_unowned(service):
+            return
         cached = self._rows.get(service)
         row_key = tables.locate_owner(service)
         version = cached[1] if cached else 0
@@ -277,6 +289,7 @@
             self._name, self._heartbeat.incarnation, token
         )
         value = owner_records.encode_owner(record)
+        self._former_owners.record_claim(service, cached[0] if cached else None)
         result = await self._store.transact(
             row_store.Transaction(
                 expected=(row_store.Condition(row_key, version),),
@@ -292,20 +305,27 @@
             case row_store.Committed(version=committed):
                 self._unowned_since.pop(service, None)
                 self._apply_owner_row(row_store.Row(row_key, value, committed))
+                proof = await self._former_owners.prove_stop(service, committed)
                 tenure = Tenure(
                     service,
                     token,
                     committed,
                     is_first=cached is None,
+                    is_former_owner_stopped=(
+                        proof is not former_owners.StopProof.NONE
+                    ),
                 )
-                await self._start_owner(tenure, previous)
+                await self._start_owner(tenure, previous, proof)
 
-    async def _start_owner(self, tenure: Tenure, previous: str) -> None:
+    async def _start_owner(
+        self, tenure: Tenure, previous: str, proof: former_owners.StopProof
+    ) -> None:
         """Starts the owner for a claim, unless another claim has followed it.
 
         Args:
             tenure: The claimed tenure.
             previous: Node that owned the service before; may be empty.
+            proof: Why that node's owner can't give orders any more.
         """
         service = tenure.service
         if not self._is_current(tenure):
@@ -318,6 +338,7 @@
             token=tenure.token,
             previous=previous,
             version=tenure.version,
+            proof=str(proof),
         )
         self._claimed_at[service] = self._clock.monotonic()
         stop = await self._run_owner(tenure)
--- a/tests/test_node_job_loader.py
+++ b/tests/test_node_job_loader.py
@@ -33,7 +33,8 @@
         """Fails if new jobs wait for the leases of earlier owners.
 
         While the store is slow, jobs are accepted between the claim and the
-        first read of all jobs. No earlier owner can have started them.
+        first read of all jobs. No earlier owner can have started them if the
+        last one had stopped before the claim.
         """
 
         async def run() -> service_state.ServiceState:
@@ -45,7 +46,7 @@
             await world.submit(job_id=_LATER)
             state = service_state.ServiceState(2)
             loader = job_loader.JobLoader(
-                ownership.Tenure(node_world.SERVICE, 2, version, False),
+                ownership.Tenure(node_world.SERVICE, 2, version, False, True),
                 state,
                 _Writer(),  # type: ignore[arg-type]
                 world.store,
@@ -87,7 +88,7 @@
             job_rows.encode_submission(later),
         )
         self.loader = job_loader.JobLoader(
-            ownership.Tenure(node_world.SERVICE, 2, claim.version, False),
+            ownership.Tenure(node_world.SERVICE, 2, claim.version, False, True),
             self.state,
             _Writer(),  # type: ignore[arg-type]
             world.store,
--- a/tests/test_node_ownership.py
+++ b/tests/test_node_ownership.py
@@ -61,6 +61,7 @@
             lambda: (_SERVICE,),
             run_owner,
             metrics_lib.NullMetrics(),
+            _LEASE,
         )
 
     def make_store(self) -> store_standin.MemoryRowStore:
