Go on from the stored list of workers after a refused write

By the tests, a unit could run twice at once: an owner whose read of the list of assigned workers was behind replaced the list of its predecessor, and started inherited units beside runs on workers of that list. An owner that had been replaced wrote its list again four times a second and gave further leases to workers on it until another write was refused.

Cause: a refused write of the list counted as proof that an earlier write of the same owner had been applied. Only the version of the row was adopted, not its content, and that the owner's row may have changed instead wasn't looked at.

If the owner's row has changed, the tenure is over and the owner stops. The row that comes with the refusal is compared with the values of this owner's writes without an answer. If it is one of them, it is what is stored. If not, an earlier owner wrote it: its workers are waited for as if the first read had shown them, at most until the same time, and the recovery is open again. Another writer can't be there, because each write has the version of the owner's row as a condition.

Cost: no additional call. Inherited units wait again if a list is found that the first read had missed, at most until the leases of the earlier owner are over.

--- a/src/fireflywell/node/assigned_worker_rows.py
+++ b/src/fireflywell/node/assigned_worker_rows.py
@@ -45,6 +45,27 @@
     unlisted_until_s: float
 
 
+def limit_times(
+    workers: dict[str, AssignedWorker], latest_s: float
+) -> dict[str, AssignedWorker]:
+    """Returns the incarnations with the times until which they may have runs.
+
+    Args:
+        workers: The incarnations by worker id.
+        latest_s: Latest time, on the store's clock; it holds also for those
+            that are in use.
+    """
+    return {
+        worker_id: dataclasses.replace(
+            item,
+            runs_until_s=latest_s
+            if item.runs_until_s is None
+            else min(item.runs_until_s, latest_s),
+        )
+        for worker_id, item in workers.items()
+    }
+
+
 def encode(assigned: AssignedWorkerList) -> bytes:
     """Returns the value of the row."""
     workers = {
--- a/src/fireflywell/node/assigned_workers.py
+++ b/src/fireflywell/node/assigned_workers.py
@@ -49,13 +49,16 @@
         "_clock",
         "_inherited",
         "_is_row_known",
+        "_latest_s",
         "_lost",
         "_on_recovered",
+        "_on_tenure_lost",
         "_out_of_reach",
         "_state",
         "_store",
         "_stored",
         "_tenure",
+        "_unanswered",
         "_unlisted_until_s",
         "_used",
         "_version",
@@ -69,12 +72,14 @@
         store: row_store.RowStore,
         clock: clock_lib.Clock,
         on_recovered: Callable[[], None],
+        on_tenure_lost: Callable[[], None],
     ) -> None:
         self._tenure = tenure
         self._state = state
         self._store = store
         self._clock = clock
         self._on_recovered = on_recovered
+        self._on_tenure_lost = on_tenure_lost
         self._claimed_at = clock.monotonic()
         # What the stored list surely holds. A write without an answer may be
         # applied at any time until a later one is.
@@ -82,7 +87,11 @@
         # Whether the stored list holds nothing else.
         self._is_row_known = True
         self._version = 0
+        # Values of writes that may be applied on top of this version.
+        self._unanswered: set[bytes] = set()
         self._unlisted_until_s = 0.0
+        # Latest end of a lease of an earlier owner, on the store's clock.
+        self._latest_s = 0.0
         # Incarnations of earlier owners that haven't reported to this one, with
         # the time until which they are waited for.
         self._inherited: dict[str, rows.AssignedWorker] = {}
@@ -121,21 +130,22 @@
         # The duration of the read isn't subtracted, because the estimate of
         # the store's clock may be behind by as much.
         waited = requested_at - self._claimed_at
-        latest_s = (
+        self._latest_s = (
             self._store.now_s() + (orphan_timeout - waited).total_seconds()
         )
         for row in page.rows:
             if row.row_key == row_key:
-                self._version = row.version
-                self._apply_row(row, latest_s)
+                self._apply_row(row)
         self._log_inheritance()
         self.check_recovery()
 
-    def _apply_row(self, row: row_store.Row, latest_s: float) -> None:
+    def _apply_row(self, row: row_store.Row) -> None:
+        """Applies a list that an earlier owner stored."""
+        self._version = row.version
         try:
             stored = rows.decode(row.value)
         except Exception as error:
-            self._unlisted_until_s = latest_s
+            self._unlisted_until_s = self._latest_s
             logs.log_event(
                 "assigned_workers.unreadable",
                 service=self._tenure.service,
@@ -143,15 +153,13 @@
             )
             return
         self._stored = stored.workers
-        self._unlisted_until_s = min(stored.unlisted_until_s, latest_s)
+        self._unlisted_until_s = min(stored.unlisted_until_s, self._latest_s)
         self._inherited = {
-            worker_id: dataclasses.replace(
-                item,
-                runs_until_s=latest_s
-                if item.runs_until_s is None
-                else min(item.runs_until_s, latest_s),
-            )
-            for worker_id, item in stored.workers.items()
+            worker_id: item
+            for worker_id, item in rows.limit_times(
+                stored.workers, self._latest_s
+            ).items()
+            if worker_id not in self._used
         }
 
     def _log_inheritance(self) -> None:
@@ -315,8 +323,12 @@
             for worker_id, item in stored.items()
             if item.is_interchangeable_with(wanted.get(worker_id))
         }
+        value = rows.encode(
+            rows.AssignedWorkerList(wanted, self._unlisted_until_s)
+        )
+        self._unanswered.add(value)
         try:
-            result = await self._store.transact(self._make_write(wanted))
+            result = await self._store.transact(self._make_write(value))
         except errors.PlatformUnavailableError:
             self._stored, self._is_row_known = stored, is_row_known
         except errors.PlatformError:
@@ -325,24 +337,36 @@
             match result:
                 case row_store.Committed(version=version):
                     self._version = version
+                    self._unanswered.clear()
                     self._stored, self._is_row_known = wanted, True
                 case row_store.Conflict() as conflict:
-                    # An earlier write of this owner, whose answer was lost,
-                    # was applied.
-                    self._version = conflict.find_version(
-                        tables.locate_assigned_workers(self._tenure.service)
-                    )
-                    self._stored, self._is_row_known = stored, False
+                    self._apply_conflict(conflict)
         self._signal_change()
         return self._stored is wanted
 
-    def _make_write(
-        self, wanted: dict[str, rows.AssignedWorker]
-    ) -> row_store.Transaction:
+    def _apply_conflict(self, conflict: row_store.Conflict) -> None:
+        """Goes on from what is really stored, unless the tenure is over."""
+        if self._tenure.is_over(conflict):
+            self._stored = {}
+            self._on_tenure_lost()
+            return
+        row_key = tables.locate_assigned_workers(self._tenure.service)
+        unanswered, self._unanswered = self._unanswered, set()
+        self._version, self._stored = 0, {}
+        row = next((r for r in conflict.rows if r.row_key == row_key), None)
+        if row is not None and row.value in unanswered:
+            # An earlier write of this owner, whose answer was lost.
+            self._version, self._is_row_known = row.version, True
+            self._stored = rows.decode(row.value).workers
+        elif row is not None:
+            # An earlier owner wrote it, and `load` has missed it.
+            self._apply_row(row)
+            self._state.is_recovery_complete = False
+            self._log_inheritance()
+            self.check_recovery()
+
+    def _make_write(self, value: bytes) -> row_store.Transaction:
         row_key = tables.locate_assigned_workers(self._tenure.service)
-        value = rows.encode(
-            rows.AssignedWorkerList(wanted, self._unlisted_until_s)
-        )
         return row_store.Transaction(
             (
                 self._tenure.make_condition(),
--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -73,6 +73,19 @@
             tables.locate_owner(self.service), self.version
         )
 
+    def is_over(self, conflict: row_store.Conflict) -> bool:
+        """Returns whether a write was refused because the row has changed."""
+        found = conflict.find_version(tables.locate_owner(self.service))
+        if found == self.version:
+            return False
+        logs.log_event(
+            "ownership.write_refused",
+            service=self.service,
+            expected=self.version,
+            found=found,
+        )
+        return True
+
 
 class OwnershipManager:
     """Claims and releases services and runs the owners of those claimed."""
--- a/src/fireflywell/node/progress_writer.py
+++ b/src/fireflywell/node/progress_writer.py
@@ -363,15 +363,7 @@
                 self._check_owner(conflict)
 
     def _check_owner(self, conflict: row_store.Conflict) -> None:
-        row_key = tables.locate_owner(self._tenure.service)
-        version = conflict.find_version(row_key)
-        if version != self._tenure.version:
-            logs.log_event(
-                "ownership.write_refused",
-                service=self._tenure.service,
-                expected=self._tenure.version,
-                found=version,
-            )
+        if self._tenure.is_over(conflict):
             self._on_tenure_lost()
             raise errors.TenureLostError(
                 f"another node owns service {self._tenure.service} now; "
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -182,7 +182,7 @@
             self.stop,
         )
         self._assigned_workers = assigned_workers.AssignedWorkers(
-            tenure, self._state, store, clock, self._wake_planner
+            tenure, self._state, store, clock, self._wake_planner, self.stop
         )
         self._loader = job_loader.JobLoader(
             tenure,
--- a/tests/test_node_assigned_workers.py
+++ b/tests/test_node_assigned_workers.py
@@ -30,6 +30,7 @@
 
     def __init__(self, world: "_World", token: int) -> None:
         self._world = world
+        self.is_tenure_lost = False
         self.state = service_state.ServiceState(token)
         version = world.store.put(tables.locate_owner(_SERVICE), b"owner")
         self.workers = assigned_workers.AssignedWorkers(
@@ -38,8 +39,12 @@
             world.store,
             world.clock,
             lambda: None,
+            self._mark_tenure_lost,
         )
 
+    def _mark_tenure_lost(self) -> None:
+        self.is_tenure_lost = True
+
     def is_settled(self) -> bool:
         """Returns whether recovered units may be started."""
         self.workers.check_recovery()
@@ -270,6 +275,80 @@
         anyio.run(run)
 
 
+class ConflictTest(unittest.TestCase):
+    """Writes that are refused because a row has another version."""
+
+    def test_replaced_owner_stops(self) -> None:
+        """Fails if an owner goes on whose list can't be stored any more.
+
+        It took the refusal for one of its own earlier writes, and wrote again
+        four times a second until another write was refused.
+        """
+
+        async def run() -> None:
+            world = _World()
+            first = await world.claim_after("w1")
+            await first.use("w1")
+            second = await world.claim()
+            self.assertFalse(await first.acquire("w2"))
+            await first.workers.store_changes()
+            self.assertTrue(first.is_tenure_lost)
+            self.assertFalse(await first.acquire("w1"))
+            self.assertFalse(second.is_tenure_lost)
+
+        anyio.run(run)
+
+    def test_list_of_an_earlier_owner_is_kept(self) -> None:
+        """Fails if an owner replaces a list that it hasn't read.
+
+        Only the version of the stored list was adopted. Its workers were
+        dropped without a report, and units started beside their runs (rule
+        TWICE).
+        """
+
+        async def run() -> None:
+            world = _World()
+            owner = await world.claim()
+            self.assertTrue(owner.is_settled())
+            stored = assigned_worker_rows.AssignedWorkerList(
+                {"w1": assigned_worker_rows.AssignedWorker(1, "m-w1")}, 0.0
+            )
+            world.store.put(_ROW_KEY, assigned_worker_rows.encode(stored))
+            await owner.acquire("w2")
+            await owner.workers.store_changes()
+            self.assertFalse(owner.is_settled())
+            self.assertEqual(owner.workers.unreported_workers, ("w1",))
+            await owner.workers.store_changes()
+            self.assertEqual(set(world.read()), {"w1", "w2"})
+            self.assertFalse(owner.is_tenure_lost)
+            world.advance(8.1)
+            self.assertTrue(owner.is_settled())
+
+        anyio.run(run)
+
+    def test_own_write_without_answer_is_recognized(self) -> None:
+        """Fails if an owner waits for a worker of its own earlier write.
+
+        The write of the list with the worker got no answer and was applied;
+        the worker's runs have ended since.
+        """
+
+        async def run() -> None:
+            world = _World()
+            owner = await world.claim()
+            await owner.acquire("w1")
+            world.store.lose_answers = 1
+            self.assertFalse(await owner.workers.store_changes())
+            owner.workers.forget("w1")
+            await owner.acquire("w2")
+            await owner.workers.store_changes()
+            self.assertTrue(owner.is_settled())
+            self.assertTrue(await owner.workers.store_changes())
+            self.assertEqual(set(world.read()), {"w2"})
+
+        anyio.run(run)
+
+
 class ReplacedWorkersTest(unittest.TestCase):
     """Workers whose VMs run another worker."""
 
