Move cached owner rows and the choice of claims to their own modules

The newest known rows are now in owner_rows.py, which also builds the conditional writes of claims and releases, and the choice of services to claim is in claim_choice.py. Nothing changes in behaviour.

Checked: test_node_former_owners, test_node_ownership, test_node_partial_store, test_operations_page, test_node_takeover.

--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -16,11 +16,13 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import row_store
+from fireflywell.node import claim_choice
 from fireflywell.node import directory as directory_lib
 from fireflywell.node import former_owners
 from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import owner_changes
 from fireflywell.node import owner_records
+from fireflywell.node import owner_rows
 from fireflywell.node import tables
 from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
@@ -34,10 +36,6 @@
 # then it has read the rows of the other nodes.
 _RENEWALS_BEFORE_CLAIM = 2
 
-# Any node claims a service that has had no owner for this long, also if
-# another node was chosen for it.
-_ANY_NODE_CLAIM_DELAY = datetime.timedelta(milliseconds=1500)
-
 # Rebalancing moves services only to nodes that have run for this long.
 _MIN_NODE_AGE = datetime.timedelta(seconds=4)
 
@@ -92,6 +90,7 @@
 
     __slots__ = (
         "_changes",
+        "_claim_chooser",
         "_claimed_at",
         "_clock",
         "_directory",
@@ -105,7 +104,6 @@
         "_rows",
         "_run_owner",
         "_store",
-        "_unowned_since",
         "_wake",
     )
 
@@ -129,8 +127,10 @@
         self._heartbeat = heartbeat
         self._list_services = list_services
         self._run_owner = run_owner
-        self._rows: dict[str, tuple[owner_records.OwnerRecord, int]] = {}
-        self._unowned_since: dict[str, datetime.timedelta] = {}
+        self._rows = owner_rows.OwnerRows()
+        self._claim_chooser = claim_choice.ClaimChooser(
+            name, clock, directory, self._rows
+        )
         # Callback that stops the owner, for each service that this node owns.
         self._owned: dict[str, Callable[[], None]] = {}
         self._changes = owner_changes.OwnerChanges(clock)
@@ -152,8 +152,8 @@
         Returns:
             The name of the node; empty if the service has no owner.
         """
-        cached = self._rows.get(service)
-        return cached[0].node if cached else ""
+        record = self._rows.find(service)
+        return record.node if record else ""
 
     def apply_rows(self, rows: tuple[row_store.Row, ...]) -> None:
         """Applies changed owner rows; stops owners that were replaced."""
@@ -215,23 +215,9 @@
 
     def _apply_owner_row(self, row: row_store.Row) -> None:
         service = row.row_key.partition
-        cached = self._rows.get(service)
-        if cached is not None and cached[1] >= row.version:
+        record = self._rows.apply(row)
+        if record is None:
             return
-        try:
-            record = owner_records.decode_owner(row.value)
-        except Exception as error:
-            logs.log_event(
-                "ownership.unreadable", service=service, error=repr(error)
-            )
-            return
-        self._rows[service] = (record, row.version)
-        logs.log_event(
-            "ownership.observed",
-            service=service,
-            owner=record.node,
-            token=record.token,
-        )
         if not record.node and record.successor == self._name:
             self._wake.set()
         is_own = record.incarnation == self._heartbeat.incarnation
@@ -240,10 +226,9 @@
             self._owned.pop(service)()
 
     def _is_unowned(self, service: str) -> bool:
-        cached = self._rows.get(service)
-        if cached is None or not cached[0].node:
+        record = self._rows.find(service)
+        if record is None or not record.node:
             return True
-        record = cached[0]
         if record.incarnation == self._heartbeat.incarnation:
             return service not in self._owned and (
                 service not in self._releasing
@@ -256,59 +241,28 @@
         counts: dict[str, int] = {}
         for service in self.list_partitions():
             if not self._is_unowned(service):
-                node = self._rows[service][0].node
+                node = self.find_owner(service)
                 counts[node] = counts.get(node, 0) + 1
         return counts
 
     def _choose_claims(self) -> list[str]:
         """Returns the unowned services that this node is to claim."""
-        now = self._clock.monotonic()
-        unowned = tuple(
-            s for s in self.list_partitions() if self._is_unowned(s)
-        )
-        for service in tuple(self._unowned_since):
-            if service not in unowned:
-                del self._unowned_since[service]
-        nodes = tuple(n.name for n in self._directory.list_live())
-        chosen = owner_records.choose_owners(
-            unowned, self._count_owned(), nodes
-        )
-        claims = []
-        for service in unowned:
-            since = self._unowned_since.setdefault(service, now)
-            is_open_to_all = now - since > _ANY_NODE_CLAIM_DELAY
-            preferred_node = self._find_successor(service, nodes) or chosen.get(
-                service
-            )
-            if preferred_node == self._name or is_open_to_all:
-                claims.append(service)
-        return claims
-
-    def _find_successor(self, service: str, nodes: tuple[str, ...]) -> str:
-        cached = self._rows.get(service)
-        if cached is None or cached[0].successor not in nodes:
-            return ""
-        return cached[0].successor
+        services = self.list_partitions()
+        unowned = tuple(s for s in services if self._is_unowned(s))
+        return self._claim_chooser.choose(unowned, self._count_owned())
 
     async def _claim(self, service: str) -> None:
         if not self._is_unowned(service):
             return
-        cached = self._rows.get(service)
-        row_key = tables.locate_owner(service)
-        version = cached[1] if cached else 0
-        token = cached[0].token + 1 if cached else 1
-        previous = cached[0].node if cached else ""
+        replaced = self._rows.find(service)
+        token = replaced.token + 1 if replaced else 1
+        previous = self.find_owner(service)
         record = owner_records.OwnerRecord(
             self._name, self._heartbeat.incarnation, token
         )
-        value = owner_records.encode_owner(record)
-        self._former_owners.record_claim(service, cached[0] if cached else None)
-        result = await self._store.transact(
-            row_store.Transaction(
-                expected=(row_store.Condition(row_key, version),),
-                puts=(row_store.Put(row_key, value),),
-            )
-        )
+        self._former_owners.record_claim(service, replaced)
+        transaction = self._rows.make_change(service, record)
+        result = await self._store.transact(transaction)
         match result:
             case row_store.Conflict(rows=rows):
                 # Another node claimed the service first, or an earlier claim
@@ -316,14 +270,17 @@
                 # that comes with the conflict tells which.
                 self.apply_rows(rows)
             case row_store.Committed(version=committed):
-                self._unowned_since.pop(service, None)
-                self._apply_owner_row(row_store.Row(row_key, value, committed))
+                self._claim_chooser.mark_owned(service)
+                (put,) = transaction.puts
+                self._apply_owner_row(
+                    row_store.Row(put.row_key, put.value, committed)
+                )
                 proof = await self._former_owners.prove_stop(service, committed)
                 tenure = Tenure(
                     service,
                     token,
                     committed,
-                    is_first=cached is None,
+                    is_first=replaced is None,
                     is_former_owner_stopped=(
                         proof is not former_owners.StopProof.NONE
                     ),
@@ -363,7 +320,7 @@
 
     def _is_current(self, tenure: Tenure) -> bool:
         """Returns whether no later row of a service's owner is known."""
-        return self._rows[tenure.service][1] == tenure.version
+        return self._rows.get_version(tenure.service) == tenure.version
 
     def _log_lost(self, service: str) -> None:
         logs.log_event(
@@ -401,7 +358,8 @@
         """
         stop = self._owned.pop(service)
         stop()
-        record, version = self._rows[service]
+        record = self._rows.find(service)
+        assert record is not None
         others = tuple(
             node.name
             for node in self._directory.list_live()
@@ -411,7 +369,6 @@
         successor = owner_records.choose_owners((service,), counts, others).get(
             service, ""
         )
-        row_key = tables.locate_owner(service)
         released = owner_records.OwnerRecord("", "", record.token, successor)
         logs.log_event(
             "ownership.released",
@@ -419,12 +376,7 @@
             reason=reason,
             successor=successor,
         )
-        self._releasing[service] = row_store.Transaction(
-            expected=(row_store.Condition(row_key, version),),
-            puts=(
-                row_store.Put(row_key, owner_records.encode_owner(released)),
-            ),
-        )
+        self._releasing[service] = self._rows.make_change(service, released)
         await self._store_release(service)
 
     async def _store_release(self, service: str) -> None:
