Confirm ownership after a lapse by a write that claims depend on

What callers saw: by the tests, a service could get a second owner beside one that goes on. A node claims the service of an owner whose lease is over and gets no answer; the owner renews its lease and reads that its row is unchanged; then the store applies the claim.

Cause: the claim's only condition was the version of the owner's row, which neither the renewal nor the read changes. The store may apply a call without an answer seconds later, after the owner has looked.

After a lapse an owner now writes a row beside its owner's row instead of reading it. The write has the version of the owner's row as a condition, and each claim has that of the confirmation. Whichever comes first makes the other fail: a claim that was sent before the confirmation can't be applied after it, and an owner that was replaced can't confirm. The service keeps one owner, and nothing has to wait for a recovery. The refused claim brings the new version along.

Cost: after a lapse, one small transaction for each owned service instead of one read; none otherwise. ownership.confirmed logs it.

--- a/src/fireflywell/node/former_owners.py
+++ b/src/fireflywell/node/former_owners.py
@@ -26,6 +26,11 @@
     LEASE_OVER = "lease_over"
     OWN_TENURE = "own_tenure"  # The claiming process was the owner itself.
 
+    @property
+    def is_given(self) -> bool:
+        """Whether the former owner had surely stopped."""
+        return self is not StopProof.NONE
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Predecessor:
@@ -119,8 +124,8 @@
         """Returns whether a node's lease was over when the claim was applied.
 
         It was if the node hadn't renewed its row by the time of a read that
-        covers the claim. The node has to read the owner's row after any later
-        renewal, and finds the claim there.
+        covers the claim. The node has to confirm its ownership after any later
+        renewal, which then fails.
         """
         record = predecessor.record
         assert record is not None
--- a/src/fireflywell/node/owner_rows.py
+++ b/src/fireflywell/node/owner_rows.py
@@ -9,11 +9,13 @@
 class OwnerRows:
     """The newest row of each service's owner that was read or written."""
 
-    __slots__ = ("_records", "_versions")
+    __slots__ = ("_confirmations", "_records", "_versions")
 
     def __init__(self) -> None:
         self._records: dict[str, owner_records.OwnerRecord] = {}
         self._versions: dict[str, int] = {}
+        # Versions of the rows with which owners confirm their ownership.
+        self._confirmations: dict[str, int] = {}
 
     def find(self, service: str) -> owner_records.OwnerRecord | None:
         """Returns a service's owner; None if no row is known."""
@@ -35,6 +37,24 @@
             (row_store.Put(row_key, value),),
         )
 
+    def make_claim(
+        self, service: str, record: owner_records.OwnerRecord
+    ) -> row_store.Transaction:
+        """Returns a claim, which fails once the owner has confirmed itself."""
+        change = self.make_change(service, record)
+        condition = row_store.Condition(
+            tables.locate_confirmation(service),
+            self._confirmations.get(service, 0),
+        )
+        return row_store.Transaction((*change.expected, condition), change.puts)
+
+    def apply_confirmation(self, row: row_store.Row) -> None:
+        """Applies the row with which an owner has confirmed its ownership."""
+        service = row.row_key.partition
+        self._confirmations[service] = max(
+            row.version, self._confirmations.get(service, 0)
+        )
+
     def apply(self, row: row_store.Row) -> owner_records.OwnerRecord | None:
         """Applies the row of an owner.
 
--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -160,6 +160,8 @@
         for row in rows:
             if row.row_key.key == tables.OWNER_KEY:
                 self._apply_owner_row(row)
+            elif row.row_key.key == tables.CONFIRMATION_KEY:
+                self._rows.apply_confirmation(row)
 
     async def run(self) -> None:
         """Claims and releases services until cancelled."""
@@ -261,7 +263,7 @@
             self._name, self._heartbeat.incarnation, token
         )
         self._former_owners.record_claim(service, replaced)
-        transaction = self._rows.make_change(service, record)
+        transaction = self._rows.make_claim(service, record)
         result = await self._store.transact(transaction)
         match result:
             case row_store.Conflict(rows=rows):
@@ -281,9 +283,7 @@
                     token,
                     committed,
                     is_first=replaced is None,
-                    is_former_owner_stopped=(
-                        proof is not former_owners.StopProof.NONE
-                    ),
+                    is_former_owner_stopped=proof.is_given,
                 )
                 await self._start_owner(tenure, previous, proof)
 
--- a/src/fireflywell/node/ownership_guard.py
+++ b/src/fireflywell/node/ownership_guard.py
@@ -15,8 +15,10 @@
 
     After this node's lease has expired, another node may claim the service.
     Renewing the lease doesn't bring the ownership back, and the follower of
-    the owner rows may deliver the change only after the renewal. The owner row
-    is therefore read once more before the next order.
+    the owner rows may deliver the change only after the renewal. Ownership is
+    therefore confirmed by a write before the next order. The write fails if
+    another node has claimed the service. As its row is a condition of claims,
+    it also makes claims fail that were sent before and are applied late.
     """
 
     __slots__ = ("_clock", "_confirmed_at", "_heartbeat", "_store", "_tenure")
@@ -58,34 +60,38 @@
         )
 
     async def confirm(self) -> bool:
-        """Reads the owner row if the lease has expired since the last check.
+        """Writes a confirmation if the lease has expired since the last one.
 
         Returns:
-            False if the row has changed: another node owns the service or
-            has owned it. True otherwise, also while the lease is expired.
+            False if the owner row has changed: another node owns the service
+            or has owned it. True otherwise, also while the lease is expired.
 
         Raises:
-            PlatformError: The store doesn't answer, or shows the state before
-                the renewal of the lease.
+            PlatformError: The store doesn't answer.
         """
         if self.permits_orders or not self._heartbeat.is_valid:
             return True
         started = self._clock.monotonic()
-        row_key = tables.locate_owner(self._tenure.service)
-        page = await self._store.read(
-            row_key.table,
-            row_key.partition,
-            row_key.key,
-            row_key.key + "\x00",
-            # An earlier state may lack this or another node's claim.
-            max(self._tenure.version, self._heartbeat.valid_since_version),
+        row_key = tables.locate_confirmation(self._tenure.service)
+        value = self._heartbeat.incarnation.encode()
+        result = await self._store.transact(
+            row_store.Transaction(
+                (self._tenure.make_condition(),),
+                (row_store.Put(row_key, value),),
+            )
         )
-        versions = [row.version for row in page.rows if row.row_key == row_key]
-        if versions != [self._tenure.version]:
-            self._log_loss()
-            return False
-        self._confirmed_at = started
-        return True
+        match result:
+            case row_store.Conflict():
+                self._log_loss()
+                return False
+            case row_store.Committed(version=version):
+                logs.log_event(
+                    "ownership.confirmed",
+                    service=self._tenure.service,
+                    version=version,
+                )
+                self._confirmed_at = started
+                return True
 
     async def verify(self) -> bool:
         """Checks the ownership by a write, which reads that are behind can't.
--- a/src/fireflywell/node/tables.py
+++ b/src/fireflywell/node/tables.py
@@ -28,6 +28,7 @@
 STATUS = "status"
 
 OWNER_KEY = "owner"
+CONFIRMATION_KEY = "confirmation"
 
 _CANCEL_SUFFIX = "/cancel"
 
@@ -52,6 +53,11 @@
     return row_store.RowKey(OWNER_CHECKS, service, OWNER_KEY)
 
 
+def locate_confirmation(service: str) -> row_store.RowKey:
+    """Returns the row key that an owner writes to confirm its ownership."""
+    return row_store.RowKey(OWNERS, service, CONFIRMATION_KEY)
+
+
 def locate_assigned_workers(service: str) -> row_store.RowKey:
     """Returns the row key of the list of workers that may run units."""
     return row_store.RowKey(ASSIGNED_WORKERS, service, "workers")
--- a/tests/test_node_former_owners.py
+++ b/tests/test_node_former_owners.py
@@ -12,6 +12,7 @@
 from fireflywell.node import job_loader
 from fireflywell.node import owner_records
 from fireflywell.node import ownership
+from fireflywell.node import ownership_guard
 from fireflywell.node import tables
 from fireflywell.scheduling import job_rows
 from fireflywell.scheduling import service_state
@@ -121,6 +122,20 @@
         self.read_nodes()
         self.advance(3.1)
 
+    def make_guard_of_b(self, version: int) -> ownership_guard.OwnershipGuard:
+        """Returns the guard of node b, whose lease was renewed later."""
+        tenure = ownership.Tenure(_SERVICE, 1, version, is_first=True)
+        heartbeat = _RenewedHeartbeat(self.clock)
+        guard = ownership_guard.OwnershipGuard(
+            tenure,
+            self.store,
+            heartbeat,  # type: ignore[arg-type]
+            self.clock,
+        )
+        self.advance(0.01)
+        heartbeat.valid_since = self.clock.monotonic()
+        return guard
+
     async def reconcile(self) -> None:
         """Passes the owner rows to node a and lets it claim what it can."""
         self._directory.observe((self.renew("a"),))
@@ -250,6 +265,65 @@
         anyio.run(run)
 
 
+class _RenewedHeartbeat:
+    """The lease of node b, which lapsed and was renewed now."""
+
+    incarnation = "b-1"
+    is_valid = True
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self.valid_since = clock.monotonic()
+
+
+class ConfirmedOwnerTest(unittest.TestCase):
+    """An owner that goes on after its lease lapsed and was renewed."""
+
+    def test_claim_from_before_the_confirmation_is_not_applied(self) -> None:
+        """Fails if a service gets a second owner by a claim applied late.
+
+        The owner read that its row was unchanged, and then the store applied
+        a claim that had been sent before. Both gave orders (rule TWICE).
+        """
+
+        async def run() -> None:
+            world = _World()
+            world.let_b_expire()
+            row = world.store.get(_OWNER_KEY)
+            assert row is not None
+            guard = world.make_guard_of_b(row.version)
+            world.store.is_late = True
+            await world.reconcile()
+            world.store.is_late = False
+            world.renew()
+            self.assertTrue(await guard.confirm())
+            self.assertTrue(guard.permits_orders)
+            await world.store.apply_late()
+            self.assertEqual(world.store.get(_OWNER_KEY), row)
+            # Node a learns by the next refusal that the owner goes on.
+            world.read_nodes()
+            await world.reconcile()
+            self.assertEqual(world.store.get(_OWNER_KEY), row)
+            world.advance(3.1)
+            await world.claim()
+
+        anyio.run(run)
+
+    def test_owner_stops_if_the_claim_came_first(self) -> None:
+        """Fails if an owner confirms a service that it has lost."""
+
+        async def run() -> None:
+            world = _World()
+            world.let_b_expire()
+            row = world.store.get(_OWNER_KEY)
+            assert row is not None
+            guard = world.make_guard_of_b(row.version)
+            await world.claim()
+            self.assertFalse(await guard.confirm())
+            self.assertFalse(guard.permits_orders)
+
+        anyio.run(run)
+
+
 class ProvenClaimTest(unittest.TestCase):
     """Claims after which new jobs start at once."""
 
