Check the tenure of a fenced owner that has nothing to store

What callers saw: by the test, an owner whose fencing token a worker has refused, which proves that another node owns the service, went on giving orders to other workers until one of its regular writes was refused. That is up to 0.9 s, and without a bound while its jobs are read late, because the numbers of waiting jobs aren't stored then.

Cause: ProgressWriter.check_tenure only woke the writer, which writes nothing unless a job has changed.

Evidence: test_replaced_owner_without_changes_stops failed before with "AssertionError: 0 != 1".

A requested check now writes the row that confirms the ownership, on condition of the owner's row, if no changed job is written anyway.

Cost: one small write for all calls that are refused within 0.5 s; none otherwise.

--- a/src/fireflywell/node/progress_writer.py
+++ b/src/fireflywell/node/progress_writer.py
@@ -31,6 +31,9 @@
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=150)
 
+# Each refused call requests a check of the tenure; they share one write.
+_CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
+
 # Interval at which the numbers of waiting jobs are stored.
 _WAITING_COUNTS_INTERVAL = datetime.timedelta(milliseconds=900)
 
@@ -63,8 +66,10 @@
         "_state",
         "_clock",
         "_batch_size",
+        "_checked_at",
         "_ended_at_s",
         "_in_flight",
+        "_is_check_requested",
         "_is_store_unreachable",
         "_on_tenure_lost",
         "_rejected",
@@ -94,6 +99,9 @@
         self._retention = retention * _RETENTION_FACTOR
         self._on_tenure_lost = on_tenure_lost
         self._wake = anyio.Event()
+        self._is_check_requested = False
+        # Monotonic time of the last write that only checked the tenure.
+        self._checked_at: datetime.timedelta | None = None
         self._stored = anyio.Event()
         # Jobs of the transaction that has no answer yet.
         self._in_flight: frozenset[str] = frozenset()
@@ -120,7 +128,8 @@
         self._ended_at_s[job_id] = ended_at_s
 
     def check_tenure(self) -> None:
-        """Wakes the writer, whose next write fails if the tenure is over."""
+        """Wakes the writer for a write, which fails if the tenure is over."""
+        self._is_check_requested = True
         self._wake.set()
 
     async def wait_until_stored(
@@ -158,6 +167,10 @@
             await self._clock.sleep(
                 _URGENT_DELAY if is_urgent else _NORMAL_DELAY
             )
+            is_check_due = self._is_check_requested and not self._state.dirty
+            self._is_check_requested = False
+            if is_check_due:
+                await self._confirm_tenure()
             while self._state.dirty:
                 await self._store_batch()
 
@@ -326,6 +339,20 @@
             logs.log_event("store.regained", service=self._tenure.service)
         return result
 
+    async def _confirm_tenure(self) -> None:
+        """Writes a row only because the write fails if the tenure is over."""
+        now = self._clock.monotonic()
+        if self._checked_at and now - self._checked_at < _CHECK_INTERVAL:
+            return
+        self._checked_at = now
+        row_key = tables.locate_confirmation(self._tenure.service)
+        put = row_store.Put(row_key, str(self._tenure.token).encode())
+        match await self._transact(
+            row_store.Transaction((self._tenure.make_condition(),), (put,))
+        ):
+            case row_store.Conflict() as conflict:
+                self._check_owner(conflict)
+
     async def _store_waiting_counts(
         self, counts: waiting_counts.WaitingCounts
     ) -> None:
--- a/tests/test_node_progress_writer.py
+++ b/tests/test_node_progress_writer.py
@@ -1,5 +1,6 @@
 """Writes of progress that fail in other ways than a lost answer."""
 
+import contextlib
 import datetime
 import random
 import unittest
@@ -51,6 +52,58 @@
         return await super().transact(transaction, timeout)
 
 
+class TenureCheckTest(unittest.TestCase):
+    """A check of the tenure after a worker has refused a fencing token."""
+
+    def _count_ends(self, *, is_replaced: bool) -> int:
+        """Returns how often the writer found the tenure to be over."""
+        clock = clock_lib.SystemClock()
+        store = store_standin.MemoryRowStore(clock)
+        row_key = tables.locate_owner(node_world.SERVICE)
+        version = store.put(row_key, b"owner")
+        ends: list[None] = []
+        writer = progress_writer.ProgressWriter(
+            ownership.Tenure(node_world.SERVICE, 1, version, True),
+            samples.make_state("w1"),
+            store,
+            clock,
+            random.Random(1),
+            _RETENTION,
+            lambda: ends.append(None),
+        )
+        if is_replaced:
+            store.put(row_key, b"successor")
+
+        async def run_writer() -> None:
+            with contextlib.suppress(errors.TenureLostError):
+                await writer.run()
+
+        async def run() -> None:
+            async with anyio.create_task_group() as group:
+                group.start_soon(run_writer)
+                for _ in range(4):
+                    writer.check_tenure()
+                    await anyio.sleep(0.1)
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+        # The refused calls share one write.
+        self.assertEqual(store.calls, 1)
+        return len(ends)
+
+    def test_replaced_owner_without_changes_stops(self) -> None:
+        """Fails if a fenced owner goes on because it has nothing to store.
+
+        The check only woke the writer, which wrote nothing without a changed
+        job.
+        """
+        self.assertEqual(self._count_ends(is_replaced=True), 1)
+
+    def test_owner_that_was_not_replaced_goes_on(self) -> None:
+        """Fails if an unrelated refusal ends a tenure."""
+        self.assertEqual(self._count_ends(is_replaced=False), 0)
+
+
 class WriterTest(unittest.TestCase):
     """A supervised writer with several cancelled jobs to store."""
 
