--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -28,6 +28,7 @@
 from fireflywell.node import wait_reporter
 from fireflywell.node import worker_leases
 from fireflywell.node import worker_session
+from fireflywell.node import worker_sessions
 from fireflywell.scheduling import capacity
 from fireflywell.scheduling import cordons
 from fireflywell.scheduling import evictions
@@ -59,42 +60,14 @@
 # to check workers' loads and drained workers.
 _MAINTENANCE_INTERVAL_S = 0.15
 
-# A worker that is no longer listed is dropped only after this time, because
-# entries that expired during an outage of the store are listed again about two
-# seconds after the store is back.
-_ENTRY_GRACE_S = 2.5
-
 _RETRY_DELAY = datetime.timedelta(milliseconds=200)
 
-# A worker that hasn't answered for this long is stored with the end of its
-# leases, and as in use again before it gets another. Nearly all workers answer
-# sooner, also after a call that was lost, and need no write.
-_LOST_DELAY_S = 1.0
-
 # Added to the longest lease that an earlier owner can have granted.
 _ORPHAN_MARGIN = datetime.timedelta(milliseconds=500)
 
 MakeClient = Callable[[workers_lib.WorkerInstance], orders.WorkerClient]
 
 
-class _RunningSession:
-    """A worker session and the cancel scope that ends it."""
-
-    __slots__ = ("unlisted_since_s", "cordon", "scope", "session")
-
-    def __init__(self, session: worker_session.WorkerSession) -> None:
-        self.session = session
-        self.scope = anyio.CancelScope()
-        self.unlisted_since_s: float | None = None
-        # Why the worker gets no new units; None if it does.
-        self.cordon: cordons.Cordon | None = None
-
-    async def run(self) -> None:
-        """Runs the session until its scope is cancelled."""
-        with self.scope:
-            await self.session.run()
-
-
 class ServiceOwner:
     """Loads, schedules and stores one service's jobs during one tenure."""
 
@@ -113,14 +86,12 @@
         "_need_version",
         "_plan_wake",
         "_random",
-        "_registry",
         "_assigned_workers",
         "_scope",
         "_sessions",
         "_settings",
         "_store",
         "_sync_wake",
-        "_synced_since_s",
         "_tenure",
         "_tree",
         "_fleet_cache",
@@ -156,7 +127,6 @@
         self._guard = ownership_guard.OwnershipGuard(
             tenure, store, heartbeat, clock
         )
-        self._registry = registry
         self._make_client = make_client
         self._is_stopped = False
         self._demand_estimator = capacity.DemandEstimator()
@@ -165,9 +135,6 @@
         # Version of the row that holds it, as far as this owner knows.
         self._need_version = 0
         self._plan_wake = anyio.Event()
-        self._sessions: dict[str, _RunningSession] = {}
-        # When each worker that was listed at first had got its session.
-        self._synced_since_s: float | None = None
         self._scope = anyio.CancelScope()
         self._state = service_state.ServiceState(
             tenure.token, settings.bounds.stop.total_seconds()
@@ -200,6 +167,17 @@
             tenure.service, self._state, metrics
         )
         self._tree = self._build_tree()
+        self._sessions = worker_sessions.WorkerSessions(
+            tenure.service,
+            self._state,
+            registry,
+            self._assigned_workers,
+            clock,
+            self._make_session,
+            self._tree.start_child,
+            self._is_from_spare_pool,
+            self._update_cordon,
+        )
 
     @property
     def state(self) -> service_state.ServiceState:
@@ -304,62 +282,20 @@
         """Starts and ends sessions so that each listed worker has one."""
         await self._loader.wait_until_loaded()
         while True:
-            listed = {
-                item.instance_id: item
-                for item in self._registry.list_instances(self.service)
-            }
-            self._start_sessions(listed)
-            self._end_sessions(listed)
-            self._update_assigned_workers()
+            self._sessions.sync()
             with anyio.move_on_after(_SYNC_INTERVAL_S):
                 await self._sync_wake.wait()
             self._sync_wake = anyio.Event()
 
-    def _update_assigned_workers(self) -> None:
-        """Passes on which workers don't answer and which have ended."""
-        now_s = self._now_s()
-        for worker_id, running in self._sessions.items():
-            session = running.session
-            since_s = session.lost_since_s
-            if since_s is not None and now_s - since_s > _LOST_DELAY_S:
-                self._assigned_workers.mark_lost(
-                    worker_id, session.remaining_lease
-                )
-        if self._registry.is_loaded:
-            if self._synced_since_s is None:
-                self._synced_since_s = now_s
-            if now_s - self._synced_since_s > _LOST_DELAY_S:
-                self._assigned_workers.mark_unreported_lost()
-            self._assigned_workers.mark_replaced(self._registry.list_all())
-        self._assigned_workers.check_recovery()
-
-    def _start_sessions(
-        self, listed: dict[str, workers_lib.WorkerInstance]
-    ) -> None:
-        for worker_id, instance in listed.items():
-            running = self._sessions.get(worker_id)
-            if running is not None:
-                worker = running.session.worker
-                is_same = worker.instance.address == instance.address
-                if is_same:
-                    worker.replace_instance(instance)
-                    worker.is_from_spare_pool = self._is_from_spare_pool(
-                        instance
-                    )
-                    continue
-                self._end_session(worker_id, "its address changed")
-            self._start_session(instance)
-
     def _is_from_spare_pool(self, instance: workers_lib.WorkerInstance) -> bool:
         return instance.vm_id in self._fleet_cache.spare_pool_vms
 
-    def _start_session(self, instance: workers_lib.WorkerInstance) -> None:
-        worker = workers_lib.Worker(instance)
-        worker.is_from_spare_pool = self._is_from_spare_pool(instance)
-        self._state.workers[instance.instance_id] = worker
-        session = worker_session.WorkerSession(
+    def _make_session(
+        self, worker: workers_lib.Worker
+    ) -> worker_session.WorkerSession:
+        return worker_session.WorkerSession(
             worker,
-            first_report.FirstReportClient(self._make_client(instance)),
+            first_report.FirstReportClient(self._make_client(worker.instance)),
             self._state,
             self._writer,
             self._guard,
@@ -375,50 +311,11 @@
             self._metrics,
             self._assigned_workers,
         )
-        running = _RunningSession(session)
-        self._sessions[instance.instance_id] = running
-        self._update_cordon(running)
-        logs.log_event(
-            "worker.listed",
-            worker=instance.instance_id,
-            service=self.service,
-            rack=instance.rack,
-        )
-        self._tree.start_child(
-            supervisor_lib.Child(
-                f"worker {instance.instance_id}",
-                running.run,
-                policies.RestartWithBackoff(),
-            )
-        )
-
-    def _end_sessions(
-        self, listed: dict[str, workers_lib.WorkerInstance]
-    ) -> None:
-        now_s = self._now_s()
-        for worker_id, running in tuple(self._sessions.items()):
-            if worker_id in listed:
-                running.unlisted_since_s = None
-                continue
-            if running.unlisted_since_s is None:
-                running.unlisted_since_s = now_s
-            worker = running.session.worker
-            running.session.expire_runs()
-            is_grace_over = now_s - running.unlisted_since_s > _ENTRY_GRACE_S
-            if is_grace_over and not worker.runs and not worker.is_reachable:
-                self._end_session(worker_id, "it is no longer listed")
-
-    def _end_session(self, worker_id: str, reason: str) -> None:
-        running = self._sessions.pop(worker_id)
-        running.scope.cancel()
-        self._state.remove_worker(worker_id)
-        self._assigned_workers.forget(worker_id)
-        logs.log_event("worker.dropped", worker=worker_id, reason=reason)
 
     def _handle_session_change(self) -> None:
         # After the recovery, no report is missing. This runs after each order.
         if not self._state.is_recovery_complete:
-            for worker_id, running in self._sessions.items():
+            for worker_id, running in self._sessions.by_worker.items():
                 if running.session.has_reported:
                     self._assigned_workers.mark_reported(worker_id)
         self._writer.wake()
@@ -496,7 +393,7 @@
             # may interrupt others of the same steps.
             if not self._guard.permits_orders:
                 continue
-            for running in tuple(self._sessions.values()):
+            for running in tuple(self._sessions.by_worker.values()):
                 if running.cordon is not None:
                     await self._drain_worker(running)
 
@@ -552,7 +449,7 @@
         A former owner may have marked a VM as drained on which this owner has
         started runs; it is drained again.
         """
-        for running in tuple(self._sessions.values()):
+        for running in tuple(self._sessions.by_worker.values()):
             worker = running.session.worker
             request = self._fleet_cache.find(worker.instance.vm_id)
             if (
@@ -569,10 +466,10 @@
     def _update_cordons(self) -> None:
         # A cache without rows doesn't show that the requests were closed.
         if self._fleet_cache.is_loaded:
-            for running in self._sessions.values():
+            for running in self._sessions.by_worker.values():
                 self._update_cordon(running)
 
-    def _update_cordon(self, running: _RunningSession) -> None:
+    def _update_cordon(self, running: worker_sessions.RunningSession) -> None:
         """Cordons a worker as far as its VM's drain request requires it."""
         worker = running.session.worker
         request = self._fleet_cache.find(worker.instance.vm_id)
@@ -583,14 +480,16 @@
 
     def _cordon(self, worker: workers_lib.Worker) -> None:
         """Cordons a worker whose request is due."""
-        running = self._sessions.get(worker.worker_id)
+        running = self._sessions.by_worker.get(worker.worker_id)
         request = self._fleet_cache.find(worker.instance.vm_id)
         if running is None or request is None:
             return
         self._set_cordon(running, cordons.make_cordon(request, self._now_s()))
 
     def _set_cordon(
-        self, running: _RunningSession, cordon: cordons.Cordon | None
+        self,
+        running: worker_sessions.RunningSession,
+        cordon: cordons.Cordon | None,
     ) -> None:
         worker = running.session.worker
         was_cordoned = worker.is_cordoned
@@ -613,7 +512,9 @@
             runs=len(worker.runs),
         )
 
-    async def _drain_worker(self, running: _RunningSession) -> None:
+    async def _drain_worker(
+        self, running: worker_sessions.RunningSession
+    ) -> None:
         assert running.cordon is not None
         worker = running.session.worker
         request = self._fleet_cache.find(worker.instance.vm_id)
@@ -660,7 +561,7 @@
 
     def _enqueue_starts(self, runs: list[jobs_lib.Run]) -> None:
         for run in runs:
-            self._sessions[run.worker_id].session.enqueue(
+            self._sessions.by_worker[run.worker_id].session.enqueue(
                 order_sender.StartCommand(run)
             )
         if runs:
@@ -677,7 +578,7 @@
         stops = self._state.pending_stops
         while stops:
             item = stops.popleft()
-            running = self._sessions.get(item.worker_id)
+            running = self._sessions.by_worker.get(item.worker_id)
             if running is not None:
                 running.session.enqueue(
                     order_sender.StopCommand(item.unit, item.run)
--- /dev/null
+++ b/src/fireflywell/node/worker_sessions.py
@@ -0,0 +1,198 @@
+"""Starts and ends the sessions with the listed workers of one service."""
+
+from collections.abc import Callable
+
+import anyio
+
+from fireflywell import clock as clock_lib
+from fireflywell.node import assigned_workers
+from fireflywell.node import instance_registry
+from fireflywell.node import worker_session
+from fireflywell.scheduling import cordons
+from fireflywell.scheduling import service_state
+from fireflywell.scheduling import workers as workers_lib
+from fireflywell.supervision import policies
+from fireflywell.supervision import supervisor as supervisor_lib
+from fireflywell.telemetry import logs
+
+# A worker that is no longer listed is dropped only after this time, because
+# entries that expired during an outage of the store are listed again about two
+# seconds after the store is back.
+_ENTRY_GRACE_S = 2.5
+
+# A worker that hasn't answered for this long is stored with the end of its
+# leases, and as in use again before it gets another. Nearly all workers answer
+# sooner, also after a call that was lost, and need no write.
+_LOST_DELAY_S = 1.0
+
+
+class RunningSession:
+    """A worker session and the cancel scope that ends it."""
+
+    __slots__ = ("unlisted_since_s", "cordon", "scope", "session")
+
+    def __init__(self, session: worker_session.WorkerSession) -> None:
+        self.session = session
+        self.scope = anyio.CancelScope()
+        self.unlisted_since_s: float | None = None
+        # Why the worker gets no new units; None if it does.
+        self.cordon: cordons.Cordon | None = None
+
+    async def run(self) -> None:
+        """Runs the session until its scope is cancelled."""
+        with self.scope:
+            await self.session.run()
+
+
+class WorkerSessions:
+    """Gives each listed worker of a service a session.
+
+    Attributes:
+        by_worker: The sessions by worker id.
+    """
+
+    __slots__ = (
+        "_assigned_workers",
+        "_clock",
+        "_is_from_spare_pool",
+        "_make_session",
+        "_on_started",
+        "_registry",
+        "_service",
+        "_start_child",
+        "_state",
+        "_synced_since_s",
+        "by_worker",
+    )
+
+    def __init__(
+        self,
+        service: str,
+        state: service_state.ServiceState,
+        registry: instance_registry.InstanceRegistry,
+        assigned: assigned_workers.AssignedWorkers,
+        clock: clock_lib.Clock,
+        make_session: Callable[
+            [workers_lib.Worker], worker_session.WorkerSession
+        ],
+        start_child: Callable[[supervisor_lib.Child], None],
+        is_from_spare_pool: Callable[[workers_lib.WorkerInstance], bool],
+        on_started: Callable[[RunningSession], None],
+    ) -> None:
+        """Starts without sessions.
+
+        Args:
+            service: Name of the service.
+            state: Jobs and workers of the service.
+            registry: The listed workers of all services.
+            assigned: The stored list of workers that may run units.
+            clock: The node's clock.
+            make_session: Makes the session of a worker.
+            start_child: Runs a session as a child of the owner's supervisor.
+            is_from_spare_pool: Whether a worker's VM is from the spare pool.
+            on_started: Called with each new session before it runs.
+        """
+        self._service = service
+        self._state = state
+        self._registry = registry
+        self._assigned_workers = assigned
+        self._clock = clock
+        self._make_session = make_session
+        self._start_child = start_child
+        self._is_from_spare_pool = is_from_spare_pool
+        self._on_started = on_started
+        self.by_worker: dict[str, RunningSession] = {}
+        # When each worker that was listed at first had got its session.
+        self._synced_since_s: float | None = None
+
+    def sync(self) -> None:
+        """Starts and ends sessions so that each listed worker has one."""
+        listed = {
+            item.instance_id: item
+            for item in self._registry.list_instances(self._service)
+        }
+        self._start_sessions(listed)
+        self._end_sessions(listed)
+        self._update_assigned_workers()
+
+    def _update_assigned_workers(self) -> None:
+        """Passes on which workers don't answer and which have ended."""
+        now_s = self._now_s()
+        for worker_id, running in self.by_worker.items():
+            session = running.session
+            since_s = session.lost_since_s
+            if since_s is not None and now_s - since_s > _LOST_DELAY_S:
+                self._assigned_workers.mark_lost(
+                    worker_id, session.remaining_lease
+                )
+        if self._registry.is_loaded:
+            if self._synced_since_s is None:
+                self._synced_since_s = now_s
+            if now_s - self._synced_since_s > _LOST_DELAY_S:
+                self._assigned_workers.mark_unreported_lost()
+            self._assigned_workers.mark_replaced(self._registry.list_all())
+        self._assigned_workers.check_recovery()
+
+    def _start_sessions(
+        self, listed: dict[str, workers_lib.WorkerInstance]
+    ) -> None:
+        for worker_id, instance in listed.items():
+            running = self.by_worker.get(worker_id)
+            if running is not None:
+                worker = running.session.worker
+                is_same = worker.instance.address == instance.address
+                if is_same:
+                    worker.replace_instance(instance)
+                    worker.is_from_spare_pool = self._is_from_spare_pool(
+                        instance
+                    )
+                    continue
+                self._end_session(worker_id, "its address changed")
+            self._start_session(instance)
+
+    def _start_session(self, instance: workers_lib.WorkerInstance) -> None:
+        worker = workers_lib.Worker(instance)
+        worker.is_from_spare_pool = self._is_from_spare_pool(instance)
+        self._state.workers[instance.instance_id] = worker
+        running = RunningSession(self._make_session(worker))
+        self.by_worker[instance.instance_id] = running
+        self._on_started(running)
+        logs.log_event(
+            "worker.listed",
+            worker=instance.instance_id,
+            service=self._service,
+            rack=instance.rack,
+        )
+        self._start_child(
+            supervisor_lib.Child(
+                f"worker {instance.instance_id}",
+                running.run,
+                policies.RestartWithBackoff(),
+            )
+        )
+
+    def _end_sessions(
+        self, listed: dict[str, workers_lib.WorkerInstance]
+    ) -> None:
+        now_s = self._now_s()
+        for worker_id, running in tuple(self.by_worker.items()):
+            if worker_id in listed:
+                running.unlisted_since_s = None
+                continue
+            if running.unlisted_since_s is None:
+                running.unlisted_since_s = now_s
+            worker = running.session.worker
+            running.session.expire_runs()
+            is_grace_over = now_s - running.unlisted_since_s > _ENTRY_GRACE_S
+            if is_grace_over and not worker.runs and not worker.is_reachable:
+                self._end_session(worker_id, "it is no longer listed")
+
+    def _end_session(self, worker_id: str, reason: str) -> None:
+        running = self.by_worker.pop(worker_id)
+        running.scope.cancel()
+        self._state.remove_worker(worker_id)
+        self._assigned_workers.forget(worker_id)
+        logs.log_event("worker.dropped", worker=worker_id, reason=reason)
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic().total_seconds()
