Keep the runs of a worker whose address changes until their leases end

Callers would have seen a unit run twice at the same time: when the entry of a silent worker named another address, its session ended, its units started elsewhere at once and the worker left the stored list, so that a successor didn't wait for it either.

Cause: the runs of a worker belong to its id, but the session was tied to an address, and ending a session was the only way to drop runs that didn't ask whether their leases are over.

The session now goes on with a client for the new address (`worker_connection.py`) and keeps runs, leases and orders in progress, also those to the former address: orders name the id, and a worker with another id doesn't carry them out. The worker is used again after its next report, which tells whether it is the same incarnation; without one its runs end with their leases. The same holds if the entry names another VM. A session ends only for a worker without runs, and `remove_worker` refuses others. So a worker stays on the stored list until its runs are proved to be over or their leases have ended.

Cost: units of a silent worker whose address changes wait for its leases, as those of any silent worker (6 s at most). A worker that answers at the new address gets no new units until its first report there, a few milliseconds, or 150 ms more if a report request was in progress.

--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -173,6 +173,7 @@
             registry,
             self._assigned_workers,
             clock,
+            self._connect,
             self._make_session,
             self._tree.start_child,
             self._is_from_spare_pool,
@@ -290,12 +291,17 @@
     def _is_from_spare_pool(self, instance: workers_lib.WorkerInstance) -> bool:
         return instance.vm_id in self._fleet_cache.spare_pool_vms
 
+    def _connect(
+        self, instance: workers_lib.WorkerInstance
+    ) -> orders.WorkerClient:
+        return first_report.FirstReportClient(self._make_client(instance))
+
     def _make_session(
         self, worker: workers_lib.Worker
     ) -> worker_session.WorkerSession:
         return worker_session.WorkerSession(
             worker,
-            first_report.FirstReportClient(self._make_client(worker.instance)),
+            self._connect(worker.instance),
             self._state,
             self._writer,
             self._guard,
--- a/src/fireflywell/node/worker_events.py
+++ b/src/fireflywell/node/worker_events.py
@@ -1,7 +1,10 @@
 """Logs what becomes of a worker and the runs on it."""
 
+import datetime
+
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import workers as workers_lib
 from fireflywell.telemetry import logs
 
 DroppedRuns = tuple[service_state.DroppedRun, ...]
@@ -17,6 +20,36 @@
     )
 
 
+def log_moved(
+    former: workers_lib.WorkerInstance,
+    instance: workers_lib.WorkerInstance,
+    runs: int,
+    lease: datetime.timedelta,
+) -> None:
+    """Logs that a worker is listed with another address or VM."""
+    logs.log_event(
+        "worker.moved",
+        worker=instance.instance_id,
+        former_address=former.address,
+        address=instance.address,
+        former_machine=former.vm_id,
+        machine=instance.vm_id,
+        runs=runs,
+        lease_s=round(lease.total_seconds(), 3),
+    )
+
+
+def log_dropped(instance: workers_lib.WorkerInstance, reason: str) -> None:
+    """Logs that a worker without runs has no session any more."""
+    logs.log_event(
+        "worker.dropped",
+        worker=instance.instance_id,
+        reason=reason,
+        address=instance.address,
+        machine=instance.vm_id,
+    )
+
+
 def log_leases_over(worker_id: str, dropped: DroppedRuns) -> None:
     """Logs the runs of a silent worker whose leases are over."""
     logs.log_event(
@@ -27,12 +60,16 @@
     )
 
 
-def log_restarted(worker_id: str, reason: str, dropped: DroppedRuns) -> None:
+def log_restarted(
+    instance: workers_lib.WorkerInstance, reason: str, dropped: DroppedRuns
+) -> None:
     """Logs the runs that only a former incarnation can have had."""
     logs.log_event(
         "worker.restarted",
-        worker=worker_id,
+        worker=instance.instance_id,
         reason=reason,
+        address=instance.address,
+        machine=instance.vm_id,
         runs=len(dropped),
         dropped=_describe_runs(dropped),
     )
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -14,6 +14,7 @@
 from fireflywell.node import ownership_guard
 from fireflywell.node import progress_writer
 from fireflywell.node import report_schedule
+from fireflywell.node import worker_connection
 from fireflywell.node import worker_events
 from fireflywell.node import worker_leases
 from fireflywell.scheduling import orders
@@ -92,7 +93,7 @@
         self._assigned_workers = assigned
         self._fetch_jobs = fetch_jobs
         self._worker = worker
-        self._client = client
+        self._client = worker_connection.WorkerConnection(client)
         self._state = state
         self._writer = writer
         self._guard = guard
@@ -108,7 +109,7 @@
         self._wake = anyio.Event()
         self._order_sender = order_sender.OrderSender(
             worker,
-            client,
+            self._client,
             state,
             writer,
             guard,
@@ -141,6 +142,30 @@
         self._order_sender.enqueue(command)
         self._wake.set()
 
+    def move(
+        self,
+        instance: workers_lib.WorkerInstance,
+        client: orders.WorkerClient,
+    ) -> None:
+        """Goes on with a worker whose entry names another address or VM.
+
+        Its runs, leases and orders in progress belong to its id, which each
+        order names. It is used again once it has reported, which also tells
+        whether it has restarted; otherwise its runs end with their leases.
+
+        Args:
+            instance: The changed entry.
+            client: Client for the new address.
+        """
+        former = self._worker.instance
+        worker_events.log_moved(
+            former, instance, len(self._worker.runs), self._leases.remaining
+        )
+        self._worker.replace_instance(instance)
+        self._client.replace_client(client)
+        self._mark_unreachable("its entry names another address or VM")
+        self._wake.set()
+
     async def run(self) -> None:
         """Runs the session's tasks until cancelled."""
         restart = policies.RestartWithBackoff()
@@ -213,7 +238,9 @@
                 self._order_sender.answered_s
             )
         )
-        timing = self._report_schedule.choose_timing(is_idle or is_first)
+        timing = self._report_schedule.choose_timing(
+            is_idle or is_first or not self._worker.is_reachable
+        )
         lease_until = None
         # A worker that doesn't answer may still receive renewals. Its leases
         # are not extended, so that they expire by a known time.
@@ -388,7 +415,7 @@
         self._worker.is_reachable = False
         if self._has_ended and not dropped:
             return
-        worker_events.log_restarted(self._worker.worker_id, reason, dropped)
+        worker_events.log_restarted(self._worker.instance, reason, dropped)
         self._on_change()
 
     def _log_ends(self, report: orders.WorkerReport) -> None:
--- a/src/fireflywell/node/worker_sessions.py
+++ b/src/fireflywell/node/worker_sessions.py
@@ -7,8 +7,10 @@
 from fireflywell import clock as clock_lib
 from fireflywell.node import assigned_workers
 from fireflywell.node import instance_registry
+from fireflywell.node import worker_events
 from fireflywell.node import worker_session
 from fireflywell.scheduling import cordons
+from fireflywell.scheduling import orders
 from fireflywell.scheduling import service_state
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.supervision import policies
@@ -54,6 +56,7 @@
     __slots__ = (
         "_assigned_workers",
         "_clock",
+        "_connect",
         "_is_from_spare_pool",
         "_make_session",
         "_on_started",
@@ -72,6 +75,7 @@
         registry: instance_registry.InstanceRegistry,
         assigned: assigned_workers.AssignedWorkers,
         clock: clock_lib.Clock,
+        connect: Callable[[workers_lib.WorkerInstance], orders.WorkerClient],
         make_session: Callable[
             [workers_lib.Worker], worker_session.WorkerSession
         ],
@@ -87,6 +91,7 @@
             registry: The listed workers of all services.
             assigned: The stored list of workers that may run units.
             clock: The node's clock.
+            connect: Makes a client for the address of a worker.
             make_session: Makes the session of a worker.
             start_child: Runs a session as a child of the owner's supervisor.
             is_from_spare_pool: Whether a worker's VM is from the spare pool.
@@ -97,6 +102,7 @@
         self._registry = registry
         self._assigned_workers = assigned
         self._clock = clock
+        self._connect = connect
         self._make_session = make_session
         self._start_child = start_child
         self._is_from_spare_pool = is_from_spare_pool
@@ -139,16 +145,21 @@
         for worker_id, instance in listed.items():
             running = self.by_worker.get(worker_id)
             if running is not None:
-                worker = running.session.worker
-                is_same = worker.instance.address == instance.address
-                if is_same:
-                    worker.replace_instance(instance)
-                    worker.is_from_spare_pool = self._is_from_spare_pool(
-                        instance
-                    )
-                    continue
-                self._end_session(worker_id, "its address changed")
-            self._start_session(instance)
+                self._update_session(running, instance)
+            else:
+                self._start_session(instance)
+
+    def _update_session(
+        self, running: RunningSession, instance: workers_lib.WorkerInstance
+    ) -> None:
+        worker = running.session.worker
+        former = worker.instance
+        is_same_vm = former.vm_id == instance.vm_id
+        if is_same_vm and former.address == instance.address:
+            worker.replace_instance(instance)
+        else:
+            running.session.move(instance, self._connect(instance))
+        worker.is_from_spare_pool = self._is_from_spare_pool(instance)
 
     def _start_session(self, instance: workers_lib.WorkerInstance) -> None:
         worker = workers_lib.Worker(instance)
@@ -184,15 +195,24 @@
             worker = running.session.worker
             running.session.expire_runs()
             is_grace_over = now_s - running.unlisted_since_s > _ENTRY_GRACE_S
-            if is_grace_over and not worker.runs and not worker.is_reachable:
-                self._end_session(worker_id, "it is no longer listed")
+            if is_grace_over and not worker.is_reachable:
+                self._end_session(running, "it is no longer listed")
 
-    def _end_session(self, worker_id: str, reason: str) -> None:
-        running = self.by_worker.pop(worker_id)
+    def _end_session(self, running: RunningSession, reason: str) -> None:
+        """Ends the session of a worker, unless it may have runs.
+
+        A run is dropped only if a report, an answer or the end of the leases
+        proves that it is over. So a worker without runs leaves the stored list
+        at once, and one with runs stays on it until its leases are over.
+        """
+        worker = running.session.worker
+        if worker.runs:
+            return
+        del self.by_worker[worker.worker_id]
         running.scope.cancel()
-        self._state.remove_worker(worker_id)
-        self._assigned_workers.forget(worker_id)
-        logs.log_event("worker.dropped", worker=worker_id, reason=reason)
+        self._state.remove_worker(worker.worker_id)
+        self._assigned_workers.forget(worker.worker_id)
+        worker_events.log_dropped(worker.instance, reason)
 
     def _now_s(self) -> float:
         return self._clock.monotonic().total_seconds()
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -396,9 +396,18 @@
         return tuple(dropped)
 
     def remove_worker(self, worker_id: str) -> None:
-        """Removes a worker and requeues the units of its remaining runs."""
-        self.drop_worker_runs(worker_id)
-        self.workers.pop(worker_id, None)
+        """Removes a worker without runs.
+
+        Raises:
+            ValueError: It may still have runs.
+        """
+        worker = self.workers.pop(worker_id, None)
+        if worker is not None and worker.runs:
+            self.workers[worker_id] = worker
+            raise ValueError(
+                f"worker {worker_id} can't be removed: it may still have "
+                f"{len(worker.runs)} runs"
+            )
 
     def take_dirty(self, limit: int) -> list[jobs_lib.Job]:
         """Removes up to `limit` jobs from `dirty` and returns them.
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -109,7 +109,7 @@
         return self.instance.instance_id
 
     def replace_instance(self, instance: WorkerInstance) -> None:
-        """Applies a changed listing of the same incarnation."""
+        """Applies a changed entry; the runs keep their resources."""
         old = self.instance.capacity
         new = instance.capacity
         self.free_cpu += new.cpu_millis - old.cpu_millis
