Don't take another worker's answer at an address for a worker's end

Callers would have seen a unit run twice at the same time: if the address of a worker that was cut off and worked on went to another worker, that one's status 421 dropped all runs at once, and counted as a report for a recovery, which then didn't wait for the worker either.

Cause: a VM runs one worker at a time, but nothing says that an address belongs to one VM.

The answer now ends the worker only if another one is listed on its VM whose entry was written after its own last one, in the order of the store's row versions (`InstanceRegistry.has_successor`). Otherwise the worker is unreachable, its runs end with their leases, and a recovery waits for it. The two tests of test_worker_admission about ended workers list such a successor now, because the answer alone proves nothing any more.

No additional call.

--- a/src/fireflywell/node/instance_registry.py
+++ b/src/fireflywell/node/instance_registry.py
@@ -1,6 +1,7 @@
 """Caches the entries that workers write about themselves in the store."""
 
 from collections.abc import Callable
+import dataclasses
 
 from fireflywell.coordination import row_store
 from fireflywell.scheduling import workers as workers_lib
@@ -47,6 +48,23 @@
             item for item in self._instances.values() if item.service == service
         )
 
+    def has_successor(self, instance: workers_lib.WorkerInstance) -> bool:
+        """Returns whether another worker runs on a worker's VM by now.
+
+        A VM runs one worker at a time, and none writes its entry after its end.
+        The order of the entries is that of the store, because the VM's date
+        may jump.
+
+        Args:
+            instance: The last known entry of the worker.
+        """
+        return bool(instance.vm_id) and any(
+            item.vm_id == instance.vm_id
+            and item.instance_id != instance.instance_id
+            and item.row_version > instance.row_version
+            for item in self._instances.values()
+        )
+
     def clear(self) -> None:
         """Drops all workers, for when nothing keeps them up to date."""
         self._instances = {}
@@ -77,8 +95,9 @@
                 self._instances.pop(instance_id, None)
                 continue
             try:
-                self._instances[instance_id] = self._decode(
-                    instance_id, row.value
+                self._instances[instance_id] = dataclasses.replace(
+                    self._decode(instance_id, row.value),
+                    row_version=row.version,
                 )
             except Exception as error:
                 # Other writers can place any bytes here. A fault of one entry
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -86,6 +86,7 @@
         "_need_version",
         "_plan_wake",
         "_random",
+        "_registry",
         "_assigned_workers",
         "_scope",
         "_sessions",
@@ -167,6 +168,7 @@
             tenure.service, self._state, metrics
         )
         self._tree = self._build_tree()
+        self._registry = registry
         self._sessions = worker_sessions.WorkerSessions(
             tenure.service,
             self._state,
@@ -316,6 +318,7 @@
             self._loader.fetch_unknown,
             self._metrics,
             self._assigned_workers,
+            self._registry.has_successor,
         )
 
     def _handle_session_change(self) -> None:
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -61,6 +61,7 @@
         "_acknowledged_end",
         "_assigned_workers",
         "_has_ended",
+        "_has_successor",
         "_on_change",
         "_order_sender",
         "_report_schedule",
@@ -88,9 +89,11 @@
         fetch_jobs: Callable[[frozenset[str]], Awaitable[None]],
         metrics: metrics_lib.Metrics,
         assigned: assigned_workers.AssignedWorkers,
+        has_successor: Callable[[workers_lib.WorkerInstance], bool],
     ) -> None:
         self._metrics = metrics
         self._assigned_workers = assigned
+        self._has_successor = has_successor
         self._fetch_jobs = fetch_jobs
         self._worker = worker
         self._client = worker_connection.WorkerConnection(client)
@@ -395,13 +398,20 @@
             self._on_change()
 
     def _handle_mismatch(self, requested_s: float) -> None:
-        """Ends an incarnation in whose place another one answers."""
+        """Ends a worker in whose place another one answers on its VM.
+
+        An address may also go to a worker of another VM while this one is cut
+        off and works on. Then its runs end with their leases.
+        """
+        if not self._has_successor(self._worker.instance):
+            self._mark_unreachable("another worker answers at its address")
+            return
         if self.lost_since_s is None:
             self.lost_since_s = self._now_s()
         # Orders that name this incarnation are never carried out any more.
         self.has_reported = True
         self._handle_new_incarnation(
-            "another incarnation answered", requested_s
+            "another worker answers on its VM", requested_s
         )
         self._has_ended = True
         self.expire_runs()
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -28,6 +28,8 @@
         leaves_in: Time until it leaves, None if unknown.
         started_unix_ms: Start of this incarnation; 0 if unknown.
         vm_id: VM that it runs on, empty if unknown.
+        row_version: Version of the entry in the store; entries that were
+            written later have higher ones.
     """
 
     instance_id: str
@@ -41,6 +43,7 @@
     leaves_in: datetime.timedelta | None = None
     started_unix_ms: int = 0
     vm_id: str = ""
+    row_version: int = 0
 
 
 class Worker:
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -198,6 +198,8 @@
         self.client = ScriptedClient()
         self.guard = FakeGuard()
         self.assigned_workers = FakeAssignedWorkers()
+        # Whether another worker is listed on the VM of `w1`.
+        self.has_successor = False
         self.session = worker_session.WorkerSession(
             self.worker,
             self.client,
@@ -211,6 +213,7 @@
             self.fetch_jobs,
             metrics_lib.NullMetrics(),
             self.assigned_workers,  # type: ignore[arg-type]
+            lambda _: self.has_successor,
         )
 
     async def fetch_jobs(self, job_ids: frozenset[str]) -> None:
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -55,6 +55,7 @@
                 self._fetch_jobs,
                 metrics_lib.NullMetrics(),
                 session_world.FakeAssignedWorkers(),  # type: ignore[arg-type]
+                lambda _: False,
             )
             group.start_soon(client.run)
             group.start_soon(self.sessions[name].run)
--- a/tests/test_worker_admission.py
+++ b/tests/test_worker_admission.py
@@ -68,6 +68,7 @@
             async with world.run():
                 first = len(world.client.renewals)
                 world.client.is_replaced = True
+                world.has_successor = True
                 await session_world.wait_until(
                     lambda: len(world.client.renewals) > first + 3
                 )
@@ -83,6 +84,7 @@
         async def run() -> None:
             world = session_world.SessionWorld()
             world.client.is_replaced = True
+            world.has_successor = True
             with anyio.fail_after(5):
                 async with anyio.create_task_group() as group:
                     group.start_soon(world.session.run)
