Order workers of a VM by the store's versions, not by their dates

Cause: `mark_replaced` compared the starts of two incarnations by the VM's date.

An entry now ends the wait only if its row was written after the list of assigned workers that the owner has read. The awaited worker had reported before that list was stored, so an older worker of the VM had ended by then. The starts are still compared, which only adds waits: for an entry that the store wrote late.

--- a/src/fireflywell/node/assigned_workers.py
+++ b/src/fireflywell/node/assigned_workers.py
@@ -50,6 +50,7 @@
         "_inherited",
         "_is_row_known",
         "_latest_s",
+        "_loaded_version",
         "_lost",
         "_on_recovered",
         "_on_tenure_lost",
@@ -89,6 +90,8 @@
         self._version = 0
         # Values of writes that may be applied on top of this version.
         self._unanswered: set[bytes] = set()
+        # Version of the list that this owner has read.
+        self._loaded_version = 0
         self._unlisted_until_s = 0.0
         # Latest end of a lease of an earlier owner, on the store's clock.
         self._latest_s = 0.0
@@ -142,6 +145,7 @@
     def _apply_row(self, row: row_store.Row) -> None:
         """Applies a list that an earlier owner stored."""
         self._version = row.version
+        self._loaded_version = row.version
         try:
             stored = rows.decode(row.value)
         except Exception as error:
@@ -259,6 +263,11 @@
         names the former one. A worker that came back under its own id may
         still carry out an earlier owner's order; it has to report.
 
+        The worker had reported before the list was stored, so an entry that was
+        written later isn't that of an older worker of the VM. Starts are
+        compared as well, for an entry that the store wrote late; they alone
+        prove nothing, because a VM's date may jump.
+
         Args:
             instances: All listed workers, of any service.
         """
@@ -268,11 +277,12 @@
         listed = set()
         for instance in instances:
             listed.add(instance.instance_id)
+            if instance.row_version <= self._loaded_version:
+                continue
             latest[instance.vm_id] = max(
                 latest.get(instance.vm_id, 0), instance.started_unix_ms
             )
         for worker_id, item in tuple(self._inherited.items()):
-            # While both are listed, their order would rest on the VM's date.
             if (
                 item.vm_id
                 and worker_id not in listed
--- a/tests/test_node_assigned_workers.py
+++ b/tests/test_node_assigned_workers.py
@@ -7,10 +7,13 @@
 import msgpack
 
 from fireflywell import clock as clock_lib
+from fireflywell.coordination import row_store
 from fireflywell.node import assigned_worker_rows
 from fireflywell.node import assigned_workers
+from fireflywell.node import instance_registry
 from fireflywell.node import ownership
 from fireflywell.node import tables
+from fireflywell.platform import instances as platform_instances
 from fireflywell.scheduling import service_state
 from fireflywell.scheduling import workers as workers_lib
 from tests import late_store
@@ -357,6 +360,15 @@
         successor = _make_worker("w2", "m-w1", 5)
         self.assertTrue(self._is_settled(successor))
 
+    def test_entry_from_before_the_list_proves_nothing(self) -> None:
+        """Fails if a unit starts while it runs on a silent worker.
+
+        A former worker of the VM, whose date had been ahead, was still listed
+        and counted as the later one (rule TWICE, incident 28).
+        """
+        former = _make_worker("w0", "m-w1", 5)
+        self.assertFalse(self._is_settled(former, is_list_older=False))
+
     def test_other_workers_prove_nothing(self) -> None:
         """Fails if a unit starts while it may run on a silent worker.
 
@@ -376,10 +388,43 @@
             with self.subTest(instances=instances):
                 self.assertFalse(self._is_settled(*instances))
 
-    def _is_settled(self, *instances: workers_lib.WorkerInstance) -> bool:
+    def _is_settled(
+        self,
+        *instances: workers_lib.WorkerInstance,
+        is_list_older: bool = True,
+    ) -> bool:
+        """Returns whether listed workers end the wait for `w1`.
+
+        Args:
+            *instances: The listed workers.
+            is_list_older: Whether their entries were written after the list of
+                assigned workers.
+        """
+
         async def run() -> bool:
-            second = await _World().claim_after("w1")
-            second.workers.mark_replaced(instances)
+            world = _World()
+            registry = instance_registry.InstanceRegistry(
+                platform_instances.decode_instance
+            )
+
+            def write_entries() -> None:
+                for item in instances:
+                    world.store.put(
+                        row_store.RowKey(
+                            tables.INSTANCES, "", item.instance_id
+                        ),
+                        node_world.encode_instance(item),
+                    )
+
+            if not is_list_older:
+                write_entries()
+            second = await world.claim_after("w1")
+            if is_list_older:
+                write_entries()
+            registry.replace_all(
+                tuple(world.store.list_table(tables.INSTANCES))
+            )
+            second.workers.mark_replaced(registry.list_all())
             return second.is_settled()
 
         return anyio.run(run)
