Store a worker's VM before it gets leases there

A worker that is listed with another VM under the same id and start counted as stored while the list still named the former VM. If its owner was lost before the next write, its successor took another worker on the former VM as proof that the worker had ended, and started its units a second time.

The VM now belongs to what has to be stored before a lease is granted. Entries of former versions, which have no VM, are accepted as before.

Cost: one write of the list before a worker gets work on a new VM; it is reported as a restart in nearly all cases, which needs that write already.

--- a/src/fireflywell/node/assigned_worker_rows.py
+++ b/src/fireflywell/node/assigned_worker_rows.py
@@ -23,11 +23,16 @@
     runs_until_s: float | None = None
 
     def is_interchangeable_with(self, other: "AssignedWorker | None") -> bool:
-        """Returns whether both say the same about the incarnation's runs."""
+        """Returns whether both say the same about the incarnation's runs.
+
+        No other worker's entry can be mistaken for proof of its end while the
+        VM of either is unknown.
+        """
         return (
             other is not None
             and self.started_unix_ms == other.started_unix_ms
             and self.runs_until_s == other.runs_until_s
+            and (not (self.vm_id and other.vm_id) or self.vm_id == other.vm_id)
         )
 
 
--- a/tests/test_node_assigned_workers.py
+++ b/tests/test_node_assigned_workers.py
@@ -1,5 +1,6 @@
 """Tests the stored list of workers that may run units of a service."""
 
+import dataclasses
 import datetime
 import unittest
 
@@ -277,6 +278,27 @@
 
         anyio.run(run)
 
+    def test_worker_is_stored_with_its_vm_before_it_is_used(self) -> None:
+        """Fails if a lease is granted while the list names another VM.
+
+        A successor takes another worker on that VM as proof that this one has
+        ended (rule TWICE).
+        """
+
+        async def run() -> None:
+            world = _World()
+            first = await world.claim()
+            await first.use("w1")
+            moved = dataclasses.replace(
+                node_world.make_instance("w1"), vm_id="m-9"
+            )
+            self.assertFalse(await first.workers.acquire(moved, 1, _NO_TIME))
+            await first.workers.store_changes()
+            self.assertTrue(await first.workers.acquire(moved, 1, _NO_TIME))
+            self.assertEqual(world.read()["w1"].vm_id, "m-9")
+
+        anyio.run(run)
+
 
 class ConflictTest(unittest.TestCase):
     """Writes that are refused because a row has another version."""
