Mark a VM as empty only on a report from after its drain request

A worker without runs reports every two seconds. If its VM left the service meanwhile, its former owner still took the VM for empty as soon as a wave asked for it, and the maintenance ended units that another service runs there by now, without regard for their limits (AVAIL).

The worker now has to report after it was cordoned; the report is requested at once.

--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -548,6 +548,10 @@
         self._enqueue_stops()
         if worker.runs or not worker.is_reachable:
             return
+        if worker.report_requested_s <= running.cordon.since_s:
+            # Its VM may have left the service and run another worker by now.
+            running.session.request_report()
+            return
         await self._set_phase(request, maintenance.DrainPhase.READY)
 
     async def _set_phase(
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -145,6 +145,10 @@
         self._order_sender.enqueue(command)
         self._wake.set()
 
+    def request_report(self) -> None:
+        """Ends the pause before the next report of a worker without runs."""
+        self._wake.set()
+
     def move(
         self,
         instance: workers_lib.WorkerInstance,
