Give up a worker that is listed with another service

Callers would have seen units on a worker of a service to which their queue isn't sent (ROUTE): a worker whose entry named another service counted as no longer listed, and its session went on for as long as it answered. Two owners then called it with a fencing token each, so that the one with the lower token got no order through, and the other one stopped runs that it didn't know.

The session now stops calling such a worker at once. Runs that it had end with their leases; then the session ends, and a new one starts if the worker is listed with the service again.

--- a/src/fireflywell/node/instance_registry.py
+++ b/src/fireflywell/node/instance_registry.py
@@ -40,6 +40,10 @@
         """Returns the workers of all services."""
         return tuple(self._instances.values())
 
+    def find(self, instance_id: str) -> workers_lib.WorkerInstance | None:
+        """Returns a listed worker of any service, or None."""
+        return self._instances.get(instance_id)
+
     def list_instances(
         self, service: str
     ) -> tuple[workers_lib.WorkerInstance, ...]:
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -173,6 +173,13 @@
         self._mark_unreachable("its entry names another address or VM")
         self._wake.set()
 
+    def give_up(self, reason: str) -> None:
+        """Counts the worker as lost, before the session is cancelled.
+
+        Its runs end with their leases, see `expire_runs`.
+        """
+        self._mark_unreachable(reason)
+
     async def run(self) -> None:
         """Runs the session's tasks until cancelled."""
         restart = policies.RestartWithBackoff()
--- a/src/fireflywell/node/worker_sessions.py
+++ b/src/fireflywell/node/worker_sessions.py
@@ -28,6 +28,9 @@
 _LOST_DELAY_S = 1.0
 
 
+_OTHER_SERVICE = "it belongs to another service"
+
+
 class RunningSession:
     """A worker session and the cancel scope that ends it."""
 
@@ -144,10 +147,10 @@
     ) -> None:
         for worker_id, instance in listed.items():
             running = self.by_worker.get(worker_id)
-            if running is not None:
-                self._update_session(running, instance)
-            else:
+            if running is None:
                 self._start_session(instance)
+            elif not running.scope.cancel_called:
+                self._update_session(running, instance)
 
     def _update_session(
         self, running: RunningSession, instance: workers_lib.WorkerInstance
@@ -187,6 +190,11 @@
     ) -> None:
         now_s = self._now_s()
         for worker_id, running in tuple(self.by_worker.items()):
+            self._leave_other_service(running)
+            if running.scope.cancel_called:
+                running.session.expire_runs()
+                self._end_session(running, _OTHER_SERVICE)
+                continue
             if worker_id in listed:
                 running.unlisted_since_s = None
                 continue
@@ -198,6 +206,17 @@
             if is_grace_over and not worker.is_reachable:
                 self._end_session(running, "it is no longer listed")
 
+    def _leave_other_service(self, running: RunningSession) -> None:
+        """Stops calling a worker that is listed with another service.
+
+        Reports would list units of that service as unknown ones, which are
+        stopped, and each owner's fencing token voids orders of the other.
+        """
+        entry = self._registry.find(running.session.worker.worker_id)
+        if entry is not None and entry.service != self._service:
+            running.session.give_up(_OTHER_SERVICE)
+            running.scope.cancel()
+
     def _end_session(self, running: RunningSession, reason: str) -> None:
         """Ends the session of a worker, unless it may have runs.
 
