--- a/src/fireflywell/node/heartbeat.py
+++ b/src/fireflywell/node/heartbeat.py
@@ -70,7 +70,6 @@
         "_stopping",
         "_store",
         "_valid_since",
-        "_valid_since_version",
         "_version",
         "renewal_count",
     )
@@ -95,7 +94,6 @@
         self._seen_version: int | None = None
         self._renewed_at: datetime.timedelta | None = None
         self._valid_since: datetime.timedelta | None = None
-        self._valid_since_version = 0
         self._renewed_version = 0
         self._renewal_times = renewal_times.RenewalTimes()
         self._stopping = False
@@ -122,11 +120,6 @@
         """Start of the last unbroken period of valid leases, monotonic."""
         return self._valid_since
 
-    @property
-    def valid_since_version(self) -> int:
-        """Version of the store at the renewal that began that period."""
-        return self._valid_since_version
-
     @property
     def renewed_version(self) -> int:
         """Version of the store at the last renewal, under a second ago.
@@ -188,7 +181,6 @@
             if version is not None:
                 if not self.is_valid:
                     self._valid_since = started
-                    self._valid_since_version = version
                 self._renewed_at = started
                 self._renewed_version = version
                 self._renewal_times.record(
