Acknowledge ends only right after a report

Callers would have seen a unit run a second time after it was done.

Cause: a report request without an answer was repeated with the number of the last stored end if the worker had answered an order meanwhile. A worker that starts again under its id answers orders, too, and numbers its ends from 1, so the repeat made it forget ends of its own that no owner had stored. Its runs were then neither running nor ended, and their units started again.

A number is now sent only if the request before it was answered with a report. That leaves a restart between a report and the next request, which the report itself can't show. The cost: after a lost report request, ends are acknowledged one report later; the repeat asks for no wait, and no work waits for it.

The in-memory worker can carry out late acknowledgements, also after a restart.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -62,6 +62,7 @@
         "_assigned_workers",
         "_has_ended",
         "_has_successor",
+        "_is_reporting",
         "_on_change",
         "_order_sender",
         "_report_schedule",
@@ -107,6 +108,8 @@
         self._acknowledged_end = 0
         # Highest acknowledged number that the worker has received.
         self._received_end = 0
+        # Whether the last report request was answered with a report.
+        self._is_reporting = False
         times = answer_times.AnswerTimes(clock)
         self._report_schedule = report_schedule.ReportSchedule(clock, times)
         self._wake = anyio.Event()
@@ -263,12 +266,14 @@
             self._leases.extend()
         # A worker may restart under the same id, also between two calls, and
         # number its ends from 1 again. The former incarnation's number would
-        # make it discard ends that no owner has stored, so each number is sent
-        # until the worker has received it and not again.
+        # make it discard ends that no owner has stored. So each number is sent
+        # until the worker has received it and not again, and only right after
+        # a report: that a request had no answer may be due to a restart.
         acknowledged_end = 0
-        if is_answering and self._acknowledged_end > self._received_end:
+        if self._is_reporting and self._acknowledged_end > self._received_end:
             acknowledged_end = self._acknowledged_end
         requested_s = self._now_s()
+        self._is_reporting = False
         answer = await self._client.renew(
             orders.RenewOrder(
                 self._token,
@@ -281,6 +286,7 @@
         self._report_schedule.record_answer(requested_s, timing.wait)
         if isinstance(answer, orders.WorkerReport):
             self._received_end = max(self._received_end, acknowledged_end)
+            self._is_reporting = True
         return answer
 
     async def _apply_report(
--- a/src/fireflywell/standins/unit_worker.py
+++ b/src/fireflywell/standins/unit_worker.py
@@ -65,7 +65,9 @@
             answer.
         delayed_starts: How many of the next starts get no answer and are
             carried out `delay_s` later.
-        delay_s: Delay of those starts.
+        delayed_acknowledgements: How many of the next report requests that
+            acknowledge ends get no answer and are carried out `delay_s` later.
+        delay_s: Delay of those starts and report requests.
         refused_starts: How many of the starts after them are refused as by an
             unhealthy worker.
         fails: Whether every unit fails.
@@ -86,6 +88,7 @@
         "_lease_until_ms",
         "_token",
         "delay_s",
+        "delayed_acknowledgements",
         "delayed_starts",
         "ends",
         "fails",
@@ -109,6 +112,7 @@
         self.is_silent = False
         self.lose_answers = 0
         self.delayed_starts = 0
+        self.delayed_acknowledgements = 0
         self.delay_s = 0.0
         self.refused_starts = 0
         self.fails = False
@@ -118,8 +122,10 @@
         self._clock = clock
         self._started = clock.monotonic()
         self._active: dict[tuple[str, int], _ActiveRun] = {}
-        # Starts to carry out later, by the monotonic time at which they are.
-        self._delayed: list[tuple[float, orders.StartOrder]] = []
+        # Orders to carry out later, by the monotonic time at which they are.
+        self._delayed: list[
+            tuple[float, orders.StartOrder | orders.RenewOrder]
+        ] = []
         self._ended: list[orders.EndReport] = []
         self._highest: dict[str, int] = {}
         self._count = 0
@@ -133,6 +139,10 @@
         self._end_due()
         return [run.unit for run in self._active.values()]
 
+    def set_age(self, age: datetime.timedelta) -> None:
+        """Sets the worker's clock as if it had started some time ago."""
+        self._started = self._clock.monotonic() - age
+
     async def start(self, order: orders.StartOrder) -> orders.OrderOutcome:
         """Starts a unit; see `WorkerClient.start`."""
         await self._receive()
@@ -202,16 +212,13 @@
     ) -> orders.WorkerReport | orders.OrderOutcome:
         """Extends leases and reports; see `WorkerClient.renew`."""
         await self._receive()
+        if order.last_acknowledged_end and self.delayed_acknowledgements > 0:
+            self.delayed_acknowledgements -= 1
+            self._delayed.append((self._now_s() + self.delay_s, order))
+            raise errors.AnswerLostError("the request is carried out later")
         if order.fencing_token < self._token:
             return orders.Refused(orders.Refusal.FENCED)
-        self._token = order.fencing_token
-        self._end_due()
-        if order.lease_until_ms is not None:
-            self._lease_until_ms = max(
-                self._lease_until_ms, order.lease_until_ms
-            )
-        self.noted = max(self.noted, order.last_acknowledged_end)
-        self._ended = [e for e in self._ended if e.number > self.noted]
+        self._carry_out_renewal(order)
         with anyio.move_on_after(order.wait.total_seconds()):
             while not self._ended:
                 await self._wait_for_end()
@@ -226,6 +233,16 @@
             tuple(self._ended),
         )
 
+    def _carry_out_renewal(self, order: orders.RenewOrder) -> None:
+        self._token = order.fencing_token
+        self._end_due()
+        if order.lease_until_ms is not None:
+            self._lease_until_ms = max(
+                self._lease_until_ms, order.lease_until_ms
+            )
+        self.noted = max(self.noted, order.last_acknowledged_end)
+        self._ended = [e for e in self._ended if e.number > self.noted]
+
     async def close(self) -> None:
         """Does nothing: there is no connection."""
 
@@ -242,12 +259,19 @@
                 )
             )
         self._active.clear()
-        self._delayed.clear()
+        self._delayed = []
         self.is_silent = True
 
-    def restart(self) -> None:
-        """Begins another incarnation under the same id, without memory."""
+    def restart(self, *, keeps_late_orders: bool = False) -> None:
+        """Begins another incarnation under the same id, without memory.
+
+        Args:
+            keeps_late_orders: Whether it carries out the orders that the
+                former incarnation had yet to carry out.
+        """
+        delayed = self._delayed if keeps_late_orders else []
         self.crash()
+        self._delayed = list(delayed)
         self.is_silent = False
         self.instance = dataclasses.replace(
             self.instance, started_unix_ms=self.instance.started_unix_ms + 1
@@ -272,7 +296,11 @@
         due = [order for at_s, order in self._delayed if at_s <= now_s]
         self._delayed = [item for item in self._delayed if item[0] > now_s]
         for order in due:
-            self._carry_out_start(order)
+            match order:
+                case orders.StartOrder():
+                    self._carry_out_start(order)
+                case orders.RenewOrder() if order.fencing_token >= self._token:
+                    self._carry_out_renewal(order)
 
     async def _wait_for_end(self) -> None:
         self._carry_out_delayed()
