Raise the token in orders with each incarnation of a worker

Callers would have seen a unit run a second time after it was done, or on two workers at the same time.

Cause: orders name only the worker's id. A call without an answer to a worker that then started again under its id could be carried out by the next incarnation, seconds later. An acknowledgement made it forget ends of its own that no owner had stored; a start whose run had been over for long, because its lease had ended by the former incarnation's clock, began on the next one, whose clock was behind. Nothing kept such a start in mind once its run was over.

The token in orders to a worker is now a thousand times the owner's token plus the number of incarnations of the worker that reported before. A worker does nothing for a lower token, so from the first request after a new incarnation's first report on, it refuses everything that was sent to the former one. The numbers are kept with the service's state, so a new session with the same worker doesn't begin them anew, and a new owner's tokens are above all of them.

The cost: a restarted worker gets units one report later, which is requested at once. Waiting 12 s after a restart, or after each unanswered start, isn't needed.

The emulator no longer logs an acknowledgement that it refuses as foreign.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -88,7 +88,6 @@
         "_start_sender",
         "_state",
         "_times",
-        "_token",
         "_worker",
         "_writer",
         "answered_s",
@@ -101,7 +100,6 @@
         state: service_state.ServiceState,
         writer: progress_writer.ProgressWriter,
         guard: ownership_guard.OwnershipGuard,
-        token: int,
         leases: worker_leases.WorkerLeases,
         times: answer_times.AnswerTimes,
         clock: clock_lib.Clock,
@@ -113,7 +111,6 @@
         self._state = state
         self._writer = writer
         self._guard = guard
-        self._token = token
         self._leases = leases
         self._times = times
         self._clock = clock
@@ -276,7 +273,7 @@
             run.number,
             unit.step.job.submission.request.specification,
             self._leases.compute_end(),
-            self._token,
+            self._find_token(),
             unit.checkpoint,
             unit.step.tickets.get(self._worker.worker_id, ""),
         )
@@ -305,7 +302,7 @@
         sent_s = self._now_s()
         try:
             outcome = await self._client.stop(
-                orders.StopOrder(unit, number, self._token)
+                orders.StopOrder(unit, number, self._find_token())
             )
         except errors.PlatformError:
             await self._pause_since(sent_s)
@@ -330,7 +327,7 @@
         if run.phase is not jobs_lib.RunPhase.RUNNING or not is_current:
             return
         order = orders.ThrottleOrder(
-            run.unit.name, run.number, percent, self._token
+            run.unit.name, run.number, percent, self._find_token()
         )
         # Without an answer the worker may have either share, and a late order
         # may change it again, so the order is repeated until it is accepted.
@@ -400,6 +397,9 @@
             reason=reason,
         )
 
+    def _find_token(self) -> int:
+        return self._state.order_tokens.find(self._worker.worker_id)
+
     def _now_s(self) -> float:
         return self._clock.monotonic().total_seconds()
 
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -307,7 +307,6 @@
             self._state,
             self._writer,
             self._guard,
-            self._tenure.token,
             worker_leases.WorkerLeases(
                 self._clock,
                 self._run_lease,
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -67,7 +67,6 @@
         "_order_sender",
         "_report_schedule",
         "_received_end",
-        "_token",
         "_wake",
         "_worker",
         "_writer",
@@ -83,7 +82,6 @@
         state: service_state.ServiceState,
         writer: progress_writer.ProgressWriter,
         guard: ownership_guard.OwnershipGuard,
-        token: int,
         leases: worker_leases.WorkerLeases,
         clock: clock_lib.Clock,
         on_change: Callable[[], None],
@@ -101,7 +99,6 @@
         self._state = state
         self._writer = writer
         self._guard = guard
-        self._token = token
         self._clock = clock
         self._on_change = on_change
         self._leases = leases
@@ -119,7 +116,6 @@
             state,
             writer,
             guard,
-            token,
             leases,
             times,
             clock,
@@ -268,7 +264,7 @@
         # number its ends from 1 again. The former incarnation's number would
         # make it discard ends that no owner has stored. So each number is sent
         # until the worker has received it and not again, and only right after
-        # a report: that a request had no answer may be due to a restart.
+        # a report: a request without an answer may be due to a restart.
         acknowledged_end = 0
         if self._is_reporting and self._acknowledged_end > self._received_end:
             acknowledged_end = self._acknowledged_end
@@ -276,7 +272,7 @@
         self._is_reporting = False
         answer = await self._client.renew(
             orders.RenewOrder(
-                self._token,
+                self._state.order_tokens.find(self._worker.worker_id),
                 acknowledged_end,
                 lease_until,
                 timing.wait,
@@ -324,6 +320,9 @@
             report.started_unix_ms or self.incarnation_start_unix_ms
         )
         is_first = not self._leases.has_clock
+        has_new_token = self._state.order_tokens.observe(
+            self._worker.worker_id, report.started_unix_ms
+        )
         if is_first:
             # An earlier owner may have renewed the leases until this owner's
             # first request.
@@ -340,7 +339,9 @@
         # Recovered units start once the workers have reported all their ends.
         self.has_reported = self.has_reported or report.has_all_ends
         self._on_change()
-        if not await self._reach_worker(report):
+        # The next request tells a new incarnation a higher token, so that it
+        # refuses late orders to the former one. It gets no unit before that.
+        if has_new_token or not await self._reach_worker(report):
             return
         if last_end > self._acknowledged_end:
             self._log_ends(report)
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -12,6 +12,7 @@
 
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
+from fireflywell.scheduling import order_tokens
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import overdue_share
 from fireflywell.scheduling import placement
@@ -72,6 +73,7 @@
         "finished",
         "is_recovery_complete",
         "jobs",
+        "order_tokens",
         "reservations",
         "stop_timeout_s",
         "workers",
@@ -85,6 +87,7 @@
             stop_timeout_s: Longest time that a worker takes to stop a run.
         """
         self.stop_timeout_s = stop_timeout_s
+        self.order_tokens = order_tokens.OrderTokens(token)
         self._first_run_number = (token - 1) * _RUNS_PER_FENCING_TOKEN + 1
         self._mean_work_by_queue: dict[str, ranking.MeanWork] = {}
         self._overdue_share = overdue_share.OverdueShare()
--- a/src/fireflywell/standins/emulator_worker.py
+++ b/src/fireflywell/standins/emulator_worker.py
@@ -80,7 +80,8 @@
     ) -> orders.WorkerReport | orders.OrderOutcome:
         """Extends leases and reports; see `WorkerClient.renew`."""
         self._forfeit_lapsed_ends()
-        if order.last_acknowledged_end > self._count:
+        is_accepted = order.fencing_token >= self._token
+        if is_accepted and order.last_acknowledged_end > self._count:
             # The number is of a former incarnation; ends up to it will be
             # forgotten.
             logs.log_event(
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -206,7 +206,6 @@
             self.state,
             FakeWriter(),  # type: ignore[arg-type]
             self.guard,  # type: ignore[arg-type]
-            1,
             worker_leases.WorkerLeases(self.clock, LEASE, LONGEST_LEASE),
             self.clock,
             lambda: None,
--- a/tests/test_lost_orders.py
+++ b/tests/test_lost_orders.py
@@ -48,7 +48,6 @@
                 self.state,
                 session_world.FakeWriter(),  # type: ignore[arg-type]
                 session_world.FakeGuard(),  # type: ignore[arg-type]
-                1,
                 worker_leases.WorkerLeases(self.clock, _LEASE, _LEASE),
                 self.clock,
                 lambda: None,
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import datetime
 import unittest
 
 import anyio
@@ -17,6 +18,10 @@
 _FIRST_JOB = "00000000000000a1"
 _DELAY_S = 1.2
 
+# Longest time between two report requests to an idle worker.
+_IDLE_S = 2.0
+_LEASE_S = node_world.BOUNDS.longest_run_lease.total_seconds()
+
 
 class RestartedWorkerTest(test_node_takeover.NodeTestCase):
     """Workers that restart while orders to them are late."""
@@ -29,10 +34,25 @@
         The worker had restarted, answered starts and got no report request
         since; it no longer listed its own ends, so done units started again.
         """
-        anyio.run(self.lose_acknowledgement)
+        anyio.run(self.lose_acknowledgement, False)
+
+    def test_late_acknowledgement_forgets_no_end_of_the_next_incarnation(
+        self,
+    ) -> None:
+        """Fails if units start again although they are done.
+
+        The next incarnation carried out an acknowledgement of the former one's
+        ends and no longer listed its own.
+        """
+        anyio.run(self.lose_acknowledgement, True)
+
+    async def lose_acknowledgement(self, is_carried_out: bool) -> None:
+        """Restarts a worker while an acknowledgement has no answer.
 
-    async def lose_acknowledgement(self) -> None:
-        """Restarts a worker while an acknowledgement has no answer."""
+        Args:
+            is_carried_out: Whether the next incarnation carries it out while
+                it runs units of its own.
+        """
         world = node_world.NodeWorld("w1")
         worker = world.workers["w1"]
         worker.delayed_acknowledgements = 1
@@ -43,7 +63,7 @@
             with anyio.fail_after(3):
                 while worker.delayed_acknowledgements:
                     await anyio.sleep(0.005)
-            worker.restart()
+            worker.restart(keeps_late_orders=is_carried_out)
             worker.run_s = 1.5 * _DELAY_S
             # Each unit ends while the end before it is being stored.
             for number in range(3):
@@ -57,6 +77,37 @@
             await anyio.sleep(0.1)
         self.assertEqual(self.find_repeated_units(worker), [])
 
+    def test_late_start_does_not_reach_the_next_incarnation(self) -> None:
+        """Fails if a start is carried out after its run was over.
+
+        The lease in it had ended by the clock of the former incarnation, and
+        its unit ran elsewhere; the next incarnation's clock was behind.
+        """
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1", run_s=0.2)
+            worker = world.workers["w1"]
+            worker.set_age(datetime.timedelta(minutes=1))
+            worker.delayed_starts = 1
+            worker.delay_s = 2 * _LEASE_S
+            worker.refused_starts = 1000
+            async with self.run_node(world, "node-a"):
+                await world.submit(node_world.make_step(1))
+                with anyio.fail_after(3):
+                    while worker.delayed_starts:
+                        await anyio.sleep(0.005)
+                other = world.add_worker("w2", run_s=8 * _LEASE_S)
+                with anyio.fail_after(1.5 * _LEASE_S):
+                    while not other.starts:
+                        await anyio.sleep(0.005)
+                worker.restart(keeps_late_orders=True)
+                # The worker carries out late orders when it is called.
+                await anyio.sleep(worker.delay_s + _IDLE_S)
+                self.assertEqual(len(other.active_units), 1)
+            self.assertEqual(worker.starts, [])
+
+        anyio.run(run)
+
     def find_repeated_units(self, worker: unit_worker.UnitWorker) -> list[str]:
         """Returns the units that started again after they were done."""
         starts = collections.Counter(start.unit for start in worker.starts)
