Repeat a stop that a former incarnation may have confirmed

Callers could have seen a unit run on two workers at the same time.

Cause: the answer to a stop could arrive after the first report of the worker's next incarnation. It counted for that one, which knows nothing of the stop, so the next report without the run freed the unit although the next incarnation might still carry the start out.

test_stop_that_the_former_incarnation_confirmed_is_repeated failed before with "1 not greater than 1": one stop was sent, and the unit was free.

An answer counts only if the worker's token is still the one that the stop was sent with; otherwise the stop is sent again with the new one. The cost: one more call for each stop that is on its way while a restart is seen, and its unit waits for the answer to that call.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -300,13 +300,17 @@
             await self._clock.sleep(_RETRY_DELAY)
             return False
         sent_s = self._now_s()
+        token = self._find_token()
         try:
             outcome = await self._client.stop(
-                orders.StopOrder(unit, number, self._find_token())
+                orders.StopOrder(unit, number, token)
             )
         except errors.PlatformError:
             await self._pause_since(sent_s)
             return (unit, number) not in self._worker.runs
+        if token != self._find_token():
+            # The answer may be the former incarnation's.
+            return (unit, number) not in self._worker.runs
         self._record_answer(outcome)
         match outcome:
             case orders.Accepted():
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -41,6 +41,7 @@
         starts: Starts that were sent.
         stops: Stops that were sent.
         before_start: Called when a start is sent.
+        before_stop: Called when a stop is sent.
         running: Runs that the next reports list.
         running_after_throttle: Replaces `running` once a throttle is sent.
         started_unix_ms: Incarnation that reports.
@@ -65,6 +66,7 @@
         self.starts: list[orders.StartOrder] = []
         self.stops: list[orders.StopOrder] = []
         self.before_start = anyio.lowlevel.checkpoint
+        self.before_stop = anyio.lowlevel.checkpoint
         self.running: tuple[orders.RunReport, ...] = ()
         self.running_after_throttle: tuple[orders.RunReport, ...] = ()
         self.started_unix_ms = 1
@@ -83,6 +85,7 @@
     async def stop(self, order: orders.StopOrder) -> orders.OrderOutcome:
         """Answers with the next outcome."""
         self.stops.append(order)
+        await self.before_stop()
         return await _answer(self.stop_outcomes, orders.Accepted(1))
 
     async def throttle(
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from fireflywell import errors
 from fireflywell.node import order_sender
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
@@ -51,6 +52,47 @@
 
         anyio.run(run)
 
+    def test_stop_that_the_former_incarnation_confirmed_is_repeated(
+        self,
+    ) -> None:
+        """Fails if a unit starts elsewhere though its start may be carried out.
+
+        The former incarnation confirmed the stop, and the answer came after
+        the first report of the next one, which doesn't know the stop.
+        """
+
+        async def run() -> None:
+            world = session_world.SessionWorld()
+            may_answer = anyio.Event()
+            world.client.before_stop = may_answer.wait
+            world.client.outcomes.extend(
+                (
+                    errors.AnswerLostError("no answer"),
+                    orders.Refused(orders.Refusal.NO_ROOM),
+                )
+            )
+            async with world.run():
+                world.begin_start()
+                await session_world.wait_until(
+                    lambda: world.state.pending_stops
+                )
+                world.send_stops()
+                await session_world.wait_until(lambda: world.client.stops)
+                world.client.started_unix_ms = 2
+                await session_world.wait_until(
+                    lambda: world.session.incarnation_start_unix_ms == 2
+                )
+                may_answer.set()
+                await session_world.wait_until(
+                    lambda: world.state.has_waiting_units
+                )
+                tokens = [item.fencing_token for item in world.client.stops]
+                self.assertGreater(len(tokens), 1)
+                self.assertGreater(tokens[-1], tokens[0])
+                self.assertEqual(tokens, sorted(tokens))
+
+        anyio.run(run)
+
     def test_lease_may_end_by_the_clock_of_the_former_incarnation(self) -> None:
         """Fails if a unit starts elsewhere while a start's lease runs.
 
