Log late starts and ends that a worker has forgotten

run.late_start names a run that a worker lists though its owner had counted it as over: an order that was carried out late, before the first order with the token of the worker's new incarnation. The run was stopped or kept before this change, too, but nothing showed it. worker.ends_missing names a gap in the numbers of a worker's ends, which an acknowledgement of a former incarnation's ends leaves behind.

--- a/src/fireflywell/node/worker_events.py
+++ b/src/fireflywell/node/worker_events.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from fireflywell.scheduling import late_starts
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import service_state
 from fireflywell.scheduling import workers as workers_lib
@@ -84,6 +85,18 @@
     )
 
 
+def log_late_starts(items: list[late_starts.LateStart]) -> None:
+    """Logs runs that began after this owner had counted them as over."""
+    for item in items:
+        logs.log_event(
+            "run.late_start",
+            unit=item.unit,
+            run=item.run,
+            worker=item.worker_id,
+            is_kept=item.is_kept,
+        )
+
+
 def _describe_runs(runs: DroppedRuns) -> list[str]:
     return [
         f"{item.run.unit.name}#{item.run.number}:{item.phase.name.lower()}"
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -10,6 +10,7 @@
 from fireflywell import errors
 from fireflywell.node import answer_times
 from fireflywell.node import assigned_workers
+from fireflywell.node import end_numbers
 from fireflywell.node import order_sender
 from fireflywell.node import ownership_guard
 from fireflywell.node import progress_writer
@@ -60,6 +61,7 @@
         "_metrics",
         "_acknowledged_end",
         "_assigned_workers",
+        "_end_numbers",
         "_has_ended",
         "_has_successor",
         "_is_reporting",
@@ -107,6 +109,7 @@
         self._received_end = 0
         # Whether the last report request was answered with a report.
         self._is_reporting = False
+        self._end_numbers = end_numbers.EndNumbers(worker.worker_id)
         times = answer_times.AnswerTimes(clock)
         self._report_schedule = report_schedule.ReportSchedule(clock, times)
         self._wake = anyio.Event()
@@ -323,6 +326,9 @@
         has_new_token = self._state.order_tokens.observe(
             self._worker.worker_id, report.started_unix_ms
         )
+        if has_new_token:
+            self._end_numbers.begin_incarnation()
+        self._end_numbers.check(report.ended)
         if is_first:
             # An earlier owner may have renewed the leases until this owner's
             # first request.
@@ -331,6 +337,7 @@
         last_end = self._state.apply_report(
             self._worker.worker_id, report, requested_s, now_s
         )
+        worker_events.log_late_starts(self._state.late_starts.take())
         for throttle in throttling.choose_throttles(self._worker):
             throttle.run.share_percent = throttle.percent
             self.enqueue(
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -11,6 +11,7 @@
 import math
 
 from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import late_starts
 from fireflywell.scheduling import model
 from fireflywell.scheduling import order_tokens
 from fireflywell.scheduling import orders
@@ -73,6 +74,7 @@
         "finished",
         "is_recovery_complete",
         "jobs",
+        "late_starts",
         "order_tokens",
         "reservations",
         "stop_timeout_s",
@@ -89,6 +91,7 @@
         self.stop_timeout_s = stop_timeout_s
         self.order_tokens = order_tokens.OrderTokens(token)
         self._first_run_number = (token - 1) * _RUNS_PER_FENCING_TOKEN + 1
+        self.late_starts = late_starts.LateStarts(self._first_run_number)
         self._mean_work_by_queue: dict[str, ranking.MeanWork] = {}
         self._overdue_share = overdue_share.OverdueShare()
         # Ready steps with waiting units.
@@ -577,12 +580,15 @@
             and not unit.is_done
             and not unit.runs
         )
+        listed = stop_requests.StopRequest(
+            worker.worker_id, item.unit, item.run
+        )
         if unit is None or not can_adopt:
-            request = stop_requests.StopRequest(
-                worker.worker_id, item.unit, item.run
-            )
-            self._stop_requests.add_orphan(request, now_s)
+            is_first_request = self._stop_requests.add_orphan(listed, now_s)
+            if unit is not None and is_first_request:
+                self.late_starts.record(listed, is_kept=False)
             return None
+        self.late_starts.record(listed, is_kept=True)
         run = jobs_lib.Run(unit, item.run, worker.worker_id, now_s)
         run.confirm(now_s)
         run.adopted_s = now_s
--- a/src/fireflywell/scheduling/stop_requests.py
+++ b/src/fireflywell/scheduling/stop_requests.py
@@ -41,19 +41,23 @@
             StopRequest(run.worker_id, run.unit.name, run.number)
         )
 
-    def add_orphan(self, request: StopRequest, now_s: float) -> None:
+    def add_orphan(self, request: StopRequest, now_s: float) -> bool:
         """Requests the stop of a run that no unit accounts for.
 
         Reports list the run until it has ended, so the request is repeated only
         after `_RETRY_INTERVAL_S`.
+
+        Returns:
+            Whether this is the first request for the run.
         """
         requested_s = self._orphan_times.get(request)
         if requested_s is not None and now_s - requested_s < _RETRY_INTERVAL_S:
-            return
+            return False
         if len(self._orphan_times) > _MAX_ORPHANS:
             self._orphan_times.clear()
         self._orphan_times[request] = now_s
         self.pending.append(request)
+        return requested_s is None
 
     def repeat(self, worker: workers_lib.Worker, now_s: float) -> None:
         """Requests the stops again that a worker hasn't confirmed in time.
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -6,13 +6,18 @@
 
 import collections
 import datetime
+import math
 import unittest
 
 import anyio
 
+from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
 from fireflywell.standins import unit_worker
+from tests import captured_log
 from tests import node_world
+from tests import scheduling_samples as samples
+from tests import session_world
 from tests import test_node_takeover
 
 _FIRST_JOB = "00000000000000a1"
@@ -108,6 +113,44 @@
 
         anyio.run(run)
 
+    def test_late_start_before_the_restart_is_seen_is_stopped(self) -> None:
+        """Fails if a late start isn't logged, or its run isn't stopped.
+
+        Nothing keeps a new incarnation from carrying it out before the first
+        order with a higher token.
+        """
+
+        async def run() -> None:
+            world = session_world.SessionWorld()
+            world.client.outcomes.append(orders.Accepted(1))
+            async with world.run():
+                first = world.begin_start()
+                await session_world.wait_until(
+                    lambda: first.phase is jobs_lib.RunPhase.RUNNING
+                )
+                await session_world.wait_until(
+                    lambda: world.state.has_waiting_units
+                )
+                world.worker.is_cordoned = True
+                (second,) = world.place()
+                world.state.confirm_start(second, math.inf)
+                world.client.running = (
+                    samples.report_running(first.unit.name, first.number),
+                )
+                world.client.started_unix_ms = 2
+                with captured_log.capture_log() as lines:
+                    await session_world.wait_until(
+                        lambda: world.state.pending_stops
+                    )
+                    await anyio.sleep(0.05)
+                (line,) = captured_log.select_event(lines, "run.late_start")
+                self.assertFalse(line["is_kept"])
+                (stop,) = world.state.pending_stops
+                self.assertEqual(stop.run, first.number)
+                self.assertNotEqual(second.worker_id, stop.worker_id)
+
+        anyio.run(run)
+
     def find_repeated_units(self, worker: unit_worker.UnitWorker) -> list[str]:
         """Returns the units that started again after they were done."""
         starts = collections.Counter(start.unit for start in worker.starts)
