Count leases by the clock of a former incarnation also without runs

Callers could have seen a unit run on two workers at the same time.

Cause: an order that is sent before a restart is seen names the end of a lease on the clock of the worker's former incarnation. The next one, whose clock is behind, shortens it to the longest lease that it allows, and later orders don't shorten it further. The owner counted with that only if it knew of runs on the worker when it saw the restart. A unit that started there later was given to another worker after the owner's own lease, while the first run could go on.

The longest lease now counts from each report until the new incarnation has received the higher token. The cost: if a worker restarts and falls silent within the longest lease, its units wait for the end of that instead of the owner's lease.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -62,6 +62,7 @@
         "_acknowledged_end",
         "_assigned_workers",
         "_end_numbers",
+        "_had_new_token",
         "_has_ended",
         "_has_successor",
         "_is_reporting",
@@ -109,6 +110,8 @@
         self._received_end = 0
         # Whether the last report request was answered with a report.
         self._is_reporting = False
+        # Whether the token had risen with the last report.
+        self._had_new_token = False
         self._end_numbers = end_numbers.EndNumbers(worker.worker_id)
         times = answer_times.AnswerTimes(clock)
         self._report_schedule = report_schedule.ReportSchedule(clock, times)
@@ -317,8 +320,6 @@
             self._handle_new_incarnation(
                 "the worker has restarted", requested_s
             )
-            if self._worker.runs:
-                self._leases.extend_to_longest()
         self.incarnation_start_unix_ms = (
             report.started_unix_ms or self.incarnation_start_unix_ms
         )
@@ -328,6 +329,11 @@
         )
         if has_new_token:
             self._end_numbers.begin_incarnation()
+        # Orders to the former incarnation, which name a time on its clock, may
+        # be carried out until the new one has received a higher token.
+        if has_new_token or self._had_new_token:
+            self._leases.extend_to_longest()
+        self._had_new_token = has_new_token
         self._end_numbers.check(report.ended)
         if is_first:
             # An earlier owner may have renewed the leases until this owner's
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -124,6 +124,41 @@
 
         anyio.run(run)
 
+    def test_later_run_may_have_a_lease_by_the_former_clock(self) -> None:
+        """Fails if a unit starts elsewhere while a renewed lease runs.
+
+        The worker ran nothing when it restarted. A renewal named the end of a
+        lease on its former clock; a start after that doesn't shorten it.
+        """
+
+        async def run() -> None:
+            world = session_world.SessionWorld()
+            world.client.outcomes.append(orders.Accepted(1))
+            async with world.run():
+                world.client.started_unix_ms = 2
+                # The worker runs nothing, so the next request is far off.
+                world.session.enqueue(order_sender.StopCommand("none", 1))
+                await session_world.wait_until(
+                    lambda: world.session.incarnation_start_unix_ms == 2
+                )
+                restarted_s = world.clock.monotonic().total_seconds()
+                await session_world.wait_until(
+                    lambda: world.worker.is_reachable
+                )
+                world.begin_start()
+                await session_world.wait_until(lambda: world.client.starts)
+                world.guard.permits_orders = False
+                world.client.is_silent = True
+                await session_world.wait_until(
+                    lambda: world.state.has_waiting_units
+                )
+                waited_s = world.clock.monotonic().total_seconds() - restarted_s
+                self.assertGreaterEqual(
+                    waited_s, session_world.LONGEST_LEASE.total_seconds()
+                )
+
+        anyio.run(run)
+
     def test_runs_of_the_former_incarnation_start_again(self) -> None:
         """Fails if units wait although the worker that ran them restarted."""
 
