Let the soak read state of another moment or address

What is excused: waits while the store's state is stale and 4 s after, as the users' rule on waits holds only beside a store without disruption; for the same reason a job may then be shown as unknown, and the bound on starts after a cancellation doesn't count that time. A worker whose address changes or goes to another one counts as disturbed, like one whose link is cut.

The owner of a service is now read from the control address, because reads of the store may be behind. The settings files of the soak's processes are written in a module of their own. Fresh seeds are drawn below 4000, so that each kind of plan gets a fourth of them.

--- a/src/fireflywell/standins/emulator.py
+++ b/src/fireflywell/standins/emulator.py
@@ -4,6 +4,7 @@
 its workers were told, so that promises can be checked from outside.
 """
 
+import base64
 from collections.abc import Awaitable
 from collections.abc import Callable
 import datetime
@@ -23,9 +24,9 @@
 from fireflywell import settings as settings_lib
 from fireflywell.coordination import row_store
 from fireflywell.standins import emulator_machine
+from fireflywell.standins import emulator_store
 from fireflywell.standins import emulator_values as values
 from fireflywell.standins import platform_api
-from fireflywell.standins import row_store as row_store_standin
 from fireflywell.supervision import policies
 from fireflywell.supervision import supervisor as supervisor_lib
 
@@ -58,7 +59,7 @@
         self._settings = settings
         self._clock = clock
         self._changes: list[values.ChangeSeen] = []
-        self._store = row_store_standin.MemoryRowStore(clock)
+        self._store = emulator_store.FaultyRowStore(clock, random.Random())
         self._workers = {
             item.name: emulator_machine.EmulatedWorker(
                 item,
@@ -140,6 +141,9 @@
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
         if scope["method"] == "GET":
+            if scope["path"].startswith(values.ROWS_PATH):
+                await self._show_row(scope["path"], send)
+                return
             document = values.encode_records(self._collect_records())
             await asgi.send_json(send, 200, document)
             return
@@ -158,6 +162,18 @@
         )
         await asgi.send_json(send, 200, {})
 
+    async def _show_row(self, path: str, send: asgi.Send) -> None:
+        """Answers with a row as it is now, also while reads are behind."""
+        place = path.removeprefix(values.ROWS_PATH).split("/")
+        row = None
+        if len(place) == 3 and not self._store.is_down:
+            row = self._store.get(row_store.RowKey(*place))
+        if row is None:
+            await asgi.send_json(send, 404, {"error": f"no row at {path}"})
+            return
+        value = base64.b64encode(row.value).decode()
+        await asgi.send_json(send, 200, {"value": value})
+
     async def _make_fault(self, fault: values.Fault) -> None:
         match fault:
             case values.ConfigurationSeries():
@@ -174,6 +190,22 @@
                 self._store.lose_answers += count
             case values.HistoryLost():
                 self._store.drop_history()
+            case values.StoreBehind():
+                await self._store.fall_behind(fault)
+            case values.TransactionsLate():
+                await self._store.delay_transactions(fault)
+            case values.AddressChange(worker=name, seconds=seconds):
+                worker = self._workers[name]
+                self._list_address(worker, True)
+                await anyio.sleep(seconds)
+                self._list_address(worker, False)
+            case values.ClockJump(
+                worker=name, seconds=seconds, offset_s=offset_s
+            ):
+                worker = self._workers[name]
+                worker.clock_offset_s = offset_s
+                await anyio.sleep(seconds)
+                worker.clock_offset_s = 0.0
             case values.WorkerCrash(
                 worker=name, seconds=seconds, keeps_id=keeps_id
             ):
@@ -231,6 +263,14 @@
             self._changes.append(values.ChangeSeen(version, at_s))
             await anyio.sleep(series.interval_s)
 
+    def _list_address(
+        self, worker: emulator_machine.EmulatedWorker, is_other: bool
+    ) -> None:
+        worker.is_at_other_address = is_other
+        # A worker that has ended writes no entry.
+        if worker.current.ended_s is None:
+            self._store.put(worker.place, worker.encode_entry())
+
     def _begin_life(
         self, worker: emulator_machine.EmulatedWorker, keeps_id: bool = False
     ) -> None:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -24,6 +24,7 @@
 from tools import soak_plan
 from tools import soak_seeds
 from tools import soak_spans
+from tools import soak_stale
 from tools import soak_stalls
 from tools import soak_system
 from tools import soak_waits
@@ -35,6 +36,9 @@
 _SETTLE_S = 26.0
 _POLL_S = 0.5
 
+# Fresh seeds are below this, so that each kind of plan gets a fourth of them.
+_FRESH_SEEDS = 4000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Outcome:
@@ -110,6 +114,7 @@
             *changes,
             *soak_plan.plan_order_faults(seed, shape),
             *soak_losses.plan_losses(seed, shape),
+            *soak_stale.plan_stale_state(seed, shape),
         ),
         key=lambda item: item.at_s,
     )
@@ -136,7 +141,10 @@
     waits = soak_waits.find_waits(
         jobs, records, system.faults, observed, stalls.stalls
     )
-    findings = soak_checks.find_broken_promises(jobs, records) + unfinished
+    findings = soak_checks.find_broken_promises(
+        jobs, records, soak_waits.list_stale_state(system.faults)
+    )
+    findings += unfinished
     findings += soak_configuration.find_late_nodes(
         watcher.probes, records.changes, system.disturbances
     )
@@ -234,7 +242,7 @@
     Sizes that are not given depend on the seed. There may be up to 30 nodes,
     each with a process of its own, and up to 50 workers.
     """
-    chosen = [*seeds, *(random.randrange(10**6) for _ in range(fresh))]
+    chosen = [*seeds, *(random.randrange(_FRESH_SEEDS) for _ in range(fresh))]
     if known:
         chosen += [item.seed for item in soak_seeds.KNOWN_SEEDS]
     outcomes = [
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -3,8 +3,10 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
+from collections.abc import Sequence
 
 from tools import soak_clients
+from tools import soak_spans
 
 from fireflywell.standins import emulator_values as values
 
@@ -20,16 +22,32 @@
 
 
 def find_broken_promises(
-    jobs: Iterable[soak_clients.JobRecord], records: values.Records
+    jobs: Iterable[soak_clients.JobRecord],
+    records: values.Records,
+    stale: Sequence[soak_spans.Span] = (),
 ) -> list[str]:
-    """Returns what contradicts the promises, one line for each finding."""
+    """Returns what contradicts the promises, one line for each finding.
+
+    Args:
+        jobs: What clients know of their jobs.
+        records: What the workers have seen.
+        stale: When the store's state may be unknown to nodes. The users' rules
+            on jobs shown as unknown and on starts after a cancellation hold
+            only for nodes with a store without disruption.
+    """
     listed = {job.job_id: job for job in jobs}
     findings = [
         f"job {job.job_id}: {fault}"
         for job in listed.values()
         for fault in job.faults
     ]
-    findings.extend(_check_jobs(listed, records))
+    findings.extend(
+        f"job {job.job_id}: accepted, and shown as unknown at {at_s:.2f}"
+        for job in listed.values()
+        for at_s in job.unknown_s
+        if not soak_spans.is_in(at_s, stale)
+    )
+    findings.extend(_check_jobs(listed, records, stale))
     findings.extend(_check_runs(records))
     return findings
 
@@ -62,7 +80,9 @@
 
 
 def _check_jobs(
-    jobs: dict[str, soak_clients.JobRecord], records: values.Records
+    jobs: dict[str, soak_clients.JobRecord],
+    records: values.Records,
+    stale: Sequence[soak_spans.Span],
 ) -> Iterator[str]:
     for start in records.starts:
         job_id = start.unit.partition(".")[0]
@@ -72,7 +92,8 @@
         elif job.accepted_s is None and not job.may_have_run:
             yield f"unit {start.unit} started, but its job was refused"
         elif job.cancelled_s is not None:
-            late_s = start.at_s - job.cancelled_s
+            late = soak_spans.Span(job.cancelled_s, start.at_s)
+            late_s = soak_spans.measure(late, stale)
             if late_s > CANCEL_BOUND_S + _HELD_UP_S:
                 yield (
                     f"unit {start.unit} started {late_s:.2f} s after its job "
--- a/tools/soak_clients.py
+++ b/tools/soak_clients.py
@@ -48,6 +48,7 @@
         cancelled_s: When its cancellation was acknowledged, or None.
         state: State that was shown last.
         faults: What contradicts a promise, as seen by the client.
+        unknown_s: When it was accepted and shown as unknown.
     """
 
     job_id: str
@@ -60,6 +61,7 @@
     cancelled_s: float | None = None
     state: str = ""
     faults: list[str] = dataclasses.field(default_factory=list)
+    unknown_s: list[float] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,7 +134,7 @@
         if answer.status == 200:
             job.state = json.loads(answer.body)["state"]
         if answer.status == 410 and job.accepted_s is not None:
-            job.faults.append("accepted, and shown as unknown")
+            job.unknown_s.append(self._now_s())
 
     async def _call(
         self, method: str, job: JobRecord, body: bytes = b""
--- a/tools/soak_configuration.py
+++ b/tools/soak_configuration.py
@@ -94,6 +94,8 @@
             soak_plan.PlatformFault()
             | soak_plan.KillOwner()
             | soak_plan.PauseOwner()
+            | soak_plan.TermOwner()
+            | soak_plan.AddressReused()
         ):
             return None
 
--- a/tools/soak_losses.py
+++ b/tools/soak_losses.py
@@ -33,7 +33,7 @@
     of other workers get no answer for a long time.
     """
     planned: list[soak_plan.Planned] = []
-    if seed < soak_plan.FIRST_LOSSES_SEED:
+    if not (soak_plan.FIRST_LOSSES_SEED <= seed < soak_plan.FIRST_STALE_SEED):
         return planned
     rng = random.Random(f"losses {seed}")
     left = {
--- a/tools/soak_plan.py
+++ b/tools/soak_plan.py
@@ -40,11 +40,17 @@
 FIRST_LOSSES_SEED = 2000
 _OTHER_FAULTS_SHARE = 0.3
 
+# Seeds from here on let state of another moment or address be read; earlier
+# ones keep their plans. They have no faults of other kinds.
+FIRST_STALE_SEED = 3000
+
 # Settings of the nodes and workers: the lease of a node and the longest lease
 # of a run.
 LEASE_S = 3.0
 MAX_HOLD_S = 6.0
 
+_OTHER_SUFFIX = "-other"
+
 # Several faults overlap: their mean distance is shorter than they last.
 _MEAN_GAP_S = 0.9
 _LONGEST_FAULT_S = 4.0
@@ -133,6 +139,30 @@
     seconds: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TermOwner:
+    """The node that owns a service at that time stops and starts again."""
+
+    service: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AddressReused:
+    """A worker is cut off, works on, and another one gets its address.
+
+    Attributes:
+        worker: Name of its machine.
+        other: Machine of the worker that gets the address.
+        cut_s: Time until it gets it, in which nobody answers there.
+        seconds: For how long it has the address.
+    """
+
+    worker: str
+    other: str
+    cut_s: float
+    seconds: float
+
+
 Fault = (
     KillNode
     | PauseNode
@@ -144,6 +174,8 @@
     | PlatformFault
     | KillOwner
     | PauseOwner
+    | TermOwner
+    | AddressReused
 )
 
 
@@ -215,6 +247,18 @@
     return tuple(f"w{number + 1}" for number in range(count))
 
 
+def name_other_link(worker: str) -> str:
+    """Returns the name of the link at a worker's other address."""
+    return f"{worker}{_OTHER_SUFFIX}"
+
+
+def name_linked_worker(link: str) -> str | None:
+    """Returns the worker that a link leads to; None for a node's link."""
+    if link.startswith("node-"):
+        return None
+    return link.removesuffix(_OTHER_SUFFIX)
+
+
 def is_for_good(fault: Fault) -> bool:
     """Returns whether a link never heals."""
     match fault:
@@ -228,6 +272,8 @@
     """Returns the faults of a soak; the same for the same seed and shape."""
     rng = random.Random(seed)
     planned: list[Planned] = []
+    if seed >= FIRST_STALE_SEED:
+        return planned
     if seed >= FIRST_LOSSES_SEED and rng.random() >= _OTHER_FAULTS_SHARE:
         return planned
     at_s = FIRST_FAULT_S
@@ -283,7 +329,7 @@
     while at_s < shape.fault_s:
         seconds = round(rng.uniform(*_ORDERS_FAULT_S), 2)
         for worker in rng.sample(shape.workers, rng.randint(*_FAULTY_WORKERS)):
-            planned += _plan_worker_series(rng, worker, at_s, seconds)
+            planned += plan_worker_series(rng, worker, at_s, seconds)
         if rng.random() < _NODE_FAULT_SHARE:
             node = rng.randrange(shape.nodes)
             down_s = round(rng.uniform(0.3, seconds), 2)
@@ -295,9 +341,10 @@
     return planned
 
 
-def _plan_worker_series(
+def plan_worker_series(
     rng: random.Random, worker: str, at_s: float, seconds: float
 ) -> Iterator[Planned]:
+    """Yields late and rejected orders of a worker, and its restarts."""
     for kind in (emulator_values.OrdersLate, emulator_values.OrdersRejected):
         share = round(rng.uniform(*_ORDERS_SHARES), 2)
         report_share = round(rng.uniform(*_REPORTS_SHARES), 2)
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -1,6 +1,7 @@
 """Processes of a soak: an emulator, nodes and the links between them."""
 
 import base64
+from collections.abc import Iterator
 import json
 import math
 import pathlib
@@ -12,6 +13,7 @@
 from tools import local_processes
 from tools import soak_configuration
 from tools import soak_plan
+from tools import soak_settings
 from tools import soak_waits
 
 from fireflywell import clock as clock_lib
@@ -21,31 +23,6 @@
 from fireflywell.standins import link_proxy
 from fireflywell.standins import settings as standin_settings
 
-_STORE_PORT = 18621
-_CONTROL_PORT = 18620
-_CALLERS_PORT = 18624
-_READY_PORT = 18622
-_METRICS_PORT = 18623
-_WORKER_PORT = 18700
-
-_NODE_SETTINGS = """
-node_name = "node-{number}"
-zone = "a"
-[listen_addresses]
-front = "{address}:{callers_port}"
-ready_address = "{address}:{ready_port}"
-control = "{address}:{metrics_port}"
-[bounds]
-lease_duration_ms = {lease_ms}
-max_hold_ms = {max_hold_ms}
-stop_timeout_ms = 900
-grace_period_s = 6
-[platform]
-address = "{store}"
-[cloud_api]
-address = "{machines}"
-"""
-
 
 class SoakSystem:
     """Starts, faults and ends the processes of one soak.
@@ -59,6 +36,7 @@
     """
 
     __slots__ = (
+        "_addresses",
         "_all",
         "_clock",
         "_directory",
@@ -66,7 +44,6 @@
         "_nodes",
         "_proxies",
         "_shape",
-        "_subnet",
         "disturbances",
         "faults",
     )
@@ -79,7 +56,7 @@
         clock: clock_lib.Clock,
     ) -> None:
         self._directory = directory
-        self._subnet = subnet
+        self._addresses = soak_settings.Addresses(subnet)
         self._shape = shape
         self._clock = clock
         self.disturbances: list[soak_configuration.Disturbance] = []
@@ -88,25 +65,20 @@
         # Links that never heal.
         self._lost_links: set[str] = set()
         self._nodes: dict[int, local_processes.ManagedProcess] = {}
-        self._proxies = {
-            link.name: link
-            for link in (
-                *(self._make_store_link(n) for n in range(shape.nodes)),
-                *(self._make_worker_link(n) for n in range(self._worker_count)),
-            )
-        }
+        self._proxies = {link.name: link for link in self._make_links()}
 
     @property
     def callers_addresses(self) -> tuple[str, ...]:
         """Where the nodes serve callers."""
         return tuple(
-            f"{self._locate_node(number)}:{_CALLERS_PORT}"
+            f"{self._addresses.locate_node(number)}:"
+            f"{soak_settings.CALLERS_PORT}"
             for number in range(self._shape.nodes)
         )
 
     @property
-    def _worker_count(self) -> int:
-        return len(self._shape.workers)
+    def _control_url(self) -> str:
+        return f"http://{self._addresses.platform}:{soak_settings.CONTROL_PORT}"
 
     async def run_links(self) -> None:
         """Relays all connections until cancelled."""
@@ -116,24 +88,10 @@
 
     def start_emulator(self) -> None:
         """Starts the platform."""
-        services = self._shape.services
-        lines = [
-            f'store_address = "{self._subnet}.1:{_STORE_PORT}"',
-            f'control_address = "{self._subnet}.1:{_CONTROL_PORT}"',
-            f"services = {json.dumps(services)}",
-        ]
-        for number, name in enumerate(self._shape.workers):
-            lines += [
-                "[[workers]]",
-                f'name = "{name}"',
-                f'service = "{services[number % len(services)]}"',
-                f'address = "{self._subnet}.{100 + number}:{_WORKER_PORT}"',
-                "listed_address = "
-                f'"{self._subnet}.{150 + number}:{_WORKER_PORT}"',
-                f'rack = "r1-{number % 3}"',
-            ]
         path = self._directory / "emulator.toml"
-        path.write_text("\n".join(lines) + "\n")
+        soak_settings.write_emulator_settings(
+            path, self._addresses, self._shape
+        )
         self._all.append(
             local_processes.ManagedProcess(
                 "emulator",
@@ -146,19 +104,7 @@
     def start_node(self, number: int) -> None:
         """Starts a node or starts it again."""
         path = self._directory / f"node-{number}.toml"
-        path.write_text(
-            _NODE_SETTINGS.format(
-                number=number,
-                lease_ms=int(soak_plan.LEASE_S * 1000),
-                max_hold_ms=int(soak_plan.MAX_HOLD_S * 1000),
-                address=self._locate_node(number),
-                callers_port=_CALLERS_PORT,
-                ready_port=_READY_PORT,
-                metrics_port=_METRICS_PORT,
-                store=f"{self._subnet}.{50 + number}:{_STORE_PORT}",
-                machines=f"{self._subnet}.1:{_STORE_PORT}",
-            )
-        )
+        soak_settings.write_node_settings(path, self._addresses, number)
         process = local_processes.ManagedProcess(
             f"node-{number}",
             "node",
@@ -197,6 +143,8 @@
                 return soak_plan.PauseNode(
                     await self._find_owner(service) or 0, seconds
                 )
+            case soak_plan.TermOwner(service=service):
+                return soak_plan.TermNode(await self._find_owner(service) or 0)
             case _:
                 return fault
 
@@ -225,21 +173,18 @@
 
     async def _find_owner(self, service: str) -> int | None:
         """Returns the number of a service's owner, None if not known."""
+        row_key = tables.locate_owner(service)
         answer = await anyio.to_thread.run_sync(
             local_processes.send_request,
             "GET",
-            f"http://{self._subnet}.1:{_STORE_PORT}/rows-get?table="
-            f"{tables.OWNERS}&part={service}",
+            f"{self._control_url}{emulator_values.ROWS_PATH}{row_key.table}/"
+            f"{row_key.partition}/{row_key.key}",
         )
         if answer is None or answer.status != 200:
             return None
-        for row in json.loads(answer.body)["rows"]:
-            if row["key"] == tables.OWNER_KEY:
-                value = base64.b64decode(row["value"])
-                owner = owner_records.decode_owner(value)
-                number = owner.node.removeprefix("node-")
-                return int(number) if number else None
-        return None
+        value = base64.b64decode(json.loads(answer.body)["value"])
+        number = owner_records.decode_owner(value).node.removeprefix("node-")
+        return int(number) if number else None
 
     def _now_s(self) -> float:
         return self._clock.monotonic().total_seconds()
@@ -275,12 +220,41 @@
                     proxy.set_state(link_proxy.Open())
             case soak_plan.ResetLink(link=name):
                 self._proxies[name].reset_connections()
-            case soak_plan.KillOwner() | soak_plan.PauseOwner():
+            case soak_plan.AddressReused():
+                await self._reuse_address(fault)
+            case (
+                soak_plan.KillOwner()
+                | soak_plan.PauseOwner()
+                | soak_plan.TermOwner()
+            ):
                 raise AssertionError("the owner was not looked up")
             case soak_plan.PlatformFault(fault=platform_fault):
                 await self._call_control(
                     "POST", emulator_values.encode_fault(platform_fault)
                 )
+                match platform_fault:
+                    case (
+                        emulator_values.StoreBehind(seconds=seconds)
+                        | emulator_values.TransactionsLate(seconds=seconds)
+                        | emulator_values.AddressChange(seconds=seconds)
+                    ):
+                        await anyio.sleep(seconds)
+                    case _:
+                        pass
+
+    async def _reuse_address(self, fault: soak_plan.AddressReused) -> None:
+        proxy = self._proxies[fault.worker]
+        number = self._shape.workers.index(fault.other)
+        proxy.set_state(link_proxy.Silent())
+        await anyio.sleep(fault.cut_s)
+        proxy.set_state(
+            link_proxy.Redirected(
+                self._addresses.locate_worker(number),
+                soak_settings.WORKER_PORT,
+            )
+        )
+        await anyio.sleep(fault.seconds)
+        proxy.set_state(link_proxy.Open())
 
     async def read_records(self) -> emulator_values.Records:
         """Returns what the workers have seen."""
@@ -293,9 +267,10 @@
         Raises:
             StepError: One of them doesn't.
         """
-        urls = [f"http://{self._subnet}.1:{_CONTROL_PORT}/"]
+        urls = [f"{self._control_url}/"]
         urls += [
-            f"http://{self._locate_node(number)}:{_READY_PORT}/readiness"
+            f"http://{self._addresses.locate_node(number)}:"
+            f"{soak_settings.READY_PORT}/readiness"
             for number in range(self._shape.nodes)
         ]
         for url in urls:
@@ -354,34 +329,42 @@
     async def _call_control(
         self, method: str, document: object = None
     ) -> dict[str, object]:
-        url = f"http://{self._subnet}.1:{_CONTROL_PORT}/"
         answer = await anyio.to_thread.run_sync(
-            local_processes.send_json, method, url, document
+            local_processes.send_json,
+            method,
+            f"{self._control_url}/",
+            document,
         )
         assert isinstance(answer, dict)
         return answer
 
-    def _locate_node(self, number: int) -> str:
-        return f"{self._subnet}.{20 + number}"
-
-    def _make_store_link(self, number: int) -> link_proxy.LinkProxy:
-        return self._make_link(f"node-{number}", 50 + number, 1, _STORE_PORT)
-
-    def _make_worker_link(self, number: int) -> link_proxy.LinkProxy:
-        name = self._shape.workers[number]
-        return self._make_link(name, 150 + number, 100 + number, _WORKER_PORT)
+    def _make_links(self) -> Iterator[link_proxy.LinkProxy]:
+        addresses = self._addresses
+        for number in range(self._shape.nodes):
+            yield self._make_link(
+                f"node-{number}",
+                addresses.locate_store_link(number),
+                addresses.platform,
+                soak_settings.STORE_PORT,
+            )
+        for number, worker in enumerate(self._shape.workers):
+            target = addresses.locate_worker(number)
+            for name, address in (
+                (worker, addresses.locate_worker_link(number)),
+                (
+                    soak_plan.name_other_link(worker),
+                    addresses.locate_other_link(number),
+                ),
+            ):
+                yield self._make_link(
+                    name, address, target, soak_settings.WORKER_PORT
+                )
 
     def _make_link(
-        self, name: str, near: int, far: int, port: int
+        self, name: str, address: str, target: str, port: int
     ) -> link_proxy.LinkProxy:
         return link_proxy.LinkProxy(
-            standin_settings.LinkSettings(
-                name,
-                f"{self._subnet}.{near}",
-                port,
-                f"{self._subnet}.{far}",
-                port,
-            ),
+            standin_settings.LinkSettings(name, address, port, target, port),
             self._clock,
             random.Random(),
         )
--- a/tools/soak_waits.py
+++ b/tools/soak_waits.py
@@ -85,6 +85,19 @@
     counted_s: float
 
 
+def list_stale_state(faults: Iterable[FaultSeen]) -> list[soak_spans.Span]:
+    """Returns when reads are behind or transactions late, and calm after it."""
+    return [
+        soak_spans.Span(seen.begun_s, seen.begun_s + fault.seconds + CALM_S)
+        for seen in faults
+        if isinstance(seen.fault, soak_plan.PlatformFault)
+        and isinstance(
+            fault := seen.fault.fault,
+            values.StoreBehind | values.TransactionsLate,
+        )
+    ]
+
+
 def find_waits(
     jobs: Iterable[soak_clients.JobRecord],
     records: values.Records,
@@ -211,7 +224,10 @@
         case soak_plan.PlatformFault(
             fault=values.StoreDown(seconds=seconds)
             | values.StoreSlow(seconds=seconds)
+            | values.StoreBehind(seconds=seconds)
+            | values.TransactionsLate(seconds=seconds)
         ):
+            # Rule LOST counts waits only while the store is without disruption.
             yield soak_spans.Span(begun_s, begun_s + seconds + CALM_S)
         case soak_plan.PlatformFault(
             fault=values.AnswersLost() | values.HistoryLost()
@@ -275,7 +291,10 @@
         case soak_plan.PlatformFault(
             fault=values.StoreDown(seconds=seconds)
             | values.StoreSlow(seconds=seconds)
+            | values.TransactionsLate(seconds=seconds)
+            | values.StoreBehind(lag_s=seconds)
         ):
+            # At the begin of a lag, others see no renewal for as long as it.
             return seconds > soak_plan.LEASE_S * 2 / 3
         case _:
             return False
@@ -285,10 +304,22 @@
     """Yields the worker that a fault disturbs, and when."""
     begun_s = seen.begun_s
     match seen.fault:
-        case soak_plan.LinkFault(link=link) if not _is_node(link):
-            yield link, soak_spans.Span(begun_s, seen.ended_s + CALM_S)
-        case soak_plan.ResetLink(link=link) if not _is_node(link):
-            yield link, soak_spans.Span(begun_s, begun_s + CALM_S)
+        case soak_plan.LinkFault(link=link):
+            worker = soak_plan.name_linked_worker(link)
+            if worker is not None:
+                yield worker, soak_spans.Span(begun_s, seen.ended_s + CALM_S)
+        case soak_plan.ResetLink(link=link):
+            worker = soak_plan.name_linked_worker(link)
+            if worker is not None:
+                yield worker, soak_spans.Span(begun_s, begun_s + CALM_S)
+        case soak_plan.AddressReused(worker=worker):
+            yield worker, soak_spans.Span(begun_s, seen.ended_s + CALM_S)
+        case soak_plan.PlatformFault(
+            fault=values.AddressChange(worker=worker, seconds=seconds)
+        ):
+            # The way back is a change of its own.
+            for at_s in (begun_s, begun_s + seconds):
+                yield worker, soak_spans.Span(at_s, at_s + CALM_S)
         case soak_plan.PlatformFault(
             fault=values.WorkerCrash(worker=worker, seconds=seconds)
             | values.WorkerDrain(worker=worker, seconds=seconds)
