Keep the faults of a failed soak beside its logs

`faults.txt` lists the faults and late writes with their times, as the workers' records have them, so the emulator logs no events of its own for them.

--- a/src/fireflywell/standins/emulator.py
+++ b/src/fireflywell/standins/emulator.py
@@ -294,6 +294,7 @@
             tuple(self._changes),
             tuple(item for w in workers for item in w.list_lives()),
             tuple(item for w in workers for item in w.api.held),
+            tuple(self._store.late_writes),
         )
 
 
--- a/src/fireflywell/standins/emulator_store.py
+++ b/src/fireflywell/standins/emulator_store.py
@@ -8,7 +8,6 @@
 from fireflywell.coordination import row_store
 from fireflywell.standins import emulator_values as values
 from fireflywell.standins import row_store as row_store_standin
-from fireflywell.telemetry import logs
 
 # The users' platform may perform a call without an answer seconds later.
 _SHORTEST_DELAY_S = 1.0
@@ -16,15 +15,20 @@
 
 
 class FaultyRowStore(row_store_standin.MemoryRowStore):
-    """A row store with faults that overlap."""
+    """A row store with faults that overlap.
 
-    __slots__ = ("_behind", "_late", "_random")
+    Attributes:
+        late_writes: Transactions that were late.
+    """
+
+    __slots__ = ("_behind", "_late", "_random", "late_writes")
 
     def __init__(self, clock: clock_lib.Clock, rng: random.Random) -> None:
         super().__init__(clock)
         self._random = rng
         self._behind: list[values.StoreBehind] = []
         self._late: list[values.TransactionsLate] = []
+        self.late_writes: list[values.LateWrite] = []
 
     async def fall_behind(self, fault: values.StoreBehind) -> None:
         """Lets reads be behind; of several faults the longest lag holds."""
@@ -51,22 +55,18 @@
         delay_s = self._random.uniform(_SHORTEST_DELAY_S, _LONGEST_DELAY_S)
         await self._clock.sleep(datetime.timedelta(seconds=delay_s))
         result = await super().transact(transaction, timeout)
-        logs.log_event(
-            "emulator.transaction_late",
-            rows=[_describe(item.row_key) for item in transaction.puts],
-            delay_s=round(delay_s, 3),
-            is_applied=isinstance(result, row_store.Committed),
-            at_s=round(self.now_s(), 3),
+        self.late_writes.append(
+            values.LateWrite(
+                tuple(_describe(item.row_key) for item in transaction.puts),
+                self.now_s(),
+                delay_s,
+                isinstance(result, row_store.Committed),
+            )
         )
         raise errors.AnswerLostError("the transaction was late on purpose")
 
     def _update_lag(self) -> None:
         self.read_lag_s = max((item.lag_s for item in self._behind), default=0)
-        logs.log_event(
-            "emulator.reads_behind",
-            lag_s=self.read_lag_s,
-            at_s=round(self.now_s(), 3),
-        )
 
     def _is_late(self, transaction: row_store.Transaction) -> bool:
         tables = {item.row_key.table for item in transaction.puts}
--- a/src/fireflywell/standins/emulator_values.py
+++ b/src/fireflywell/standins/emulator_values.py
@@ -319,6 +319,23 @@
     at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LateWrite:
+    """A transaction that was late and got no answer.
+
+    Attributes:
+        rows: Table, partition and key of each row that it puts.
+        at_s: Monotonic time at which it was applied or refused.
+        delay_s: How late it was.
+        is_applied: Whether its condition still held.
+    """
+
+    rows: tuple[str, ...]
+    at_s: float
+    delay_s: float
+    is_applied: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Records:
     """All that the workers and the store have seen so far.
@@ -330,6 +347,7 @@
         changes: Configurations that were stored by a series.
         lives: Lives of all workers.
         held: Starts that got no answer because of a fault.
+        late_writes: Transactions that were late.
     """
 
     starts: tuple[StartSeen, ...]
@@ -338,6 +356,7 @@
     changes: tuple[ChangeSeen, ...] = ()
     lives: tuple[LifeSeen, ...] = ()
     held: tuple[StartHeld, ...] = ()
+    late_writes: tuple[LateWrite, ...] = ()
 
 
 def name_added_queue(version: int) -> str:
--- a/tests/test_soak_stale.py
+++ b/tests/test_soak_stale.py
@@ -158,6 +158,8 @@
         )
         self.assertEqual(answers, ["no answer"])
         self.assertEqual(self._read_value(), b"new")
+        (late,) = self._store.late_writes
+        self.assertTrue(late.is_applied)
 
     def test_late_transaction_keeps_its_condition(self) -> None:
         """Fails if a late write replaces one that was made meanwhile."""
@@ -178,6 +180,8 @@
             step,
         )
         self.assertEqual(self._read_value(), b"meanwhile")
+        (late,) = self._store.late_writes
+        self.assertFalse(late.is_applied)
 
     def test_writes_to_other_tables_are_answered(self) -> None:
         """Fails if a fault delays writes that it doesn't name."""
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -137,6 +137,7 @@
         settle_s = (clock.monotonic() - healed_at).total_seconds()
         watching.cancel_scope.cancel()
     records = await system.read_records()
+    system.write_faults(records)
     observed = soak_spans.Span(begun_s, clock.monotonic().total_seconds())
     waits = soak_waits.find_waits(
         jobs, records, system.faults, observed, stalls.stalls
--- a/tools/soak_system.py
+++ b/tools/soak_system.py
@@ -261,6 +261,18 @@
         document = await self._call_control("GET")
         return emulator_values.decode_records(document)
 
+    def write_faults(self, records: emulator_values.Records) -> None:
+        """Writes what was made when beside the logs."""
+        offset_s = self._clock.now().timestamp() - self._now_s()
+        lines = [f"# monotonic seconds; logs are {offset_s:.3f} s ahead"]
+        lines += [
+            f"{seen.begun_s:.3f} to {seen.ended_s:.3f}: {seen.fault}"
+            for seen in self.faults
+        ]
+        lines += [f"{item.at_s:.3f}: {item}" for item in records.late_writes]
+        path = self._directory / "faults.txt"
+        path.write_text("\n".join(lines) + "\n")
+
     async def wait_until_ready(self) -> None:
         """Waits until the emulator and all nodes answer.
 
