--- a/tools/soak_seeds.py
+++ b/tools/soak_seeds.py
@@ -55,4 +55,24 @@
         "units were queued for a worker whose orders got no answer, behind "
         "other starts, while other workers were free",
     ),
+    KnownSeed(
+        3001,
+        "the runs of a worker whose address changed under its id were dropped "
+        "while their leases lasted",
+    ),
+    KnownSeed(
+        3006,
+        "new owners took reads from before their claims for the present state, "
+        "and live owners for silent ones",
+    ),
+    KnownSeed(
+        3010,
+        "the runs of a worker were dropped because another one answered at its "
+        "address",
+    ),
+    KnownSeed(
+        3013,
+        "a node whose reads were behind answered that a job to cancel is "
+        "unknown",
+    ),
 )
