Confirm ownership again soon after an answer was lost

An owner whose lease has lapsed gives no order before the answer to its confirmation.

The first limit is 0.2 s and doubles with each failure up to 1.6 s, so a store that takes 0.6 s is still heard.

--- a/src/fireflywell/node/ownership_guard.py
+++ b/src/fireflywell/node/ownership_guard.py
@@ -3,12 +3,19 @@
 import datetime
 
 from fireflywell import clock as clock_lib
+from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import ownership
 from fireflywell.node import tables
 from fireflywell.telemetry import logs
 
+# Time limits of the write that confirms the ownership. No order is given before
+# its answer, so the first limit is short in case the answer is lost. It doubles
+# with each failure, because a slow store takes longer to answer.
+_FIRST_TIMEOUT = datetime.timedelta(milliseconds=200)
+_LONGEST_TIMEOUT = datetime.timedelta(milliseconds=1600)
+
 
 class OwnershipGuard:
     """Checks that an owner still owns its service before it gives orders.
@@ -21,7 +28,14 @@
     it also makes claims fail that were sent before and are applied late.
     """
 
-    __slots__ = ("_clock", "_confirmed_at", "_heartbeat", "_store", "_tenure")
+    __slots__ = (
+        "_clock",
+        "_confirmed_at",
+        "_heartbeat",
+        "_store",
+        "_tenure",
+        "_timeout",
+    )
 
     def __init__(
         self,
@@ -35,6 +49,7 @@
         self._heartbeat = heartbeat
         self._clock = clock
         self._confirmed_at = clock.monotonic()
+        self._timeout = _FIRST_TIMEOUT
 
     @property
     def permits_orders(self) -> bool:
@@ -74,12 +89,15 @@
         started = self._clock.monotonic()
         row_key = tables.locate_confirmation(self._tenure.service)
         value = self._heartbeat.incarnation.encode()
-        result = await self._store.transact(
-            row_store.Transaction(
-                (self._tenure.make_condition(),),
-                (row_store.Put(row_key, value),),
-            )
+        write = row_store.Transaction(
+            (self._tenure.make_condition(),), (row_store.Put(row_key, value),)
         )
+        try:
+            result = await self._store.transact(write, self._timeout)
+        except errors.PlatformError:
+            self._timeout = min(2 * self._timeout, _LONGEST_TIMEOUT)
+            raise
+        self._timeout = _FIRST_TIMEOUT
         match result:
             case row_store.Conflict():
                 self._log_loss()
