Give a restarted worker units right after its first report

Any order tells it: a start carries the token, too. The report is still requested at once instead of after the pause of an idle worker.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -324,6 +324,8 @@
             report.started_unix_ms or self.incarnation_start_unix_ms
         )
         is_first = not self._leases.has_clock
+        # A new incarnation is told the higher token at once, so that it refuses
+        # late orders to the former one.
         has_new_token = self._state.order_tokens.observe(
             self._worker.worker_id, report.started_unix_ms
         )
@@ -352,9 +354,7 @@
         # Recovered units start once the workers have reported all their ends.
         self.has_reported = self.has_reported or report.has_all_ends
         self._on_change()
-        # The next request tells a new incarnation a higher token, so that it
-        # refuses late orders to the former one. It gets no unit before that.
-        if has_new_token or not await self._reach_worker(report):
+        if not await self._reach_worker(report):
             return
         if last_end > self._acknowledged_end:
             self._log_ends(report)
@@ -364,7 +364,7 @@
             if await self._writer.wait_until_stored(changed, _STORE_TIMEOUT):
                 self._acknowledged_end = last_end
             await self._clock.sleep(_REPORT_PAUSE)
-        elif not is_first and not self._worker.runs:
+        elif not (is_first or has_new_token or self._worker.runs):
             await self._sleep_idle()
 
     async def _reach_worker(self, report: orders.WorkerReport) -> bool:
