Count a claim as of its call, so that a suspended node confirms it

Callers could have seen a unit run on two workers at the same time.

Cause: an owner counted its ownership as confirmed at the time at which it started. A node that was suspended between its claim and the answer lost its lease, and another node could claim the service. The first node then renewed its lease and started the owner, whose confirmation was newer than the renewal, so that it gave orders without asking the store. Workers that the other owner hadn't reached carried them out. Workers on the stored list need no write before they are used, so no condition of a write stopped it either. After a handover, the claim also proved that the former owner had stopped, and new jobs started at once.

test_suspended_claim_permits_no_orders failed before with "True is not false" for the permission of orders.

The claim now confirms the ownership as of the time before its call. If the lease has lapsed since, the owner writes a confirmation first, which fails if another node has claimed the service. Nothing changes and no call is added while the lease lasts (test_claim_permits_orders_without_a_confirmation).

--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -57,6 +57,8 @@
         is_former_owner_stopped: Whether it is proved that the former owner
             had stopped when the store applied the claim. Otherwise it may
             have started jobs that were stored after the claim.
+        claimed_at: Monotonic time before the claim was sent; None if it isn't
+            known, so that the ownership has to be confirmed.
     """
 
     service: str
@@ -64,6 +66,7 @@
     version: int
     is_first: bool
     is_former_owner_stopped: bool = False
+    claimed_at: datetime.timedelta | None = None
 
     def make_condition(self) -> row_store.Condition:
         """Returns a condition that fails once the owner's row has changed."""
@@ -266,6 +269,7 @@
             service, replaced, self._rows.get_version(service)
         )
         transaction = self._rows.make_claim(service, record)
+        claimed_at = self._clock.monotonic()
         result = await self._store.transact(transaction)
         match result:
             case row_store.Conflict(rows=rows):
@@ -286,6 +290,7 @@
                     committed,
                     is_first=replaced is None,
                     is_former_owner_stopped=proof.is_given,
+                    claimed_at=claimed_at,
                 )
                 await self._start_owner(tenure, previous, proof)
 
--- a/src/fireflywell/node/ownership_guard.py
+++ b/src/fireflywell/node/ownership_guard.py
@@ -48,18 +48,15 @@
         self._store = store
         self._heartbeat = heartbeat
         self._clock = clock
-        self._confirmed_at = clock.monotonic()
+        # The claim confirms the ownership as of its call. Another node may have
+        # claimed the service before its answer was processed.
+        self._confirmed_at = tenure.claimed_at
         self._timeout = _FIRST_TIMEOUT
 
     @property
     def permits_orders(self) -> bool:
         """Whether the lease is valid and ownership was confirmed under it."""
-        since = self._heartbeat.valid_since
-        return (
-            self._heartbeat.is_valid
-            and since is not None
-            and since <= self._confirmed_at
-        )
+        return self._heartbeat.is_valid and self._is_confirmed()
 
     def permits_renewals(self, grace: datetime.timedelta) -> bool:
         """Whether leases of runs may be renewed, up to a time after the lapse.
@@ -67,12 +64,7 @@
         A valid lease that was renewed after a lapse doesn't permit it before
         ownership is confirmed.
         """
-        since = self._heartbeat.valid_since
-        return (
-            since is not None
-            and since <= self._confirmed_at
-            and self._heartbeat.measure_lapse() < grace
-        )
+        return self._is_confirmed() and self._heartbeat.measure_lapse() < grace
 
     async def confirm(self) -> bool:
         """Writes a confirmation if the lease has expired since the last one.
@@ -140,5 +132,14 @@
             return False
         return True
 
+    def _is_confirmed(self) -> bool:
+        """Returns whether ownership was confirmed since the last lapse."""
+        since = self._heartbeat.valid_since
+        return (
+            since is not None
+            and self._confirmed_at is not None
+            and since <= self._confirmed_at
+        )
+
     def _log_loss(self) -> None:
         logs.log_event("ownership.lost", service=self._tenure.service, owner="")
--- a/tests/test_node_fleet_orders.py
+++ b/tests/test_node_fleet_orders.py
@@ -218,7 +218,13 @@
             tables.locate_owner(_FLEET), owner_records.encode_owner(record)
         )
         controller = fleet_controller.FleetController(
-            ownership.Tenure(_FLEET, 2, version, is_first=False),
+            ownership.Tenure(
+                _FLEET,
+                2,
+                version,
+                is_first=False,
+                claimed_at=self._clock.monotonic(),
+            ),
             self.store,
             self.fleet,
             self.cache,
--- a/tests/test_node_former_owners.py
+++ b/tests/test_node_former_owners.py
@@ -129,7 +129,13 @@
 
     def make_guard_of_b(self, version: int) -> ownership_guard.OwnershipGuard:
         """Returns the guard of node b, whose lease was renewed later."""
-        tenure = ownership.Tenure(_SERVICE, 1, version, is_first=True)
+        tenure = ownership.Tenure(
+            _SERVICE,
+            1,
+            version,
+            is_first=True,
+            claimed_at=self.clock.monotonic(),
+        )
         heartbeat = _RenewedHeartbeat(self.clock)
         guard = ownership_guard.OwnershipGuard(
             tenure,
@@ -314,6 +320,56 @@
 
         anyio.run(run)
 
+    def test_suspended_claim_permits_no_orders(self) -> None:
+        """Fails if an owner trusts a claim that another one has followed.
+
+        The node was suspended between its claim and the answer. Its lease
+        lapsed, another node claimed the service, and the node renewed its
+        lease before it read the other claim. Both gave orders (rule TWICE).
+        """
+
+        async def run() -> None:
+            world = _World()
+            world.let_b_own(node="", successor="a")
+            heartbeat = _RenewedHeartbeat(world.clock)
+
+            def suspend() -> None:
+                world.advance(10)
+                world.let_b_own()
+                heartbeat.valid_since = world.clock.monotonic()
+
+            world.store.after_claim = suspend
+            tenure = await world.claim()
+            guard = ownership_guard.OwnershipGuard(
+                tenure,
+                world.store,
+                heartbeat,  # type: ignore[arg-type]
+                world.clock,
+            )
+            self.assertFalse(guard.permits_orders)
+            self.assertFalse(await guard.confirm())
+
+        anyio.run(run)
+
+    def test_claim_permits_orders_without_a_confirmation(self) -> None:
+        """Fails if each takeover needs one more write."""
+
+        async def run() -> None:
+            world = _World()
+            world.let_b_own(node="", successor="a")
+            heartbeat = _RenewedHeartbeat(world.clock)
+            world.advance(1)
+            tenure = await world.claim()
+            guard = ownership_guard.OwnershipGuard(
+                tenure,
+                world.store,
+                heartbeat,  # type: ignore[arg-type]
+                world.clock,
+            )
+            self.assertTrue(guard.permits_orders)
+
+        anyio.run(run)
+
     def test_owner_stops_if_the_claim_came_first(self) -> None:
         """Fails if an owner confirms a service that it has lost."""
 
--- a/tests/test_node_ownership_guard.py
+++ b/tests/test_node_ownership_guard.py
@@ -127,7 +127,13 @@
         self, version: int
     ) -> fleet_controller.FleetController:
         return fleet_controller.FleetController(
-            ownership.Tenure(_FLEET, 1, version, is_first=True),
+            ownership.Tenure(
+                _FLEET,
+                1,
+                version,
+                is_first=True,
+                claimed_at=self._clock.monotonic(),
+            ),
             self.store,
             self.fleet,
             self._fleet_cache,
--- a/tests/test_node_silence.py
+++ b/tests/test_node_silence.py
@@ -284,7 +284,11 @@
                 await world.advance(2)
                 before = world.store.version
                 tenure = ownership.Tenure(
-                    node_world.SERVICE, 1, world.claim("a", "a-1"), False
+                    node_world.SERVICE,
+                    1,
+                    world.claim("a", "a-1"),
+                    is_first=False,
+                    claimed_at=world.clock.monotonic(),
                 )
                 guard = ownership_guard.OwnershipGuard(
                     tenure, world.store, world.heartbeats["a"], world.clock
