Use a worker that moves during its admission only after a later report

Callers could have seen a unit run on two workers at the same time.

Cause: a worker that has reported is stored as in use before it gets units. If its entry changed to another address or VM meanwhile, the worker was marked as lost and then as usable, by the report from before the change. While the new address didn't answer for a second, its stored entry got an end, as that of a lost worker does. Further reports didn't store it as in use again, because it counted as usable. It went on getting units and leases, and a successor wouldn't have waited for them.

test_worker_that_moves_before_its_use_is_not_used failed before with "True is not false": the worker was lost and usable at the same time.

A worker that was marked as lost during the wait is now asked for another report, and stored as in use by its present entry. It costs one report request at the new address before the worker's first unit, only after such a change.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -382,6 +382,9 @@
             assigned_workers.ACQUIRE_TIMEOUT,
         ):
             return False
+        if self.lost_since_s is not None:
+            # It has moved meanwhile; only a later report shows it there.
+            return False
         self._worker.is_reachable = True
         worker_events.log_reached(self._worker.worker_id, report)
         self._on_change()
