Read the rows of all known nodes, also if a list of them is behind

Callers could have seen a unit run on two workers at the same time.

Cause: when the history is lost or the changes are too large, a node lists the partitions of the nodes' table and reads each. The version of the list isn't checked, as that of the rows is. A list of an earlier state lacked the partition of a node that had been seen, its row wasn't read, and the recent versions of the other rows proved that it hadn't renewed its lease. Its services were claimed while it gave orders.

test_living_process_is_alive_if_a_list_lacks_its_node failed before with "True is not false" for the silence of a living node.

Nodes that were seen before are now read in any case. Rows of nodes are never removed, so a list of the present state holds them, and no call is added.

--- a/src/fireflywell/node/directory.py
+++ b/src/fireflywell/node/directory.py
@@ -258,6 +258,10 @@
         ):
             self._proven_at = proven_at
 
+    def list_names(self) -> tuple[str, ...]:
+        """Returns the nodes seen so far, including those that have ended."""
+        return tuple(self._observed)
+
     def list_live(self) -> tuple[NodeRecord, ...]:
         """Returns nodes that aren't known to be silent or stopping."""
         return tuple(
--- a/src/fireflywell/node/heartbeat.py
+++ b/src/fireflywell/node/heartbeat.py
@@ -235,9 +235,11 @@
 
         with supervisor_lib.raise_single_error():
             async with anyio.create_task_group() as group:
-                # This node's row may not exist yet; the read of its partition
-                # still returns the store's version.
-                for name in {*listed, self._settings.name}:
+                # The list may show an earlier state, so nodes that were seen
+                # are read in any case. This node's row may not exist yet; the
+                # read of its partition still returns the store's version.
+                known = self._directory.list_names()
+                for name in {*listed, *known, self._settings.name}:
                     group.start_soon(read_one, name)
         # The next read starts at the earliest of these versions, so that it
         # misses no change.
--- a/tests/test_node_silence.py
+++ b/tests/test_node_silence.py
@@ -28,12 +28,29 @@
 _MARGIN_S = 0.1
 
 
+class _Store(store_standin.MemoryRowStore):
+    """A store whose lists of partitions may show an earlier state.
+
+    Attributes:
+        unlisted: A partition that the lists lack.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        super().__init__(clock)
+        self.unlisted = ""
+
+    async def list_partitions(self, table: str) -> tuple[str, ...]:
+        """Returns the other partitions of a table."""
+        names = await super().list_partitions(table)
+        return tuple(name for name in names if name != self.unlisted)
+
+
 class World:
     """Heartbeats of some nodes on a manual clock."""
 
     def __init__(self) -> None:
         self.clock = clock_lib.ManualClock()
-        self.store = store_standin.MemoryRowStore(self.clock)
+        self.store = _Store(self.clock)
         self.directories: dict[str, directory_lib.NodeDirectory] = {}
         self.heartbeats: dict[str, heartbeat_lib.Heartbeat] = {}
         self._scopes: dict[str, anyio.CancelScope] = {}
@@ -135,6 +152,30 @@
 
         anyio.run(run)
 
+    def test_living_process_is_alive_if_a_list_lacks_its_node(self) -> None:
+        """Fails if a living owner is replaced because its row isn't read.
+
+        All rows were read because the history was lost, from a list of nodes
+        of an earlier state. The rows that were read were recent, so that the
+        missing one counted as proof of silence (rule TWICE).
+        """
+
+        async def run() -> None:
+            world = World()
+            async with anyio.create_task_group() as group:
+                world.start(group, "a", "a-1")
+                world.start(group, "b", "b-1")
+                await world.advance(2)
+                world.store.unlisted = "b"
+                for _ in range(30):
+                    version = world.claim("b", "b-1")
+                    world.store.drop_history()
+                    await world.advance(0.1)
+                    self.assertFalse(world.is_expired("a", "b", "b-1", version))
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+
     def test_living_process_is_alive_while_nothing_is_read(self) -> None:
         """Fails if a node that reads nothing takes the others as silent."""
 
