Keep the state of a removed job until its removal was read

Callers could have seen all units of a finished job start again after the retention time.

Cause: the owner removes the rows of a finished job and forgot its state at once. While reads are behind, it showed the rows of jobs that had just been removed. They counted as new jobs without progress, and the removal that followed in the feed didn't end them.

test_snapshot_from_before_the_removal_does_not_restart_it failed before with the job among the active ones.

It costs no call. If the history that holds a removal is lost, the state of that job stays in memory until the tenure ends.

--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -156,10 +156,14 @@
     ) -> None:
         cancelled = []
         for row in rows:
-            if row.is_removed or row.row_key.partition != self._service:
+            if row.row_key.partition != self._service:
                 continue
             job_id = tables.split_cancel_key(row.row_key.key)
-            if job_id is not None:
+            if row.is_removed:
+                # Until this, a snapshot that is behind may still show the job
+                # and would start it again.
+                self._state.final_states.pop(row.row_key.key, None)
+            elif job_id is not None:
                 cancelled.append(job_id)
             else:
                 self._add_job(row, is_fetched)
--- a/src/fireflywell/node/progress_writer.py
+++ b/src/fireflywell/node/progress_writer.py
@@ -385,7 +385,6 @@
             case row_store.Committed():
                 for job_id in job_ids:
                     del self._ended_at_s[job_id]
-                    self._state.final_states.pop(job_id, None)
             case row_store.Conflict() as conflict:
                 self._check_owner(conflict)
 
--- a/tests/test_node_job_loader.py
+++ b/tests/test_node_job_loader.py
@@ -1,5 +1,7 @@
 """Tests how a new owner reads the jobs of its service."""
 
+import datetime
+import random
 import unittest
 
 import anyio
@@ -8,6 +10,7 @@
 from fireflywell.coordination import row_store
 from fireflywell.node import job_loader
 from fireflywell.node import ownership
+from fireflywell.node import progress_writer
 from fireflywell.node import tables
 from fireflywell.scheduling import job_rows
 from fireflywell.scheduling import service_state
@@ -235,5 +238,60 @@
         anyio.run(run)
 
 
+class RemovedJobTest(unittest.TestCase):
+    """A finished job whose rows were removed after the retention time."""
+
+    def test_snapshot_from_before_the_removal_does_not_restart_it(self) -> None:
+        """Fails if the units of a finished job start again.
+
+        The history was lost, and the snapshot that was read instead was behind
+        the removal. The job counted as new, without progress (rule TWICE).
+        """
+
+        async def run() -> service_state.ServiceState:
+            world = node_world.NodeWorld()
+            version = world.store.put(
+                tables.locate_owner(node_world.SERVICE), b"owner"
+            )
+            await world.submit(job_id=_LATER)
+            tenure = ownership.Tenure(node_world.SERVICE, 1, version, True)
+            state = service_state.ServiceState(1)
+            writer = progress_writer.ProgressWriter(
+                tenure,
+                state,
+                world.store,
+                world.clock,
+                random.Random(1),
+                datetime.timedelta(),
+                lambda: None,
+            )
+            loader = job_loader.JobLoader(
+                tenure,
+                state,
+                writer,
+                world.store,
+                world.clock,
+                lambda: None,
+                lambda *_: None,
+            )
+            table = tables.name_jobs_table(node_world.SERVICE)
+            rows = tuple(world.store.list_table(table))
+            loader.apply_snapshot(rows)
+            state.cancel_job(_LATER)
+            await writer._store_batch()
+            before = world.store.version
+            await writer._remove_jobs([_LATER])
+            loader.apply_snapshot(rows)
+            self.assertEqual(state.jobs, {})
+            changes = await world.store.follow(
+                table, before, datetime.timedelta()
+            )
+            loader.apply_changes(changes.rows)
+            return state
+
+        # Its state isn't kept any longer than necessary.
+        self.assertEqual(anyio.run(run).final_states, {})
+
+
 if __name__ == "__main__":
     unittest.main()
