Wait for each process of a node that was never seen by itself

Callers could have seen a unit run on two workers at the same time.

Cause: an owner whose node's row was never read counts as silent one lease after it was asked for first. That time was kept for the node, not for the process. If the node started again and its claim was read before its row, the new process counted as silent at once, and its service was claimed while it gave orders.

test_new_process_of_an_unknown_node_is_alive_at_first failed before with "True is not false" for the silence of the new process.

The time is now kept for each process. It costs one lease of waiting if a second process of a node ends whose row was never read.

--- a/src/fireflywell/node/directory.py
+++ b/src/fireflywell/node/directory.py
@@ -204,8 +204,9 @@
         self._shown_version = 0
         # The observed rows show all renewals that were stored before this time.
         self._proven_at: datetime.timedelta | None = None
-        # When each node that was never seen was asked for first.
-        self._first_missed_at: dict[str, datetime.timedelta] = {}
+        # When each process, by node and incarnation, was asked for first whose
+        # node was never seen.
+        self._first_missed_at: dict[tuple[str, str], datetime.timedelta] = {}
 
     @property
     def size(self) -> int:
@@ -247,7 +248,9 @@
                 self._observed[record.name] = _ObservedNode(
                     record, row.version, changed_at, now
                 )
-                self._first_missed_at.pop(record.name, None)
+                self._first_missed_at.pop(
+                    (record.name, record.incarnation), None
+                )
             else:
                 observed.record = record
                 observed.version = row.version
@@ -290,7 +293,9 @@
             # The list of nodes may be behind. A living node renews its row
             # before its lease ends, and is then seen by that.
             return self._is_silent_since(
-                self._first_missed_at.setdefault(name, self._clock.monotonic())
+                self._first_missed_at.setdefault(
+                    (name, incarnation), self._clock.monotonic()
+                )
             )
         if observed.record.incarnation != incarnation:
             # If both are older, the row may be that of its predecessor.
--- a/tests/test_node_silence.py
+++ b/tests/test_node_silence.py
@@ -242,6 +242,27 @@
 
         anyio.run(run)
 
+    def test_new_process_of_an_unknown_node_is_alive_at_first(self) -> None:
+        """Fails if a former process's silence counts for the next one.
+
+        The node's row was never read while the former process owned a
+        service. The next one claimed it, and that was read before its row.
+        """
+
+        async def run() -> None:
+            world = World()
+            async with anyio.create_task_group() as group:
+                world.start(group, "a", "a-1")
+                await world.advance(1)
+                version = world.claim("b", "b-1")
+                await world.wait_until_expired("a", "b", "b-1", version)
+                version = world.claim("b", "b-2")
+                self.assertFalse(world.is_expired("a", "b", "b-2", version))
+                await world.wait_until_expired("a", "b", "b-2", version)
+                group.cancel_scope.cancel()
+
+        anyio.run(run)
+
     def test_replaced_process_is_gone_at_once(self) -> None:
         """Fails if a restart of all nodes makes their services wait."""
 
