Don't read the store's clock from answers that show an earlier state

Callers could have seen a unit run on two workers at the same time, if the time in such an answer is of the state that it shows.

Cause: each answer replaced the estimate of the store's clock. With one that is seconds behind, the end of a lost worker's leases was stored too early, and a successor wouldn't have waited for its runs.

test_clock_is_not_set_back_by_an_earlier_state failed before with "44.0 != 50".

The time is now taken only from answers with no older version than the newest one known; the first answer counts in any case. Transactions always qualify, so the estimate goes on being updated while reads are behind.

--- a/src/fireflywell/platform/store.py
+++ b/src/fireflywell/platform/store.py
@@ -222,7 +222,9 @@
             answer = json_values.parse_object(response.body)
             now_ms = json_values.read_number(answer.get("now_ms"), "now_ms", -1)
         is_fast = len(response.body) <= _MAX_CLOCK_RESPONSE_BYTES
-        if now_ms >= 0 and (is_fast or self._offset_s is None):
+        # The time in an answer that shows an earlier state may be of then.
+        is_usable = is_fast and not self._versions.is_behind(answer)
+        if now_ms >= 0 and (is_usable or self._offset_s is None):
             local = self._clock.monotonic().total_seconds()
             self._offset_s = now_ms / 1000 - local
         return answer
--- a/src/fireflywell/platform/store_versions.py
+++ b/src/fireflywell/platform/store_versions.py
@@ -30,12 +30,16 @@
         Returns:
             The version; None if the answer has no valid one.
         """
-        version = answer.get("row_version")
-        if not isinstance(version, int) or isinstance(version, bool):
-            return None
-        self._newest = max(self._newest, version)
+        version = _find_version(answer)
+        if version is not None:
+            self._newest = max(self._newest, version)
         return version
 
+    def is_behind(self, answer: dict[str, Any]) -> bool:
+        """Returns whether an answer shows an earlier state than another one."""
+        version = _find_version(answer)
+        return version is not None and version < self._newest
+
     def observe_read(
         self, answer: dict[str, Any], table: str, partition: str, known: int
     ) -> None:
@@ -58,3 +62,9 @@
             version=version,
             known=known,
         )
+
+
+def _find_version(answer: dict[str, Any]) -> int | None:
+    version = answer.get("row_version")
+    is_valid = isinstance(version, int) and not isinstance(version, bool)
+    return version if is_valid else None
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -252,6 +252,28 @@
 class StaleReadTest(unittest.TestCase):
     """Answers to reads that show an earlier state of the store."""
 
+    def test_clock_is_not_set_back_by_an_earlier_state(self) -> None:
+        """Fails if an answer of the past changes the estimate of the clock.
+
+        The end of a lost worker's leases would be stored too early, and a
+        successor would start its units beside its runs (rule TWICE).
+        """
+        page = {"rows": [], "has_more": False}
+        client = StubClient(
+            {"row_version": 7, "now_ms": 50_000},
+            {**page, "row_version": 6, "now_ms": 44_000},
+        )
+        target = store.PlatformStore(
+            client, clock_lib.ManualClock(), metrics_lib.NullMetrics()
+        )
+
+        async def run() -> None:
+            await target.transact(row_store.Transaction())
+            await target.read("op", "")
+
+        anyio.run(run)
+        self.assertEqual(target.now_s(), 50)
+
     def test_answer_from_before_a_known_version_is_reported(self) -> None:
         """Fails if nothing shows that a read's answer is an earlier state."""
         page = {"rows": [], "has_more": False}
