Look up jobs that a worker reports only in the present state

Callers could have seen units of a finished job start again.

Cause: a worker that was cut off for long may list ends of a job whose rows were removed since. The job was read as of the owner's claim or later, so a read that was behind could still show it. It was added without progress and started again. A read that lacked a new job, on the other hand, made the owner stop its runs for good.

The read now has to show the newest version that the node knows.

--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -89,14 +89,15 @@
         """Reads jobs that a worker reported and that aren't in the state.
 
         An earlier owner may have started a job that was accepted after this
-        owner's snapshot.
+        owner's snapshot. A read that is behind may lack such a job, or show
+        one that was removed since.
 
         Args:
             job_ids: The jobs; those that the store doesn't hold are skipped
                 from then on.
 
         Raises:
-            PlatformError: The store doesn't answer.
+            PlatformError: The store doesn't answer or shows an earlier state.
         """
         for job_id in job_ids - self._missing_jobs:
             row_key = tables.locate_job(self._service, job_id)
@@ -105,7 +106,7 @@
                 row_key.partition,
                 job_id,
                 job_id + "\x7f",
-                self._claim_version,
+                max(self._claim_version, self._store.newest_version),
             )
             if not any(row.row_key.key == job_id for row in page.rows):
                 self._missing_jobs.add(job_id)
--- a/tests/test_node_job_loader.py
+++ b/tests/test_node_job_loader.py
@@ -7,6 +7,7 @@
 import anyio
 
 from fireflywell import clock as clock_lib
+from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import job_loader
 from fireflywell.node import ownership
@@ -238,6 +239,67 @@
         anyio.run(run)
 
 
+class _RemovedWorld:
+    """An owner that removed a finished job.
+
+    Attributes:
+        state: Jobs of the service.
+        loader: Adds the jobs to the state.
+        rows: Rows of the jobs before the removal.
+    """
+
+    def __init__(self) -> None:
+        world = node_world.NodeWorld()
+        self._world = world
+        self._table = tables.name_jobs_table(node_world.SERVICE)
+        version = world.store.put(
+            tables.locate_owner(node_world.SERVICE), b"owner"
+        )
+        tenure = ownership.Tenure(node_world.SERVICE, 1, version, True)
+        self.state = service_state.ServiceState(1)
+        self._writer = progress_writer.ProgressWriter(
+            tenure,
+            self.state,
+            world.store,
+            world.clock,
+            random.Random(1),
+            datetime.timedelta(),
+            lambda: None,
+        )
+        self.loader = job_loader.JobLoader(
+            tenure,
+            self.state,
+            self._writer,
+            world.store,
+            world.clock,
+            lambda: None,
+            lambda *_: None,
+        )
+        self.rows: tuple[row_store.Row, ...] = ()
+        self._before = 0
+
+    async def remove_job(self) -> None:
+        """Loads a job, finishes it and removes its rows."""
+        await self._world.submit(job_id=_LATER)
+        self.rows = tuple(self._world.store.list_table(self._table))
+        self.loader.apply_snapshot(self.rows)
+        self.state.cancel_job(_LATER)
+        await self._writer._store_batch()
+        self._before = self._world.store.version
+        await self._writer._remove_jobs([_LATER])
+
+    async def follow(self) -> None:
+        """Passes the removal on."""
+        page = await self._world.store.follow(
+            self._table, self._before, datetime.timedelta()
+        )
+        self.loader.apply_changes(page.rows)
+
+    def let_reads_be_behind(self) -> None:
+        """Lets reads show the state before the removal."""
+        self._world.store.read_version = self._before
+
+
 class RemovedJobTest(unittest.TestCase):
     """A finished job whose rows were removed after the retention time."""
 
@@ -248,49 +310,34 @@
         the removal. The job counted as new, without progress (rule TWICE).
         """
 
-        async def run() -> service_state.ServiceState:
-            world = node_world.NodeWorld()
-            version = world.store.put(
-                tables.locate_owner(node_world.SERVICE), b"owner"
-            )
-            await world.submit(job_id=_LATER)
-            tenure = ownership.Tenure(node_world.SERVICE, 1, version, True)
-            state = service_state.ServiceState(1)
-            writer = progress_writer.ProgressWriter(
-                tenure,
-                state,
-                world.store,
-                world.clock,
-                random.Random(1),
-                datetime.timedelta(),
-                lambda: None,
-            )
-            loader = job_loader.JobLoader(
-                tenure,
-                state,
-                writer,
-                world.store,
-                world.clock,
-                lambda: None,
-                lambda *_: None,
-            )
-            table = tables.name_jobs_table(node_world.SERVICE)
-            rows = tuple(world.store.list_table(table))
-            loader.apply_snapshot(rows)
-            state.cancel_job(_LATER)
-            await writer._store_batch()
-            before = world.store.version
-            await writer._remove_jobs([_LATER])
-            loader.apply_snapshot(rows)
-            self.assertEqual(state.jobs, {})
-            changes = await world.store.follow(
-                table, before, datetime.timedelta()
-            )
-            loader.apply_changes(changes.rows)
-            return state
+        async def run() -> None:
+            world = _RemovedWorld()
+            await world.remove_job()
+            world.loader.apply_snapshot(world.rows)
+            self.assertEqual(world.state.jobs, {})
+            # Its state isn't kept any longer than necessary.
+            await world.follow()
+            self.assertEqual(world.state.final_states, {})
+
+        anyio.run(run)
 
-        # Its state isn't kept any longer than necessary.
-        self.assertEqual(anyio.run(run).final_states, {})
+    def test_late_report_does_not_restart_it(self) -> None:
+        """Fails if a worker's report of a removed job starts its units again.
+
+        The worker had been cut off and listed an end of the job. The read of
+        the unknown job was behind the removal (rule TWICE).
+        """
+
+        async def run() -> None:
+            world = _RemovedWorld()
+            await world.remove_job()
+            await world.follow()
+            world.let_reads_be_behind()
+            with self.assertRaises(errors.StaleReadError):
+                await world.loader.fetch_unknown(frozenset({_LATER}))
+            self.assertEqual(world.state.jobs, {})
+
+        anyio.run(run)
 
 
 if __name__ == "__main__":
