Don't release a service that was lost during a stop

Callers could have seen requests in progress fail when a node was stopped.

Cause: a stop releases the services one after the other. If the row with another node's claim arrived during one release, the next one failed with a KeyError, which ended the process before its requests were answered and before the other services were released.

test_service_that_is_lost_meanwhile_needs_no_release failed before with "KeyError: '~fleet'".

Services that were lost meanwhile are now skipped.

--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -202,6 +202,9 @@
     async def release_all(self) -> None:
         """Releases all services before a planned stop."""
         for service in tuple(self._owned):
+            if service not in self._owned:
+                # It was lost during the release of another one.
+                continue
             try:
                 await self.release(service, "stop")
             except errors.PlatformError as error:
--- a/tests/test_node_ownership.py
+++ b/tests/test_node_ownership.py
@@ -1,5 +1,6 @@
 """Tests claims, releases and handovers of services between nodes."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import datetime
 import unittest
@@ -41,6 +42,7 @@
         self._beats = 0
         self._names = names
         self._directories: list[directory_lib.NodeDirectory] = []
+        self.heartbeats = {name: _Heartbeat(name) for name in names}
         self.managers = {name: self._make_manager(name) for name in names}
 
     def _make_manager(self, name: str) -> ownership.OwnershipManager:
@@ -57,7 +59,7 @@
             self.store,
             self.clock,
             directory,
-            _Heartbeat(name),  # type: ignore[arg-type]
+            self.heartbeats[name],  # type: ignore[arg-type]
             lambda: (_SERVICE,),
             run_owner,
             metrics_lib.NullMetrics(),
@@ -259,6 +261,67 @@
         anyio.run(run)
 
 
+class _StoppingWorld(World):
+    """A node that is stopped while the store carries out a write."""
+
+    def make_store(self) -> store_standin.MemoryRowStore:
+        """Returns a store that calls the test's function after each write."""
+        return _CallingStore(self.clock)
+
+
+class _CallingStore(store_standin.MemoryRowStore):
+    """Calls a function of the test after each write."""
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        super().__init__(clock)
+        self.on_write: Callable[[row_store.RowKey], Awaitable[None]] | None = (
+            None
+        )
+
+    async def transact(
+        self,
+        transaction: row_store.Transaction,
+        timeout: datetime.timedelta | None = None,
+    ) -> row_store.Committed | row_store.Conflict:
+        """Applies a transaction and calls the function."""
+        result = await super().transact(transaction, timeout)
+        if self.on_write is not None:
+            await self.on_write(transaction.puts[0].row_key)
+        return result
+
+
+class StopTest(unittest.TestCase):
+    """A node that is stopped as planned."""
+
+    def test_service_that_is_lost_meanwhile_needs_no_release(self) -> None:
+        """Fails if a stop is cut short because a service was just claimed.
+
+        The row with the claim of another node arrived during the release of
+        the service before.
+        """
+
+        async def run() -> None:
+            world = _StoppingWorld("a")
+            manager = world.managers["a"]
+            store = world.store
+            assert isinstance(store, _CallingStore)
+            await world.check_all()
+
+            async def lose(row_key: row_store.RowKey) -> None:
+                store.on_write = None
+                lost = {_SERVICE, ownership.FLEET_SERVICE} - {row_key.partition}
+                record = owner_records.OwnerRecord("b", "b", 9)
+                other_key = tables.locate_owner(lost.pop())
+                value = owner_records.encode_owner(record)
+                version = store.put(other_key, value)
+                manager.apply_rows((row_store.Row(other_key, value, version),))
+
+            store.on_write = lose
+            await manager.release_all()
+
+        anyio.run(run)
+
+
 class ChoiceTest(unittest.TestCase):
     """Choice of the node that is to own a service."""
 
