Release a service whose claim ends after a node's stop has begun

Callers could have seen a service's work wait for a whole lease when a node was stopped as planned.

Cause: a claim that was under way when the stop released the node's services started an owner afterwards. The process ended without releasing it, and the row named the node until its lease was over. The read that proves the former owner's end has made this span up to 0.5 s longer.

test_claim_that_ends_after_the_releases_is_released failed before with "'a' != ''": the node that the owner's row named.

The service is now released right after the claim. It costs one write in this case only.

--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -296,6 +296,9 @@
                     claimed_at=claimed_at,
                 )
                 await self._start_owner(tenure, previous, proof)
+                if self._heartbeat.is_stopping and service in self._owned:
+                    # The services may have been released before.
+                    await self.release(service, "stop")
 
     async def _start_owner(
         self, tenure: Tenure, previous: str, proof: former_owners.StopProof
--- a/tests/test_node_ownership.py
+++ b/tests/test_node_ownership.py
@@ -293,6 +293,30 @@
 class StopTest(unittest.TestCase):
     """A node that is stopped as planned."""
 
+    def test_claim_that_ends_after_the_releases_is_released(self) -> None:
+        """Fails if a service waits for the lease of a node that was stopped.
+
+        The node claimed it just before it released all services.
+        """
+
+        async def run() -> World:
+            world = _StoppingWorld("a")
+            manager = world.managers["a"]
+            store = world.store
+            assert isinstance(store, _CallingStore)
+
+            async def stop(row_key: row_store.RowKey) -> None:
+                if row_key == tables.locate_owner(_SERVICE):
+                    store.on_write = None
+                    world.heartbeats["a"].is_stopping = True
+                    await manager.release_all()
+
+            store.on_write = stop
+            await world.check_all()
+            return world
+
+        self.assertEqual(anyio.run(run).find_owner().node, "")
+
     def test_service_that_is_lost_meanwhile_needs_no_release(self) -> None:
         """Fails if a stop is cut short because a service was just claimed.
 
