Look up reported jobs in the present state without a wait

A worker's report that names an unknown job was asked for again until reads showed the newest version that the node knew. As each renewal of the node's lease makes a newer one, that lasted for as long as reads were behind, and the worker's other units waited with it.

Such a job is now looked up by a transaction, as one that a caller asks for: the store answers a condition that doesn't hold with the rows. It costs one write for each unknown job, where it cost a read. Both tests expect the result at once; that of a job which reads lack failed on the code before with StaleReadError.

--- a/src/fireflywell/node/job_frontend.py
+++ b/src/fireflywell/node/job_frontend.py
@@ -10,6 +10,7 @@
 from fireflywell.coordination import row_store
 from fireflywell.node import configuration as configuration_lib
 from fireflywell.node import group_commit
+from fireflywell.node import present_rows
 from fireflywell.node import tables
 from fireflywell.node import waiting_counts
 from fireflywell.scheduling import job_rows
@@ -259,13 +260,8 @@
         page = await self._read_page(row_key)
         if page.rows:
             return True
-        # The read may show a state from before the row. A transaction doesn't;
-        # the row that it writes has no meaning.
-        check = row_store.Put(tables.locate_check(row_key.partition), b"")
-        result = await self._store.transact(
-            row_store.Transaction((row_store.Condition(row_key, 0),), (check,))
-        )
-        return isinstance(result, row_store.Conflict)
+        # The read may show a state from before the row.
+        return bool(await present_rows.read_present_rows(self._store, row_key))
 
     async def _read_page(self, row_key: row_store.RowKey) -> row_store.Page:
         return await self._store.read(
--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -9,6 +9,7 @@
 from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import ownership
+from fireflywell.node import present_rows
 from fireflywell.node import progress_writer
 from fireflywell.node import tables
 from fireflywell.scheduling import job_rows
@@ -97,21 +98,18 @@
                 from then on.
 
         Raises:
-            PlatformError: The store doesn't answer or shows an earlier state.
+            PlatformError: The store doesn't answer.
         """
         for job_id in job_ids - self._missing_jobs:
             row_key = tables.locate_job(self._service, job_id)
-            page = await self._store.read(
-                row_key.table,
-                row_key.partition,
-                job_id,
-                job_id + "\x7f",
-                max(self._claim_version, self._store.newest_version),
+            cancel_key = tables.locate_cancel(self._service, job_id)
+            rows = await present_rows.read_present_rows(
+                self._store, row_key, cancel_key
             )
-            if not any(row.row_key.key == job_id for row in page.rows):
+            if not any(row.row_key == row_key for row in rows):
                 self._missing_jobs.add(job_id)
             # Other units of the job may run on workers that haven't reported.
-            self._apply_rows(page.rows, is_fetched=True)
+            self._apply_rows(rows, is_fetched=True)
 
     async def load_progress(self) -> None:
         """Reads the progress that earlier owners stored.
