Order nothing for a VM by the mark of a former owner

An owner marks a VM as drained by a write that depends on the version of the drain request's row only. A takeover doesn't change that version, so the store could apply the mark of a former owner while the present one used the VM, and the fleet controller took it for the present.

A mark now names the tenure that made it. Before an order the fleet controller checks it by a write that is conditional on the owner row of that tenure and puts a row that nobody reads. No order can then meet units of a new owner: - The mark is older than the check, because the controller has read it. - If the check is applied, each later claim of the service has a higher version than the check and thus than the mark. - A new owner reads the drain requests as of its claim before it places units. It finds the mark and cordons the worker for as long as the mark is there. - If a claim came before the check, the check fails and nothing is ordered.

A mark that isn't used stays. The present owner replaces a mark of an earlier tenure by its own once the worker has reported that it is empty, or sets the request back to due if units run there, as before. The controller doesn't set it back to due itself: an order that an earlier controller sent for the mark may still be carried out, and an owner that claims meanwhile cordons the VM for a mark, but not for a request that is due. An owner doesn't replace a mark of a later tenure of its service, so one that was replaced undoes nothing.

Only owners set requests to ready. The controller makes no marks; it orders VMs without a worker, which need none. These are not checked, as before.

Cost: one more transaction for each order for a marked VM with a worker, none per planning pass. If it gets no answer, the order waits for the next pass. A mark that failed is not checked again. After a takeover the order for a drained VM waits until the new owner has a report of the worker. Marks of nodes of the version before name no tenure; orders for their VMs wait until a node of this version owns the service. Such nodes can't read a row with a tenure, so waves and moves should wait until all nodes are updated.

Fixtures of tests, no checks changed: World.add_request of test_node_fleet_orders, which test_node_closed_requests uses, too, stores ready rows with the tenure of an owner row of the VM's pool.

--- a/src/fireflywell/node/fleet_cache.py
+++ b/src/fireflywell/node/fleet_cache.py
@@ -142,17 +142,7 @@
                 self._removed[vm_id] = row.version
                 continue
             try:
-                wave, phase, deadline_s, max_concurrent, target = (
-                    msgpack.unpackb(row.value)
-                )
-                request = maintenance.DrainRequest(
-                    vm_id,
-                    int(wave),
-                    maintenance.DrainPhase(phase),
-                    float(deadline_s),
-                    int(max_concurrent),
-                    str(target),
-                )
+                request = _decode_drain_request(vm_id, row.value)
             except Exception as error:
                 logs.log_event(
                     "upkeep.unreadable", machine=vm_id, error=repr(error)
@@ -186,16 +176,37 @@
 
 def encode_drain_request(request: maintenance.DrainRequest) -> bytes:
     """Returns the stored form of a drain request."""
-    return bytes(
-        msgpack.packb(
-            [
-                request.wave,
-                str(request.phase),
-                request.deadline_s,
-                request.max_concurrent,
-                request.target,
-            ]
-        )
+    fields: list[object] = [
+        request.wave,
+        str(request.phase),
+        request.deadline_s,
+        request.max_concurrent,
+        request.target,
+    ]
+    if request.phase is maintenance.DrainPhase.READY:
+        fields += [request.drained_by_service, request.drained_by_version]
+    return bytes(msgpack.packb(fields))
+
+
+def _decode_drain_request(vm_id: str, value: bytes) -> maintenance.DrainRequest:
+    """Decodes a drain request; one without a mark has fewer fields.
+
+    Raises:
+        Exception: The value can't be decoded; `msgpack` has many errors.
+    """
+    wave, phase, deadline_s, max_concurrent, target, *mark = msgpack.unpackb(
+        value
+    )
+    service, version = mark or ("", 0)
+    return maintenance.DrainRequest(
+        vm_id,
+        int(wave),
+        maintenance.DrainPhase(phase),
+        float(deadline_s),
+        int(max_concurrent),
+        str(target),
+        str(service),
+        int(version),
     )
 
 
--- a/src/fireflywell/node/fleet_controller.py
+++ b/src/fireflywell/node/fleet_controller.py
@@ -16,6 +16,7 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import row_store
+from fireflywell.node import drain_marks
 from fireflywell.node import fleet_cache
 from fireflywell.node import heartbeat as heartbeat_lib
 from fireflywell.node import maintenance_waves
@@ -62,6 +63,7 @@
         "_moving",
         "_orders",
         "_list_pools",
+        "_marks",
         "_random",
         "_refused_at",
         "_scope",
@@ -104,6 +106,7 @@
         self._orders = vm_orders.VmOrders(
             client, self._guard, tenure.token, clock
         )
+        self._marks = drain_marks.MarkChecker(store, cache)
         self._completed_waves: set[int] = set()
         self._closer = request_closer.RequestCloser(
             cache,
@@ -287,6 +290,8 @@
                 # The VM stays drained until the order is settled, because a
                 # transmission without an answer may still move it.
                 self._moving.setdefault(name, request.target)
+                if not await self._is_drained(request):
+                    continue
                 if await self._order_move(name, request.target):
                     if name not in self._moving:
                         self._refused_at[name] = self._clock.monotonic()
@@ -555,9 +560,19 @@
             case vm_orders.OrderOutcome.POSTPONED:
                 return False
 
+    async def _is_drained(self, request: maintenance.DrainRequest) -> bool:
+        """Returns whether an order may be sent and the VM is drained for it."""
+        return self._orders.may_send(
+            request.vm_id
+        ) and await self._marks.permits_order(
+            request, self._vms.get(request.vm_id)
+        )
+
     async def _order_maintenance(
         self, request: maintenance.DrainRequest
     ) -> vm_orders.OrderOutcome:
+        if not await self._is_drained(request):
+            return vm_orders.OrderOutcome.POSTPONED
         if not await self._verify_tenure():
             return vm_orders.OrderOutcome.POSTPONED
         # The list in memory doesn't show the effect of the order. The next one
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -1,7 +1,6 @@
 """Schedules one service's jobs on its workers while this node owns it."""
 
 from collections.abc import Callable
-import dataclasses
 import datetime
 import functools
 import random
@@ -13,6 +12,7 @@
 from fireflywell.coordination import row_store
 from fireflywell.node import advice_requester
 from fireflywell.node import assigned_workers
+from fireflywell.node import drain_marks
 from fireflywell.node import first_report
 from fireflywell.node import fleet_cache
 from fireflywell.node import heartbeat as heartbeat_lib
@@ -466,7 +466,7 @@
                 and worker.is_reachable
                 and worker.runs
             ):
-                await self._set_phase(request, maintenance.DrainPhase.DUE)
+                await self._store_request(drain_marks.reopen(request))
 
     def _is_spare_pool_empty(self) -> bool:
         return not self._fleet_cache.spare_pool_vms
@@ -526,7 +526,7 @@
         assert running.cordon is not None
         worker = running.session.worker
         request = self._fleet_cache.find(worker.instance.vm_id)
-        if request is None or request.phase is not maintenance.DrainPhase.DUE:
+        if request is None or not drain_marks.needs_mark(request, self._tenure):
             return
         waited_s = self._now_s() - running.cordon.since_s
         for run in evictions.choose_evictions(
@@ -551,16 +551,16 @@
             # Its VM may have left the service and run another worker by now.
             running.session.request_report()
             return
-        await self._set_phase(request, maintenance.DrainPhase.READY)
+        await self._store_request(
+            drain_marks.mark_drained(request, self._tenure)
+        )
 
-    async def _set_phase(
-        self, request: maintenance.DrainRequest, phase: maintenance.DrainPhase
-    ) -> None:
+    async def _store_request(self, request: maintenance.DrainRequest) -> None:
         await fleet_cache.store_drain_request(
             self._store,
             self._fleet_cache,
             ownership.FLEET_SERVICE,
-            dataclasses.replace(request, phase=phase),
+            request,
         )
 
     def _plan(self) -> None:
--- a/src/fireflywell/scheduling/maintenance.py
+++ b/src/fireflywell/scheduling/maintenance.py
@@ -105,6 +105,10 @@
             clock.
         max_concurrent: How many VMs of one service may be drained at once.
         target: Pool that the VM moves to; empty for maintenance.
+        drained_by_service: Service whose owner has drained the VM; empty
+            unless the phase is `READY`.
+        drained_by_version: Version of that owner's row, which tells its
+            ownership from earlier and later ones.
     """
 
     vm_id: str
@@ -113,6 +117,8 @@
     deadline_s: float
     max_concurrent: int
     target: str = ""
+    drained_by_service: str = ""
+    drained_by_version: int = 0
 
 
 def choose_workers_to_drain(
--- a/tests/test_node_fleet_orders.py
+++ b/tests/test_node_fleet_orders.py
@@ -15,6 +15,7 @@
 from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import directory as directory_lib
+from fireflywell.node import drain_marks
 from fireflywell.node import fleet_cache
 from fireflywell.node import fleet_controller
 from fireflywell.node import heartbeat as heartbeat_lib
@@ -150,21 +151,28 @@
     def add_request(
         self, vm_id: str, wave: int, phase: str, target: str = ""
     ) -> None:
-        """Stores a drain request."""
+        """Stores a drain request; the owner of the VM's pool marks it."""
+        request = maintenance.DrainRequest(
+            vm_id, wave, maintenance.DrainPhase(phase), 60.0, 1, target
+        )
+        if request.phase is maintenance.DrainPhase.READY:
+            tenure = self.get_tenure(self.fleet.vms[vm_id].pool)
+            request = drain_marks.mark_drained(request, tenure)
         self._put(
             fleet_cache.locate_drain_request(_FLEET, vm_id),
-            fleet_cache.encode_drain_request(
-                maintenance.DrainRequest(
-                    vm_id,
-                    wave,
-                    maintenance.DrainPhase(phase),
-                    60.0,
-                    1,
-                    target,
-                )
-            ),
+            fleet_cache.encode_drain_request(request),
         )
 
+    def get_tenure(self, service: str) -> ownership.Tenure:
+        """Returns the present tenure of a service, which has an owner."""
+        row = self.store.get(tables.locate_owner(service))
+        version = row.version if row else self.replace_owner(service)
+        return ownership.Tenure(service, 1, version, is_first=True)
+
+    def replace_owner(self, service: str) -> int:
+        """Stores a new owner of a service; returns the row's version."""
+        return self.store.put(tables.locate_owner(service), b"owner")
+
     def set_spare_pool_vms(self, *vm_ids: str) -> None:
         """Stores which VMs belong to the spare pool."""
         row_key = fleet_cache.locate_spare_pool_vms(_FLEET)
