Split the application of a worker's report into its steps

The method had grown to 74 lines: reading unknown jobs, telling incarnations apart and storing ends are methods of their own now. Nothing else changes.

--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -296,48 +296,13 @@
     async def _apply_report(
         self, report: orders.WorkerReport, requested_s: float
     ) -> None:
-        unknown = self._state.find_unknown_jobs(report)
-        if unknown:
-            try:
-                await self._fetch_jobs(unknown)
-            except errors.PlatformError as error:
-                # The report is dropped as a whole; the next request returns
-                # the same ends.
-                logs.log_event(
-                    "worker.report_deferred",
-                    worker=self._worker.worker_id,
-                    jobs=sorted(unknown),
-                    error=str(error),
-                )
-                await self._clock.sleep(_RETRY_DELAY)
-                return
+        if not await self._fetch_unknown_jobs(report):
+            return
         now_s = self._now_s()
         self._has_ended = False
         self.lost_since_s = None
-        if (
-            self.incarnation_start_unix_ms
-            and report.started_unix_ms
-            and report.started_unix_ms != self.incarnation_start_unix_ms
-        ):
-            self._handle_new_incarnation(
-                "the worker has restarted", requested_s
-            )
-        self.incarnation_start_unix_ms = (
-            report.started_unix_ms or self.incarnation_start_unix_ms
-        )
         is_first = not self._leases.has_clock
-        # A new incarnation is told the higher token at once, so that it refuses
-        # late orders to the former one.
-        has_new_token = self._state.order_tokens.observe(
-            self._worker.worker_id, report.started_unix_ms
-        )
-        if has_new_token:
-            self._end_numbers.begin_incarnation()
-        # Orders to the former incarnation, which name a time on its clock, may
-        # be carried out until the new one has received a higher token.
-        if has_new_token or self._had_new_token:
-            self._leases.extend_to_longest()
-        self._had_new_token = has_new_token
+        has_new_token = self._observe_incarnation(report, requested_s)
         self._end_numbers.check(report.ended)
         if is_first:
             # An earlier owner may have renewed the leases until this owner's
@@ -359,16 +324,76 @@
         if not await self._reach_worker(report):
             return
         if last_end > self._acknowledged_end:
-            self._log_ends(report)
-            changed = frozenset(
-                end.unit.partition(".")[0] for end in report.ended
-            )
-            if await self._writer.wait_until_stored(changed, _STORE_TIMEOUT):
-                self._acknowledged_end = last_end
-            await self._clock.sleep(_REPORT_PAUSE)
+            await self._store_ends(report, last_end)
         elif not (is_first or has_new_token or self._worker.runs):
+            # A new incarnation is told the higher token at once, so that it
+            # refuses late orders to the former one.
             await self._sleep_idle()
 
+    async def _fetch_unknown_jobs(self, report: orders.WorkerReport) -> bool:
+        """Reads the jobs of a report that the state doesn't hold.
+
+        Returns:
+            Whether the report can be applied. Otherwise it is dropped as a
+            whole; the next request returns the same ends.
+        """
+        unknown = self._state.find_unknown_jobs(report)
+        if not unknown:
+            return True
+        try:
+            await self._fetch_jobs(unknown)
+        except errors.PlatformError as error:
+            logs.log_event(
+                "worker.report_deferred",
+                worker=self._worker.worker_id,
+                jobs=sorted(unknown),
+                error=str(error),
+            )
+            await self._clock.sleep(_RETRY_DELAY)
+            return False
+        return True
+
+    def _observe_incarnation(
+        self, report: orders.WorkerReport, requested_s: float
+    ) -> bool:
+        """Ends the former incarnation if another one has reported.
+
+        Returns:
+            Whether the token in orders to the worker has risen.
+        """
+        if (
+            self.incarnation_start_unix_ms
+            and report.started_unix_ms
+            and report.started_unix_ms != self.incarnation_start_unix_ms
+        ):
+            self._handle_new_incarnation(
+                "the worker has restarted", requested_s
+            )
+        self.incarnation_start_unix_ms = (
+            report.started_unix_ms or self.incarnation_start_unix_ms
+        )
+        has_new_token = self._state.order_tokens.observe(
+            self._worker.worker_id, report.started_unix_ms
+        )
+        if has_new_token:
+            self._end_numbers.begin_incarnation()
+        # Orders to the former incarnation, which name a time on its clock, may
+        # be carried out until the new one has received a higher token.
+        if has_new_token or self._had_new_token:
+            self._leases.extend_to_longest()
+        self._had_new_token = has_new_token
+        return has_new_token
+
+    async def _store_ends(
+        self, report: orders.WorkerReport, last_end: int
+    ) -> None:
+        """Waits until the ends of a report are stored, to acknowledge them."""
+        self._log_ends(report)
+        changed = frozenset(end.unit.partition(".")[0] for end in report.ended)
+        if await self._writer.wait_until_stored(changed, _STORE_TIMEOUT):
+            self._acknowledged_end = last_end
+        await self._clock.sleep(_REPORT_PAUSE)
+
     async def _reach_worker(self, report: orders.WorkerReport) -> bool:
         """Makes a worker that has reported usable, unless it is.
 
