--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -345,7 +345,7 @@
         """Stops the owner if another node has claimed the service.
 
         After this node's lease has lapsed and was renewed, nothing is started
-        or renewed before the owner row has been read again.
+        or renewed before a write has confirmed the ownership.
         """
         while True:
             try:
--- a/src/fireflywell/node/worker_sessions.py
+++ b/src/fireflywell/node/worker_sessions.py
@@ -27,7 +27,6 @@
 # sooner, also after a call that was lost, and need no write.
 _LOST_DELAY_S = 1.0
 
-
 _OTHER_SERVICE = "it belongs to another service"
 
 
