Order workers of a VM by their own entries, not by the stored list

The version of the worker's own entry is stored with it now; entries of its VM with a later version are of later workers. Lists without it are read as before.

The new test failed before with "False is not true".

--- a/src/fireflywell/node/assigned_worker_rows.py
+++ b/src/fireflywell/node/assigned_worker_rows.py
@@ -16,11 +16,15 @@
         vm_id: VM that it runs on; empty if unknown.
         runs_until_s: When its last run ends at the latest, on the store's
             clock; None while an owner may grant leases to its runs.
+        entry_version: Version of its entry in the store when it was stored as
+            in use; 0 if unknown. Entries of later workers of its VM have
+            higher ones.
     """
 
     started_unix_ms: int
     vm_id: str = ""
     runs_until_s: float | None = None
+    entry_version: int = dataclasses.field(default=0, compare=False)
 
     def is_interchangeable_with(self, other: "AssignedWorker | None") -> bool:
         """Returns whether both say the same about the incarnation's runs.
@@ -74,7 +78,12 @@
 def encode(assigned: AssignedWorkerList) -> bytes:
     """Returns the value of the row."""
     workers = {
-        worker_id: [item.started_unix_ms, item.vm_id, item.runs_until_s]
+        worker_id: [
+            item.started_unix_ms,
+            item.vm_id,
+            item.runs_until_s,
+            item.entry_version,
+        ]
         for worker_id, item in assigned.workers.items()
     }
     return bytes(msgpack.packb([workers, assigned.unlisted_until_s]))
@@ -83,8 +92,9 @@
 def decode(value: bytes) -> AssignedWorkerList:
     """Decodes the value of the row.
 
-    Former versions stored the start of each incarnation alone, and the time
-    until which their own recovery waited in place of `unlisted_until_s`.
+    Former versions stored the start of each incarnation alone or no version of
+    its entry, and the time until which their own recovery waited in place of
+    `unlisted_until_s`.
 
     Raises:
         Exception: The row holds something else.
@@ -99,10 +109,15 @@
 def _decode_worker(item: Any) -> AssignedWorker:
     if isinstance(item, int):
         return AssignedWorker(item)
-    started_unix_ms, vm_id, runs_until_s = item
+    started_unix_ms, vm_id, runs_until_s, *entry_version = item
     if runs_until_s is not None:
         runs_until_s = _check_time(runs_until_s)
-    return AssignedWorker(int(started_unix_ms), str(vm_id), runs_until_s)
+    return AssignedWorker(
+        int(started_unix_ms),
+        str(vm_id),
+        runs_until_s,
+        int(entry_version[0]) if entry_version else 0,
+    )
 
 
 def _check_time(value: Any) -> float:
--- a/src/fireflywell/node/assigned_workers.py
+++ b/src/fireflywell/node/assigned_workers.py
@@ -205,7 +205,11 @@
             Whether leases may be granted to its runs now.
         """
         worker_id = instance.instance_id
-        wanted = rows.AssignedWorker(started_unix_ms, instance.vm_id)
+        wanted = rows.AssignedWorker(
+            started_unix_ms,
+            instance.vm_id,
+            entry_version=instance.row_version,
+        )
         if self._used.get(worker_id) != wanted:
             self._used[worker_id] = wanted
             self._wake.set()
@@ -263,33 +267,43 @@
         names the former one. A worker that came back under its own id may
         still carry out an earlier owner's order; it has to report.
 
-        The worker had reported before the list was stored, so an entry that was
-        written later isn't that of an older worker of the VM. Starts are
-        compared as well, for an entry that the store wrote late; they alone
-        prove nothing, because a VM's date may jump.
+        An entry that was written after the worker's own isn't that of an older
+        worker of the VM. Starts are compared as well, for an entry that the
+        store wrote late; they alone prove nothing, because a VM's date may
+        jump.
 
         Args:
             instances: All listed workers, of any service.
         """
         if not self._inherited:
             return
-        latest: dict[str, int] = {}
         listed = set()
+        by_vm_id: dict[str, list[workers_lib.WorkerInstance]] = {}
         for instance in instances:
             listed.add(instance.instance_id)
-            if instance.row_version <= self._loaded_version:
-                continue
-            latest[instance.vm_id] = max(
-                latest.get(instance.vm_id, 0), instance.started_unix_ms
-            )
+            by_vm_id.setdefault(instance.vm_id, []).append(instance)
         for worker_id, item in tuple(self._inherited.items()):
             if (
                 item.vm_id
                 and worker_id not in listed
-                and latest.get(item.vm_id, 0) > item.started_unix_ms > 0
+                and any(
+                    self._has_followed(instance, item)
+                    for instance in by_vm_id.get(item.vm_id, ())
+                )
             ):
                 self.mark_reported(worker_id)
 
+    def _has_followed(
+        self, instance: workers_lib.WorkerInstance, former: rows.AssignedWorker
+    ) -> bool:
+        """Returns whether a listed worker of a VM started after another one."""
+        # The list was stored after the worker had reported.
+        since_version = former.entry_version or self._loaded_version
+        return (
+            instance.row_version > since_version
+            and instance.started_unix_ms > former.started_unix_ms > 0
+        )
+
     def check_recovery(self) -> None:
         """Completes the recovery once no unreported run can be active.
 
--- a/tests/test_node_assigned_workers.py
+++ b/tests/test_node_assigned_workers.py
@@ -410,6 +410,48 @@
             with self.subTest(instances=instances):
                 self.assertFalse(self._is_settled(*instances))
 
+    def test_list_that_was_stored_again_ends_the_wait(self) -> None:
+        """Fails if inherited work waits for a worker whose VM runs another one.
+
+        The list was stored after the entry of the other worker, for a third
+        one. Only what is older than the first worker's own entry may be from
+        before it (soak seed 2015).
+        """
+
+        async def run() -> None:
+            world = _World()
+
+            def write_entry(item: workers_lib.WorkerInstance) -> int:
+                return world.store.put(
+                    row_store.RowKey(tables.INSTANCES, "", item.instance_id),
+                    node_world.encode_instance(item),
+                )
+
+            own = _make_worker("w1", "m-w1", 1)
+            own = dataclasses.replace(own, row_version=write_entry(own))
+            first = await world.claim()
+            await first.workers.acquire(own, 1, _NO_TIME)
+            await first.workers.store_changes()
+            write_entry(_make_worker("w2", "m-w1", 5))
+            await first.use("w3")
+            second = await world.claim()
+            second.workers.mark_reported("w3")
+            registry = instance_registry.InstanceRegistry(
+                platform_instances.decode_instance
+            )
+            registry.replace_all(
+                tuple(
+                    row
+                    for row in world.store.list_table(tables.INSTANCES)
+                    if row.row_key.key != "w1"
+                )
+            )
+            self.assertFalse(second.is_settled())
+            second.workers.mark_replaced(registry.list_all())
+            self.assertTrue(second.is_settled())
+
+        anyio.run(run)
+
     def _is_settled(
         self,
         *instances: workers_lib.WorkerInstance,
