--- a/src/fireflywell/control/task_tracker.py
+++ b/src/fireflywell/control/task_tracker.py
@@ -32,7 +32,7 @@
 
     __slots__ = (
         "_clock",
-        "_last_seen_at",
+        "_last_listed_at",
         "_revision",
         "_tasks",
         "_workers",
@@ -47,7 +47,7 @@
         self._clock = clock
         self._tasks: dict[tuple[str, int], records.Task] = {}
         self._workers: dict[str, records.Worker] = {}
-        self._last_seen_at: dict[str, datetime.timedelta] = {}
+        self._last_listed_at: dict[str, datetime.timedelta] = {}
         self._workers_read_at: datetime.timedelta | None = None
         self._revision = 0
 
@@ -84,7 +84,7 @@
             self._workers_read_at = now
             self._workers = {worker.worker_id: worker for worker in listed}
             for worker_id in self._workers:
-                self._last_seen_at[worker_id] = now
+                self._last_listed_at[worker_id] = now
         page = await self._workers_api.list_changed_tasks(self._revision)
         for task in page.tasks:
             self.record_report(task)
@@ -111,8 +111,8 @@
         if worker_id in self._workers:
             return False
         now = self._clock.monotonic()
-        last_seen_at = self._last_seen_at.setdefault(worker_id, now)
-        return now - last_seen_at >= _WORKER_EXPIRY
+        last_listed_at = self._last_listed_at.setdefault(worker_id, now)
+        return now - last_listed_at >= _WORKER_EXPIRY
 
 
 class TaskRenewer:
