Give services to the nodes with the most processor time

Cause: on the large deployment 82 of 97 nodes have half a core and 15 have two cores. Services went to nodes whatever their speed, so each of the four peaks was planned on half a core.

Ruled out: the order of waiting work.

Change: a node's row tells its processor speed, from the settings' `limits`. A service goes to the node with the most processor time for one more service, and moves to a node that is clearly faster. Numbers in settings must be finite.

Tests: the choices of owners fail on the old code; rows without a speed are read.

--- a/src/fireflywell/node/claim_choice.py
+++ b/src/fireflywell/node/claim_choice.py
@@ -1,5 +1,6 @@
 """Chooses which services without an owner this node is to claim."""
 
+from collections.abc import Collection
 import datetime
 
 from fireflywell import clock as clock_lib
@@ -47,20 +48,19 @@
         for service in tuple(self._unowned_since):
             if service not in unowned:
                 del self._unowned_since[service]
-        nodes = tuple(n.name for n in self._directory.list_live())
-        chosen = owner_records.choose_owners(unowned, owned, nodes)
+        speeds = {n.name: n.cpu_millis for n in self._directory.list_live()}
+        chosen = owner_records.choose_owners(unowned, owned, speeds)
         claims = []
         for service in unowned:
             since = self._unowned_since.setdefault(service, now)
             is_open_to_all = now - since > _ANY_NODE_CLAIM_DELAY
-            preferred_node = self._find_successor(service, nodes) or chosen.get(
-                service
-            )
+            successor = self._find_successor(service, speeds)
+            preferred_node = successor or chosen.get(service)
             if preferred_node == self._name or is_open_to_all:
                 claims.append(service)
         return claims
 
-    def _find_successor(self, service: str, nodes: tuple[str, ...]) -> str:
+    def _find_successor(self, service: str, nodes: Collection[str]) -> str:
         record = self._rows.find(service)
         if record is None or record.successor not in nodes:
             return ""
--- a/src/fireflywell/node/directory.py
+++ b/src/fireflywell/node/directory.py
@@ -16,6 +16,9 @@
 
 _CONFIGURATION_KEY = "config"
 
+# Speed of a node whose row doesn't tell it.
+_DEFAULT_CPU_MILLIS = 1000
+
 
 class ConfigurationHolder:
     """Holds the newest configuration read; never goes back to an older one."""
@@ -138,6 +141,7 @@
         address: Address for callers; two processes can't share it.
         beats: Number of the renewal; rises with each one.
         is_stopping: Whether the node is stopping and claims no more services.
+        cpu_millis: Processor speed, in thousandths of a core.
     """
 
     name: str
@@ -145,6 +149,7 @@
     address: str
     beats: int
     is_stopping: bool
+    cpu_millis: int = _DEFAULT_CPU_MILLIS
 
 
 def encode_node(record: NodeRecord) -> bytes:
@@ -156,6 +161,7 @@
                 record.address,
                 record.beats,
                 record.is_stopping,
+                record.cpu_millis,
             ]
         )
     )
@@ -168,9 +174,16 @@
         CorruptRowError: The row's value isn't that of a node.
     """
     try:
-        incarnation, address, beats, stopping = msgpack.unpackb(row.value)
+        incarnation, address, beats, stopping, *speed = msgpack.unpackb(
+            row.value
+        )
         return NodeRecord(
-            row.row_key.key, incarnation, address, int(beats), bool(stopping)
+            row.row_key.key,
+            incarnation,
+            address,
+            int(beats),
+            bool(stopping),
+            max(1, int(speed[0])) if speed else _DEFAULT_CPU_MILLIS,
         )
     except Exception as error:
         raise errors.CorruptRowError(
--- a/src/fireflywell/node/heartbeat.py
+++ b/src/fireflywell/node/heartbeat.py
@@ -283,6 +283,7 @@
             self._settings.callers_address,
             self._beats,
             self._stopping,
+            self._settings.cpu_millis,
         )
         result = await self._store.transact(
             row_store.Transaction(
--- a/src/fireflywell/node/owner_records.py
+++ b/src/fireflywell/node/owner_records.py
@@ -1,10 +1,15 @@
 """Encodes owner rows and chooses which node is to own which service."""
 
+from collections.abc import Mapping
 import dataclasses
 import zlib
 
 import msgpack
 
+# A handover delays a service's work, so a service goes to a faster node only if
+# that has at least this multiple of the speed.
+_CLEARLY_FASTER = 1.5
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnerRecord:
@@ -43,27 +48,34 @@
 
 
 def choose_owners(
-    services: tuple[str, ...], owned: dict[str, int], nodes: tuple[str, ...]
+    services: tuple[str, ...], owned: dict[str, int], speeds: Mapping[str, int]
 ) -> dict[str, str]:
-    """Assigns each service to the node that owns the fewest.
+    """Assigns each service to the node that has the most processor time for it.
+
+    Answers a peak of one queue on nodes of different sizes: its owner sends a
+    thousand orders a second, for which a small node is too slow.
 
     Args:
         services: Services without an owner.
         owned: Number of services that each node owns.
-        nodes: Nodes that can own services.
+        speeds: Nodes that can own services, with their processor speeds.
 
     Returns:
         The node for each service; empty if there are no nodes. All nodes
         compute the same result from the same arguments.
     """
-    counts = {node: owned.get(node, 0) for node in nodes}
+    counts = {node: owned.get(node, 0) for node in speeds}
     chosen: dict[str, str] = {}
     for service in sorted(services):
         if not counts:
             break
         node = min(
             counts,
-            key=lambda name: (counts[name], _hash(service, name), name),
+            key=lambda name: (
+                (counts[name] + 1) / speeds[name],
+                _hash(service, name),
+                name,
+            ),
         )
         counts[node] += 1
         chosen[service] = node
@@ -71,24 +83,35 @@
 
 
 def choose_release(
-    releasable: tuple[str, ...], owned: dict[str, int], nodes: tuple[str, ...]
+    releasable: tuple[str, ...],
+    owned: dict[str, int],
+    name: str,
+    speeds: Mapping[str, int],
 ) -> str | None:
     """Returns a service that this node is to release to even out the load.
 
     Args:
         releasable: Services that this node owns and may release.
         owned: Number of services that each node owns.
-        nodes: Nodes that may receive a service.
+        name: This node.
+        speeds: Nodes that may receive a service, with their processor speeds.
+            This node is missing if it has just started.
 
     Returns:
-        The service, or None if no node has at least two services fewer.
+        The service, or None if no other node would have clearly more processor
+        time for it.
     """
-    if not releasable or not nodes:
-        return None
-    fewest = min(owned.get(node, 0) for node in nodes)
-    if len(releasable) - fewest < 2:
+    if not releasable or name not in speeds:
         return None
-    return max(releasable)
+    count = len(releasable)
+    for other, speed in speeds.items():
+        would_own = owned.get(other, 0) + 1
+        is_clearly_faster = speed >= _CLEARLY_FASTER * speeds[name]
+        if would_own / speed < count / speeds[name] and (
+            is_clearly_faster or would_own < count
+        ):
+            return max(releasable)
+    return None
 
 
 def _hash(service: str, node: str) -> int:
--- a/src/fireflywell/node/ownership.py
+++ b/src/fireflywell/node/ownership.py
@@ -351,13 +351,13 @@
         )
         if len(movable) < len(self._owned):
             return
-        candidates = tuple(
-            node.name
+        speeds = {
+            node.name: node.cpu_millis
             for node in self._directory.list_live()
             if self._directory.measure_age(node.name) > _MIN_NODE_AGE
-        )
+        }
         service = owner_records.choose_release(
-            movable, self._count_owned(), candidates
+            movable, self._count_owned(), self._name, speeds
         )
         if service is not None:
             await self.release(service, "rebalance")
@@ -373,11 +373,11 @@
         stop()
         record = self._rows.find(service)
         assert record is not None
-        others = tuple(
-            node.name
+        others = {
+            node.name: node.cpu_millis
             for node in self._directory.list_live()
             if node.name != self._name
-        )
+        }
         counts = self._count_owned()
         successor = owner_records.choose_owners((service,), counts, others).get(
             service, ""
--- a/src/fireflywell/node/settings.py
+++ b/src/fireflywell/node/settings.py
@@ -49,6 +49,7 @@
         machines_address: Address of the service that lists and moves VMs.
         advice_address: Address of the service that decides on eligible workers.
         bounds: Operating limits.
+        cpu_millis: Processor speed, in thousandths of a core.
     """
 
     name: str
@@ -60,3 +61,4 @@
     machines_address: str
     advice_address: str
     bounds: OperatingLimits
+    cpu_millis: int = 1000
--- a/src/fireflywell/platform/settings.py
+++ b/src/fireflywell/platform/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import datetime
+import math
 import pathlib
 import tomllib
 from typing import Any
@@ -38,6 +39,7 @@
     store = reader.section("platform")
     listen = reader.section("listen_addresses")
     cloud = reader.section("cloud_api", required=False)
+    limits = reader.section("limits", required=False)
     return node_settings.NodeSettings(
         name=reader.text("node_name"),
         zone=reader.text("zone"),
@@ -63,6 +65,10 @@
             far_factor=bounds.number("far_factor", 2),
             history=store.seconds("history_retention_s", 20),
         ),
+        # The machine has `cpu_share` of a core that is `cores` times as fast.
+        cpu_millis=round(
+            1000 * limits.number("cpu_share", 1) * limits.number("cores", 1)
+        ),
     )
 
 
@@ -96,8 +102,10 @@
         value = self.document.get(key, default)
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise self._make_error(key, "a number", value)
-        if value < 0:
-            raise self._make_error(key, "a number that isn't negative", value)
+        if value < 0 or not math.isfinite(value):
+            raise self._make_error(
+                key, "a finite number that isn't negative", value
+            )
         return float(value)
 
     def seconds(self, key: str, default: float) -> datetime.timedelta:
--- a/tests/test_node_ownership.py
+++ b/tests/test_node_ownership.py
@@ -6,6 +6,7 @@
 import unittest
 
 import anyio
+import msgpack
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
@@ -352,10 +353,76 @@
     def test_service_goes_to_the_node_with_the_fewest(self) -> None:
         """Fails if services go to a node that owns more than others."""
         chosen = owner_records.choose_owners(
-            ("x", "y"), {"a": 2, "b": 0, "c": 0}, ("a", "b", "c")
+            ("x", "y"), {"a": 2, "b": 0, "c": 0}, dict.fromkeys("abc", 1000)
         )
         self.assertEqual(sorted(chosen.values()), ["b", "c"])
 
+    def test_services_go_to_the_fastest_nodes(self) -> None:
+        """Fails if owners run on small nodes beside idle large ones.
+
+        On the large deployment an owner on half a core placed half of the
+        units that its workers had room for.
+        """
+        speeds = {f"small-{n}": 516 for n in range(40)} | {
+            f"large-{n}": 2151 for n in range(4)
+        }
+        services = tuple(f"service-{n}" for n in range(4))
+        chosen = owner_records.choose_owners(services, {}, speeds)
+        self.assertEqual(
+            sorted(chosen.values()), [f"large-{n}" for n in range(4)]
+        )
+
+    def test_service_moves_to_a_clearly_faster_node_only(self) -> None:
+        """Fails if a service stays on a small node, or moves for little."""
+
+        def release(own: int, other: int, other_owns: int = 0) -> str | None:
+            return owner_records.choose_release(
+                ("x",),
+                {"a": 1, "b": other_owns},
+                "a",
+                {"a": own, "b": other},
+            )
+
+        self.assertEqual(release(516, 2151), "x")
+        self.assertIsNone(release(1000, 1100))
+        self.assertIsNone(release(2151, 516))
+        # The faster node is as busy with two services.
+        self.assertIsNone(release(516, 1000, 1))
+
+    def test_services_of_one_node_are_shared_out(self) -> None:
+        """Fails if a node keeps all services beside an equal idle node."""
+        speeds = {"a": 1000, "b": 1000}
+        for owned, released in ((("x", "y"), "y"), (("x",), None)):
+            self.assertEqual(
+                owner_records.choose_release(
+                    owned, {"a": len(owned), "b": 0}, "a", speeds
+                ),
+                released,
+            )
+
+
+class SpeedTest(unittest.TestCase):
+    """The processor speed in a node's row."""
+
+    def decode(self, fields: list[object]) -> directory_lib.NodeRecord:
+        """Decodes a node's row with some fields."""
+        row_key = directory_lib.locate_node("a")
+        row = row_store.Row(row_key, msgpack.packb(fields), 1)
+        return directory_lib.decode_node(row)
+
+    def test_row_tells_the_speed(self) -> None:
+        """Fails if other nodes don't learn how fast a node is."""
+        record = directory_lib.NodeRecord("a", "i", "address", 3, False, 516)
+        row_key = directory_lib.locate_node("a")
+        row = row_store.Row(row_key, directory_lib.encode_node(record), 1)
+        self.assertEqual(directory_lib.decode_node(row), record)
+
+    def test_row_without_a_usable_speed_is_read(self) -> None:
+        """Fails if a row of an earlier version, or a zero, is left out."""
+        fields: list[object] = ["i", "address", 3, False]
+        self.assertEqual(self.decode(fields).cpu_millis, 1000)
+        self.assertEqual(self.decode([*fields, 0]).cpu_millis, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -15,6 +15,7 @@
 from fireflywell.coordination import row_store
 from fireflywell.node import directory as directory_lib
 from fireflywell.node import job_frontend
+from fireflywell.node import settings as node_settings
 from fireflywell.platform import configuration
 from fireflywell.platform import instances
 from fireflywell.platform import job_api
@@ -46,7 +47,7 @@
 class SettingsTest(unittest.TestCase):
     """Tests loading of the platform's settings file."""
 
-    def load(self, text: str) -> object:
+    def load(self, text: str) -> node_settings.NodeSettings:
         """Loads settings from the text of a TOML file."""
         with tempfile.TemporaryDirectory() as directory:
             path = pathlib.Path(directory) / "local.toml"
@@ -57,6 +58,12 @@
         """Fails if a key that the adapter doesn't use makes loading fail."""
         self.load(_SETTINGS)
 
+    def test_processor_speed_is_the_share_of_a_faster_core(self) -> None:
+        """Fails if a node tells others a wrong speed, and owns services."""
+        limits = "[limits]\ncpu_share = 0.717\ncores = 3\n"
+        self.assertEqual(self.load(_SETTINGS + limits).cpu_millis, 2151)
+        self.assertEqual(self.load(_SETTINGS).cpu_millis, 1000)
+
     def test_mistakes_name_the_key(self) -> None:
         """Fails if an invalid setting's error doesn't name key and problem."""
         cases = (
@@ -64,6 +71,7 @@
             ('zone = "a"', "zone = 3", "zone must be a text"),
             ("= 3000", '= "x"', "lease_duration_ms must be a number"),
             ("= 3000", "= -1", "isn't negative"),
+            ("= 3000", "= inf", "a finite number"),
             ("[platform]", "[platforms]", "platform must be a table"),
         )
         for old, new, message in cases:
