Move VMs that are due for maintenance to peaks

Cause: a VM with an open drain request couldn't be moved. A wave of half of all VMs therefore kept half of the spare VMs from each peak until they were maintained.

Change: a VM whose request isn't marked as drained moves, unless the wave's deadline is less than 10 s away. It is requested for its wave again afterwards; only maintenance that has begun is kept in the request of the move.

Test: a spare VM that is due serves a peak first; it fails on the old code.

--- a/src/fireflywell/node/vm_moves.py
+++ b/src/fireflywell/node/vm_moves.py
@@ -19,6 +19,10 @@
 # After a refused move, a VM works for this time before it is drained again.
 _REFUSED_MOVE_PAUSE = datetime.timedelta(seconds=30)
 
+# A VM isn't moved this long before the deadline of its wave: time for the move,
+# for one drain and maintenance, and for VMs that come back late.
+_MAINTENANCE_RESERVE = datetime.timedelta(seconds=10)
+
 
 class VmMoves:
     """Chooses and orders moves during one tenure of the fleet."""
@@ -108,20 +112,31 @@
             idle_s = 0.0
         else:
             idle_s = now_s - self._idle_since_s.setdefault(vm.name, now_s)
-        request = self._fleet.cache.find(vm.name)
-        has_open_request = request is not None and (
-            request.phase is not maintenance.DrainPhase.DONE
-        )
         is_movable = (
             self._fleet.inventory.find(vm.name) is not None
             and vm.name not in self._moving
             and not self._fleet.inventory.is_taken_down(vm.name)
             and vm.state is maintenance.VmState.UP
-            and not has_open_request
+            and not self._fleet.orders.is_unanswered(vm.name)
+            and not self._has_binding_request(vm.name)
             and not self._was_refused_lately(vm.name)
         )
         return capacity.SparePoolVm(vm.name, pool, is_movable, idle_s)
 
+    def _has_binding_request(self, name: str) -> bool:
+        """Returns whether a VM's drain request keeps it from being moved.
+
+        A VM that isn't drained yet may serve a peak before its maintenance. It
+        is requested for its wave again after the move.
+        """
+        request = self._fleet.cache.find(name)
+        if request is None or request.phase is maintenance.DrainPhase.DONE:
+            return False
+        if request.target or request.phase is maintenance.DrainPhase.READY:
+            return True
+        left_s = request.deadline_s - self._fleet.store.now_s()
+        return left_s < _MAINTENANCE_RESERVE.total_seconds()
+
     def _was_refused_lately(self, name: str) -> bool:
         refused_at = self._refused_at.get(name)
         return refused_at is not None and (
@@ -152,9 +167,12 @@
         # The request keeps the waves that the VM was maintained for. Otherwise
         # it would be maintained for them a second time.
         former = self._fleet.cache.find(move.name)
+        has_begun = former is not None and (
+            former.phase is maintenance.DrainPhase.DONE
+        )
         return maintenance.DrainRequest(
             move.name,
-            former.wave if former else 0,
+            former.wave if former and has_begun else 0,
             maintenance.DrainPhase.DUE,
             0.0,
             1,
--- a/tests/test_node_fleet_orders.py
+++ b/tests/test_node_fleet_orders.py
@@ -554,6 +554,20 @@
         # None of the VMs is listed as up again.
         self.assertEqual(len(self.fleet.ordered_at_s), 3)
 
+    def test_spare_vm_serves_a_peak_before_its_maintenance(self) -> None:
+        """Fails if VMs that are due for a wave don't come to a peak."""
+        self.fleet.set_state("m-0", _UPKEEP)
+        self.world.add_wave(1, "m-0", *self.spare_vms, max_count=1)
+        self.world.add_request("m-0", 1, "done")
+        for name in self.spare_vms:
+            self.world.add_request(name, 1, "due")
+        self.world.set_need("desk", len(self.spare_vms))
+        anyio.run(self.world.run, 4)
+        self.assertEqual(
+            sorted(self.fleet.ordered_at_s),
+            [(name, "desk") for name in self.spare_vms],
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
