Send submissions to the service's owner while the store is slow

Cause: a partition of a slow store carries out about five transactions a second.

Change: a node whose last write of its own row was slow, or whose writes for a service are slow or fail, passes submissions on to the service's owner, which stores those of all nodes in shared transactions. An owner that can't be reached isn't asked for a second; then, and beside a sound store, nodes write themselves. A refusal is passed on only if the owner has refused, too; after an answer that was lost the caller hears 504. A submission that was passed on goes no further.

Weighed: several partitions for the jobs of a service. Stored jobs would have to be found in the former one as well.

--- a/src/fireflywell/http_client.py
+++ b/src/fireflywell/http_client.py
@@ -273,6 +273,7 @@
         headers: str = "",
         limit_bytes: int | None = None,
         connect_timeout: datetime.timedelta | None = None,
+        host: str | None = None,
     ) -> Response:
         """Sends one call and returns its response.
 
@@ -288,13 +289,15 @@
             limit_bytes: Largest body of an answer; None for any.
             connect_timeout: Time limit for a new connection; `timeout` then
                 begins when it is open. None for one limit for both.
+            host: Value of the `Host` header; None for the address.
 
         Raises:
             PlatformUnavailableError: The request was not sent.
             AnswerLostError: The request may have been executed.
             AnswerTooLargeError: The answer is larger than the limit.
         """
-        head = f"{method} {path} HTTP/1.1\r\nHost: {self._address}\r\n{headers}"
+        host = self._address if host is None else host
+        head = f"{method} {path} HTTP/1.1\r\nHost: {host}\r\n{headers}"
         if body:
             head += (
                 "Content-Type: application/json\r\n"
--- a/src/fireflywell/node/directory.py
+++ b/src/fireflywell/node/directory.py
@@ -297,6 +297,20 @@
         """Returns the nodes seen so far, including those that have ended."""
         return tuple(self._observed)
 
+    def find_address(self, name: str) -> str:
+        """Returns the callers' address of a node that isn't known to be silent.
+
+        Empty if there is no such node, or if it is stopping.
+        """
+        observed = self._observed.get(name)
+        if (
+            observed is None
+            or observed.record.is_stopping
+            or self._is_silent_since(observed.changed_at)
+        ):
+            return ""
+        return observed.record.address
+
     def list_live(self) -> tuple[NodeRecord, ...]:
         """Returns nodes that aren't known to be silent or stopping."""
         return tuple(
--- a/src/fireflywell/node/heartbeat.py
+++ b/src/fireflywell/node/heartbeat.py
@@ -53,6 +53,8 @@
 
     Attributes:
         renewal_count: Renewals after which the other nodes' rows were read.
+        write_time: How long the last write of this node's row took; the time
+            limit if it failed.
     """
 
     __slots__ = (
@@ -73,6 +75,7 @@
         "_valid_since",
         "_version",
         "renewal_count",
+        "write_time",
     )
 
     def __init__(
@@ -101,6 +104,7 @@
         self._stopping = False
         self._is_store_lost = False
         self.renewal_count = 0
+        self.write_time = datetime.timedelta()
 
     @property
     def incarnation(self) -> str:
@@ -285,15 +289,21 @@
             self._stopping,
             self._settings.cpu_millis,
         )
-        result = await self._store.transact(
-            row_store.Transaction(
-                expected=(row_store.Condition(row_key, self._version or 0),),
-                puts=(
-                    row_store.Put(row_key, directory_lib.encode_node(record)),
+        value = directory_lib.encode_node(record)
+        timeout = self._lease / _RENEWALS_PER_LEASE
+        started = self._clock.monotonic()
+        try:
+            result = await self._store.transact(
+                row_store.Transaction(
+                    (row_store.Condition(row_key, self._version or 0),),
+                    (row_store.Put(row_key, value),),
                 ),
-            ),
-            self._lease / _RENEWALS_PER_LEASE,
-        )
+                timeout,
+            )
+        except errors.PlatformError:
+            self.write_time = timeout
+            raise
+        self.write_time = self._clock.monotonic() - started
         match result:
             case row_store.Committed(version=version):
                 self._version = version
--- a/src/fireflywell/node/job_frontend.py
+++ b/src/fireflywell/node/job_frontend.py
@@ -1,5 +1,6 @@
 """Submits, reads and cancels jobs for callers, on any node."""
 
+from collections.abc import Awaitable
 from collections.abc import Callable
 import dataclasses
 import datetime
@@ -11,12 +12,14 @@
 from fireflywell.node import queue_services
 from fireflywell.node import remembered_jobs
 from fireflywell.node import shown_states
+from fireflywell.node import submission_forwarding
 from fireflywell.node import tables
 from fireflywell.node import undecided_jobs
 from fireflywell.node import waiting_counts
 from fireflywell.scheduling import job_rows
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
+from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
 
 # A failed store call is retried until this share of the caller's timeout has
@@ -38,7 +41,7 @@
     """The job is stored and will run.
 
     Attributes:
-        service: Service that runs it.
+        service: Service that runs it; empty if another node has stored it.
     """
 
     service: str
@@ -84,6 +87,13 @@
     """The cancellation is stored."""
 
 
+# Passes a submission on to the node at an address, within a time limit. Raises
+# `PlatformUnavailableError` if that node wasn't asked.
+Forward = Callable[
+    [str, datetime.timedelta], Awaitable[Accepted | NotStored | OutcomeUnknown]
+]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _ReadState:
     """The state of a job that a read of the store shows.
@@ -106,6 +116,7 @@
 
     __slots__ = (
         "_clock",
+        "_forwarding",
         "_locations",
         "_metrics",
         "_queues",
@@ -124,6 +135,8 @@
         find_needed_version: Callable[[], int] = lambda: 0,
         retention: datetime.timedelta = _DEFAULT_RETENTION,
         queues: queue_services.QueueServices | None = None,
+        find_owner: Callable[[str], str] = lambda _: "",
+        get_write_time: Callable[[], datetime.timedelta] = datetime.timedelta,
     ) -> None:
         """Creates a frontend.
 
@@ -137,7 +150,14 @@
             retention: Shortest time for which a finished job is kept.
             queues: Tells which services hold a queue's jobs; created here if
                 no other part of the node uses it.
+            find_owner: Returns the callers' address of a service's owner;
+                empty if it isn't known or is this node.
+            get_write_time: Returns how long this node's last write of its own
+                row took.
         """
+        self._forwarding = submission_forwarding.ForwardingPolicy(
+            clock, find_owner, get_write_time
+        )
         self._metrics = metrics
         self._store = store
         self._clock = clock
@@ -158,14 +178,20 @@
         policy: model.QueuePolicy,
         request: model.JobRequest,
         timeout: datetime.timedelta,
+        forward: Forward | None = None,
     ) -> Accepted | NotStored | OutcomeUnknown | TooLarge:
         """Stores a job; one that is already stored is accepted again.
 
+        While the store is slow or refuses this node, the owner of the service
+        is asked to store it.
+
         Args:
             job_id: The job's id, which makes repeated submissions idempotent.
             policy: Policy of the job's queue.
             request: What the job runs.
             timeout: How long the caller waits for an answer.
+            forward: Passes the submission on to another node; None if it may
+                not be passed on.
 
         Returns:
             Whether the job is stored, as far as the store has answered.
@@ -179,9 +205,24 @@
         started = self._clock.monotonic()
         deadline = started + min(timeout * _DEADLINE_SHARE, _RETRY_LIMIT)
         while True:
+            target = self._forwarding.find_target(policy.service)
+            if forward is not None and target:
+                remaining = started + timeout - self._clock.monotonic()
+                match await self._forward(
+                    submission, forward, target, remaining * _DEADLINE_SHARE
+                ):
+                    case Accepted() as accepted:
+                        return accepted
+                    case NotStored() | OutcomeUnknown():
+                        return self._make_refusal(policy.queue, job_id)
+                    case None:
+                        # The owner wasn't asked, so the store decides.
+                        forward = None
+            attempt_started = self._clock.monotonic()
             try:
                 location = await self._locations.store(submission)
             except errors.PlatformUnavailableError:
+                self._forwarding.record_failure(policy.service)
                 known = self._remembered.find(policy.queue, job_id)
                 if known is not None and self._remembered.is_kept(
                     policy.queue, job_id
@@ -193,20 +234,72 @@
                 # for later submissions of the job. The caller can't switch to
                 # another node without a definite answer, so the retries may
                 # take longer.
+                self._forwarding.record_failure(policy.service)
                 self._undecided.add(policy.queue, job_id)
                 deadline = started + timeout * _DEADLINE_SHARE
             else:
+                self._forwarding.record_write(
+                    policy.service, self._clock.monotonic() - attempt_started
+                )
                 # It may have been stored by an earlier attempt.
                 self._undecided.discard(policy.queue, job_id)
                 self._metrics.count("node.jobs.accepted")
                 return Accepted(location.service)
             if self._clock.monotonic() + _RETRY_DELAY > deadline:
-                self._metrics.count("node.jobs.not_accepted")
-                if self._may_be_stored(policy.queue, job_id):
-                    return OutcomeUnknown()
-                return NotStored()
+                return self._make_refusal(policy.queue, job_id)
             await self._clock.sleep(_RETRY_DELAY)
 
+    def _make_refusal(
+        self, queue: str, job_id: str
+    ) -> NotStored | OutcomeUnknown:
+        """Returns why a job isn't accepted, after the last attempt."""
+        self._metrics.count("node.jobs.not_accepted")
+        if self._may_be_stored(queue, job_id):
+            return OutcomeUnknown()
+        return NotStored()
+
+    async def _forward(
+        self,
+        submission: model.Submission,
+        forward: Forward,
+        address: str,
+        timeout: datetime.timedelta,
+    ) -> Accepted | NotStored | OutcomeUnknown | None:
+        """Asks the owner of a service to store a job.
+
+        Returns:
+            What became of it; None if the owner wasn't asked.
+        """
+        policy = submission.policy
+        started = self._clock.monotonic()
+        outcome: Accepted | NotStored | OutcomeUnknown | None
+        try:
+            outcome = await forward(address, timeout)
+        except errors.PlatformUnavailableError:
+            self._forwarding.record_unreachable(address)
+            outcome = None
+        elapsed = self._clock.monotonic() - started
+        match outcome:
+            case Accepted():
+                self._undecided.discard(policy.queue, submission.job_id)
+                self._forwarding.record_write(policy.service, elapsed)
+                self._metrics.count("node.jobs.accepted")
+            case NotStored():
+                self._forwarding.record_failure(policy.service)
+            case OutcomeUnknown():
+                # The owner may still store it.
+                self._undecided.add(policy.queue, submission.job_id)
+                self._forwarding.record_failure(policy.service)
+        logs.log_event(
+            "job.forwarded",
+            job=submission.job_id,
+            service=policy.service,
+            address=address,
+            outcome=type(outcome).__name__ if outcome else "not asked",
+            elapsed_ms=round(elapsed.total_seconds() * 1000, 1),
+        )
+        return outcome
+
     async def read_state(
         self, job_id: str, policy: model.QueuePolicy
     ) -> JobStatus | UnknownJob:
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -161,6 +161,8 @@
             self._heartbeat.require_renewed_version,
             settings.bounds.status_retention,
             self._queues,
+            self._find_owner_address,
+            lambda: self._heartbeat.write_time,
         )
         self._owners: dict[str, service_owner.ServiceOwner] = {}
         self._owners_tree = supervisor_lib.Supervisor("owners", clock, rng)
@@ -345,6 +347,13 @@
             and self._configuration.current is not None
         )
 
+    def _find_owner_address(self, service: str) -> str:
+        """Returns the callers' address of another node that owns a service."""
+        owner = self._ownership.find_owner(service)
+        if owner == self._settings.name:
+            return ""
+        return self._directory.find_address(owner)
+
     def _list_services(self) -> tuple[str, ...]:
         """Returns the services that need an owner."""
         configuration = self._configuration.current
--- a/src/fireflywell/platform/job_api.py
+++ b/src/fireflywell/platform/job_api.py
@@ -15,13 +15,12 @@
 from fireflywell.node import directory as directory_lib
 from fireflywell.node import job_frontend
 from fireflywell.platform import job_requests
+from fireflywell.platform import submission_forwarder
 from fireflywell.telemetry import logs
 
 # Used when a request has no valid deadline header.
 _DEFAULT_TIMEOUT = datetime.timedelta(seconds=3)
 
-_DEADLINE_HEADER = "x-fireflywell-deadline-milliseconds"
-
 # A read is abandoned after this share of the caller's deadline, so that the
 # caller has time to ask another node.
 _READ_TIMEOUT_SHARE = 0.7
@@ -42,15 +41,23 @@
         in_progress: Number of requests being served.
     """
 
-    __slots__ = ("_clock", "_configuration", "_frontend", "in_progress")
+    __slots__ = (
+        "_clock",
+        "_configuration",
+        "_forwarder",
+        "_frontend",
+        "in_progress",
+    )
 
     def __init__(
         self,
         frontend: job_frontend.JobFrontend,
         configuration: directory_lib.ConfigurationHolder,
         clock: clock_lib.Clock,
+        forwarder: submission_forwarder.SubmissionForwarder | None = None,
     ) -> None:
         self._frontend = frontend
+        self._forwarder = forwarder
         self._configuration = configuration
         self._clock = clock
         self.in_progress = 0
@@ -90,9 +97,11 @@
             return
         job_id = path[len(route.prefix) :]
         try:
-            await self._handle(
-                scope["method"], job_id, route, body, timeout, send
-            )
+            if scope["method"] == "POST" and job_requests.is_job_id(job_id):
+                forward = self._make_forward(headers, path, body)
+                await self._submit(job_id, route, body, timeout, forward, send)
+                return
+            await self._handle(scope["method"], job_id, route, timeout, send)
         except errors.PlatformError as error:
             # Only reads propagate this error, so nothing was changed.
             _log_refusal(job_id, str(error), 503, configuration)
@@ -103,7 +112,6 @@
         method: str,
         job_id: str,
         route: configuration_lib.Route,
-        body: bytes,
         timeout: datetime.timedelta,
         send: asgi.Send,
     ) -> None:
@@ -119,8 +127,6 @@
             )
             return
         match method:
-            case "POST":
-                await self._submit(job_id, route, body, timeout, send)
             case "GET":
                 await self._send_state(job_id, route, timeout, send)
             case "DELETE":
@@ -134,6 +140,7 @@
         route: configuration_lib.Route,
         body: bytes,
         timeout: datetime.timedelta,
+        forward: job_frontend.Forward | None,
         send: asgi.Send,
     ) -> None:
         try:
@@ -144,10 +151,13 @@
             return
         started = self._clock.monotonic()
         outcome = await self._frontend.submit(
-            job_id, route.policy, request, timeout
+            job_id, route.policy, request, timeout, forward
         )
         elapsed = self._clock.monotonic() - started
         match outcome:
+            case job_frontend.Accepted(service=""):
+                # The node that stored the job has logged it.
+                await asgi.send_json(send, 200, {})
             case job_frontend.Accepted(service=service):
                 logs.log_event(
                     "job.accepted",
@@ -204,6 +214,30 @@
                 self._log_refusal(job_id, "the store didn't answer", 504)
                 await _send_error(send, 504, "ask again")
 
+    def _make_forward(
+        self, headers: tuple[asgi.Header, ...], path: str, body: bytes
+    ) -> job_frontend.Forward | None:
+        """Returns a function that passes a submission on to another node.
+
+        None if another node has passed it on to this one.
+        """
+        forwarder = self._forwarder
+        is_forwarded = asgi.find_header(headers, job_requests.FORWARDED_HEADER)
+        if forwarder is None or is_forwarded:
+            return None
+        host = asgi.find_header(headers, "host") or ""
+
+        async def forward(
+            address: str, timeout: datetime.timedelta
+        ) -> (
+            job_frontend.Accepted
+            | job_frontend.NotStored
+            | job_frontend.OutcomeUnknown
+        ):
+            return await forwarder.send(address, host, path, body, timeout)
+
+        return forward
+
     def _get_body_limit(self) -> int:
         configuration = self._configuration.current
         return configuration.max_body_bytes if configuration else 262144
@@ -306,7 +340,7 @@
 
 
 def _read_timeout(headers: tuple[asgi.Header, ...]) -> datetime.timedelta:
-    text = asgi.find_header(headers, _DEADLINE_HEADER)
+    text = asgi.find_header(headers, job_requests.DEADLINE_HEADER)
     if text is None:
         return _DEFAULT_TIMEOUT
     try:
--- a/src/fireflywell/platform/job_requests.py
+++ b/src/fireflywell/platform/job_requests.py
@@ -7,6 +7,12 @@
 from fireflywell.platform import json_values
 from fireflywell.scheduling import model
 
+# How long the caller waits, in milliseconds.
+DEADLINE_HEADER = "x-fireflywell-deadline-milliseconds"
+
+# Marks a submission that another node passes on; it goes no further.
+FORWARDED_HEADER = "fireflywell-forwarded"
+
 _MAX_SPECIFICATION_BYTES = 4000
 _JOB_ID_DIGITS = 16
 
--- a/src/fireflywell/platform/main.py
+++ b/src/fireflywell/platform/main.py
@@ -26,6 +26,7 @@
 from fireflywell.platform import machines
 from fireflywell.platform import settings as platform_settings
 from fireflywell.platform import store as platform_store
+from fireflywell.platform import submission_forwarder
 from fireflywell.platform import waves
 from fireflywell.platform import worker_calls
 from fireflywell.scheduling import orders
@@ -178,7 +179,8 @@
         frontend: job_frontend.JobFrontend,
         holder: directory_lib.ConfigurationHolder,
     ) -> asgi.Application:
-        return job_api.JobApi(frontend, holder, clock)
+        forwarder = submission_forwarder.SubmissionForwarder(clock)
+        return job_api.JobApi(frontend, holder, clock, forwarder)
 
     return node_process.NodeDependencies(
         store=store,
