Let orders for VMs rest on a recent check only

Cause: two faults of the orders side by side, found by reading the change again. An order that waited behind a dozen others rested on a check of the tenure from many seconds before, while a claim may have followed it. And a VM whose mark is void, because its owner was replaced, held a place within its wave's limit in each pass, so a wave with a small limit could stand still.

Change: an order rests on a check for 1 s; the next pass checks again. Each VM that isn't down after its turn frees its place. The path of a submission that is passed on is escaped again.

--- a/src/fireflywell/node/drain_marks.py
+++ b/src/fireflywell/node/drain_marks.py
@@ -100,6 +100,19 @@
         return ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _MarkTenure:
+    """The tenure under which a mark was made."""
+
+    service: str
+    version: int
+
+    @classmethod
+    def of_request(cls, request: maintenance.DrainRequest) -> "_MarkTenure":
+        """Returns the tenure that a request's mark names."""
+        return cls(request.drained_by_service, request.drained_by_version)
+
+
 class MarkChecker:
     """Checks before an order for a VM that its mark is of the present owner.
 
@@ -181,7 +194,7 @@
             _log_unused(candidate.request, reason)
         return not reason
 
-    async def _find_objection(self, tenure: "_MarkTenure") -> str | None:
+    async def _find_objection(self, tenure: _MarkTenure) -> str | None:
         """Returns why the marks of a tenure can't be relied on.
 
         Returns:
@@ -214,19 +227,6 @@
                 return "the ownership under which it was made is over"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _MarkTenure:
-    """The tenure under which a mark was made."""
-
-    service: str
-    version: int
-
-    @classmethod
-    def of_request(cls, request: maintenance.DrainRequest) -> "_MarkTenure":
-        """Returns the tenure that a request's mark names."""
-        return cls(request.drained_by_service, request.drained_by_version)
-
-
 def _log_unused(request: maintenance.DrainRequest, reason: str) -> None:
     logs.log_event(
         "upkeep.mark_unused",
--- a/src/fireflywell/node/fleet_tenure.py
+++ b/src/fireflywell/node/fleet_tenure.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Sequence
+import datetime
 
 import anyio
 
@@ -23,6 +24,11 @@
 # need. One after the other, the last of 45 moves came 1.4 s after the first.
 MAX_CONCURRENT_ORDERS = 12
 
+# An order rests on a check of the tenure for this time. A node that claims the
+# fleet after the check waits for 1.1 leases before its first order, which is
+# 3.3 s with a lease of 3 s, and an order has ended 2 s after it was sent.
+_CHECK_VALIDITY = datetime.timedelta(seconds=1)
+
 
 class FleetTenure:
     """Gives access to the VMs of the fleet as long as this node owns it.
@@ -39,8 +45,10 @@
     """
 
     __slots__ = (
+        "_clock",
         "_marks",
         "_stop",
+        "_verified_at",
         "cache",
         "guard",
         "inventory",
@@ -79,6 +87,9 @@
         self.inventory = vm_inventory.VmInventory(client, self.orders, clock)
         self.seen_due: set[str] = set()
         self._marks = drain_marks.MarkChecker(store, cache)
+        self._clock = clock
+        # When the last successful check of the tenure was sent.
+        self._verified_at: datetime.timedelta | None = None
         self._stop = stop
 
     async def verify(self) -> bool:
@@ -90,7 +101,9 @@
         Raises:
             PlatformError: The store doesn't answer.
         """
+        started = self._clock.monotonic()
         if await self.guard.verify():
+            self._verified_at = started
             # The lease may have lapsed during the call.
             return self.guard.permits_orders
         self._stop()
@@ -124,10 +137,12 @@
         vm_ids: Iterable[str],
         order: Callable[[str], Awaitable[None]],
     ) -> None:
-        """Sends the orders for several VMs side by side.
+        """Sends the orders for several VMs side by side, after `verify`.
 
-        A call that fails is logged and doesn't end the others, because an order
-        that is cancelled may be carried out all the same.
+        Orders whose turn comes too long after the check aren't sent; the next
+        pass checks again. A call that fails is logged and doesn't end the
+        others, because an order that is cancelled may be carried out all the
+        same.
 
         Args:
             vm_ids: The VMs.
@@ -137,6 +152,8 @@
 
         async def run(vm_id: str) -> None:
             async with limiter:
+                if not self._is_verified():
+                    return
                 try:
                     await order(vm_id)
                 except errors.PlatformError as error:
@@ -148,6 +165,11 @@
             for vm_id in vm_ids:
                 group.start_soon(run, vm_id)
 
+    def _is_verified(self) -> bool:
+        """Returns whether the last check of the tenure is recent enough."""
+        at = self._verified_at
+        return at is not None and self._clock.monotonic() - at < _CHECK_VALIDITY
+
     def has_void_mark(self, request: maintenance.DrainRequest) -> bool:
         """Returns whether the mark of a request was found to be void."""
         return self._marks.is_void(request)
--- a/src/fireflywell/node/wave_runner.py
+++ b/src/fireflywell/node/wave_runner.py
@@ -226,9 +226,8 @@
                 await self._fleet.store_requests(begun)
             for request in requests:
                 outcome = outcomes.get(request.vm_id)
-                if outcome is None:
-                    continue
-                await self._close_if_refused(wave, request, outcome)
+                if outcome is not None:
+                    await self._close_if_refused(wave, request, outcome)
                 if not self._vms.may_be_down(wave.number, request.vm_id):
                     # Its place is free for another VM.
                     down.discard(request.vm_id)
--- a/src/fireflywell/platform/submission_forwarder.py
+++ b/src/fireflywell/platform/submission_forwarder.py
@@ -2,6 +2,7 @@
 
 import collections
 import datetime
+import urllib.parse
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
@@ -45,7 +46,7 @@
         Args:
             address: The node's address for callers.
             host: Host of the caller's request, which selects the queue.
-            path: Path of the caller's request.
+            path: Path of the caller's request, with its escapes decoded.
             body: Body of the caller's request.
             timeout: How long the caller waits.
 
@@ -61,7 +62,7 @@
         try:
             response = await client.call(
                 "POST",
-                path,
+                urllib.parse.quote(path),
                 body,
                 timeout,
                 headers,
--- a/tests/test_node_fleet_orders.py
+++ b/tests/test_node_fleet_orders.py
@@ -413,6 +413,18 @@
         self.assertEqual(self.world.ordered, [("m-1", "wave 1")] * 2)
         self.assertIn(b"completed", self.world.read_wave_state(1))
 
+    def test_vm_with_a_void_mark_does_not_hold_up_the_others(self) -> None:
+        """Fails if a VM whose owner was replaced uses up the wave's limit.
+
+        Its mark counts no more, and it isn't ordered before the new owner has
+        drained it.
+        """
+        self.world.fleet.add_vm("m-1", instance_id="w1")
+        self.world.add_request("m-1", 1, "ready")
+        self.world.replace_owner("desk")
+        anyio.run(self.world.run, 3)
+        self.assertEqual(self.world.ordered, [("m-2", "wave 1")])
+
     def test_denied_vm_does_not_hold_up_the_others(self) -> None:
         """Fails if a VM that the platform denies having uses up the limit."""
         self.world.fleet.replies = [Reply.NO_SUCH_VM]
--- a/tests/test_vm_order_permits.py
+++ b/tests/test_vm_order_permits.py
@@ -6,10 +6,14 @@
 import anyio
 
 from fireflywell import clock as clock_lib
+from fireflywell.node import fleet_cache
+from fireflywell.node import fleet_tenure
+from fireflywell.node import ownership
 from fireflywell.node import vm_inventory
 from fireflywell.node import vm_orders
 from fireflywell.scheduling import maintenance
 from fireflywell.scheduling import model
+from fireflywell.standins import row_store as store_standin
 from tests import node_world
 
 _UP = maintenance.VmState.UP
@@ -21,6 +25,10 @@
     def __init__(self) -> None:
         self.permits_orders = True
 
+    async def verify(self) -> bool:
+        """Finds that the owner hasn't been replaced."""
+        return True
+
 
 class _WaitingFleet(node_world.FakeFleet):
     """Answers lists and orders only once the test lets it."""
@@ -77,6 +85,36 @@
         self.assertIs(outcome, vm_orders.OrderOutcome.POSTPONED)
         self.assertEqual(self.fleet.orders, [])
 
+    def test_no_order_long_after_the_check_of_the_tenure(self) -> None:
+        """Fails if an order goes out when another node may own the fleet.
+
+        Orders wait for each other beyond a number, and each may take two
+        seconds, so the last of a wave would rest on an old check.
+        """
+        sent: list[str] = []
+
+        async def order(vm_id: str) -> None:
+            sent.append(vm_id)
+            self.clock.advance(datetime.timedelta(milliseconds=400))
+
+        async def run() -> None:
+            store = store_standin.MemoryRowStore(self.clock)
+            tenure = ownership.Tenure("~fleet", 1, 0, is_first=True)
+            fleet = fleet_tenure.FleetTenure(
+                tenure,
+                store,
+                self.fleet,
+                fleet_cache.FleetCache(),
+                self.guard,  # type: ignore[arg-type]
+                self.clock,
+                lambda: None,
+            )
+            await fleet.verify()
+            await fleet.order_each([f"m-{n}" for n in range(9)], order)
+
+        anyio.run(run)
+        self.assertEqual(sent, ["m-0", "m-1", "m-2"])
+
     def test_moves_and_waves_send_one_order_at_a_time(self) -> None:
         """Fails if two tasks order a VM while one waits for an answer."""
 
