Review: add a cancelled job that runs, shared IDs of two queues, and withheld advice

Cause: a cancellation of a job that isn't stored yet leaves no trace; jobs of the queues of one service share one key; a step asks for advice again only after most of its tickets' validity, whether their minions still live or not. Test: review/2, review/4 and review/5, run.sh each.

--- a/review/standin.py
+++ b/review/standin.py
@@ -67,6 +67,8 @@
 _TRANSACTION_S = 0.006
 _ENDS_PER_REPORT = 500
 _HEARTBEAT_S = 1.5
+# An entry is removed after three check-ins of silence.
+_LAPSE_S = 3 * _HEARTBEAT_S
 # Time that a minion takes to stop a run, below `stop_timeout_ms`.
 _STOP_S = 0.2
 _SETTINGS_WAIT_S = 30.0
@@ -391,10 +393,14 @@
     Attributes:
         steps: Its steps as sent.
         work_ms: Work of each work unit, by step.
+        specification: Its specification.
+        needs_advice: Whether its queue has a policy.
     """
 
     steps: list[dict]
     work_ms: list[int]
+    specification: str = "review"
+    needs_advice: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -429,6 +435,7 @@
     unit: str
     number: int
     checkpoint: str
+    specification: str
 
 
 @dataclasses.dataclass(slots=True)
@@ -466,6 +473,8 @@
         self._ended = asyncio.Event()
         self._sequence = 0
         self.is_up = True
+        # Step and end of each ticket for this life.
+        self.tickets: dict[str, tuple[str, float]] = {}
         self.ends_noted = 0
 
     @property
@@ -626,6 +635,10 @@
         free = self._fleet.capacity["cpu"] - self.used_cpu
         if step["cpu"] > free:
             return 409, {**clock, "reason": "room"}
+        if self._fleet.needs_ticket(unit):
+            name, until = self.tickets.get(call.get("ticket", ""), ("", 0.0))
+            if name != unit.rpartition(".")[0] or now() > until:
+                return 409, {**clock, "reason": "ticket"}
         checkpoint = call.get("checkpoint", "")
         run = Run(
             unit,
@@ -640,11 +653,19 @@
         )
         self.runs[unit] = run
         self._fleet.starts.append(
-            Start(now(), self.id, unit, number, checkpoint)
+            Start(
+                now(),
+                self.id,
+                unit,
+                number,
+                checkpoint,
+                call["specification"],
+            )
         )
         self._fleet.record.write(
             f"{self.id} starts {unit} run {number} "
-            f"checkpoint {checkpoint!r} token {call.get('fencing_token')}"
+            f"checkpoint {checkpoint!r} token {call.get('fencing_token')} "
+            f"specification {call['specification']!r}"
         )
         self._fleet.join(run, self)
         return 200, clock
@@ -730,6 +751,21 @@
         self.minions[machine] = minion
         minion.write_entry()
 
+    async def crash(self, machine: str, down_s: float) -> None:
+        """Ends a minion without a word; its machine starts another one."""
+        minion = self.minions[machine]
+        self.record.write(f"{minion.id} of {machine} crashes")
+        minion.is_up = False
+        for run in list(minion.runs.values()):
+            del minion.runs[run.unit]
+            self.leave_gang(run, minion)
+        self.former.append(minion)
+        await asyncio.sleep(min(down_s, _LAPSE_S))
+        self.store.remove("servers", "", minion.id)
+        await asyncio.sleep(max(0.0, down_s - _LAPSE_S))
+        await self.add(machine, minion.service, minion.rack)
+        self.record.write(f"{self.minions[machine].id} of {machine} starts")
+
     async def run(self) -> None:
         """Lets time pass for the minions until cancelled."""
         beat_at = now()
@@ -749,6 +785,10 @@
         job_id, _, step, _ = unit.split(".")
         return {"cpu": 0, **self.jobs[job_id].steps[int(step)]}
 
+    def needs_ticket(self, unit: str) -> bool:
+        """Returns whether a work unit's queue has a policy."""
+        return self.jobs[unit.partition(".")[0]].needs_advice
+
     def find_work_ms(self, unit: str) -> int:
         """Returns the work of a work unit."""
         job_id, _, step, _ = unit.split(".")
@@ -836,6 +876,55 @@
         }
 
 
+class Advice:
+    """The service that knows which minions may run the steps of a queue.
+
+    Attributes:
+        rack: The rack whose minions are permitted.
+        validity_s: How long a ticket is valid.
+    """
+
+    def __init__(self, fleet: Fleet, record: Record) -> None:
+        self._fleet = fleet
+        self._record = record
+        self._busy = asyncio.Lock()
+        self.server = HttpServer(self._handle)
+        self.rack = ""
+        self.decision_ms = 20
+        self.per_item_ms = 1
+        self.validity_s = 3.0
+
+    async def _handle(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str],
+        headers: Headers,
+        body: bytes,
+    ) -> Answer | None:
+        call = json.loads(body)
+        workers = call["workers"]
+        async with self._busy:
+            await asyncio.sleep(
+                (self.decision_ms + self.per_item_ms * len(workers)) / 1000
+            )
+        approved = []
+        for minion in self._fleet.minions.values():
+            if minion.id in workers and minion.rack == self.rack:
+                ticket = secrets.token_hex(4)
+                valid_until = now() + self.validity_s
+                minion.tickets[ticket] = call["step"], valid_until
+                approved.append([minion.id, ticket])
+        self._record.write(
+            f"advice on {call['step']}: asked about {len(workers)}, "
+            f"approved {approved}"
+        )
+        return 200, {
+            "approved": approved,
+            "validity_ms": int(self.validity_s * 1000),
+        }
+
+
 class Node:
     """A process of the system, started with the command of the deploy file."""
 
@@ -869,6 +958,7 @@
             'entry = "virtual_ip"',
             "heartbeat_interval_ms = 1500",
             'orders = "call"',
+            f'advice = "{self._system.advice.server.address}"',
             "[listen_addresses]",
             f'front = "{front}"',
             f'ready_address = "{ready}"',
@@ -1011,6 +1101,7 @@
         self.record = record
         self.store = Store()
         self.fleet = Fleet(self.store, record)
+        self.advice = Advice(self.fleet, record)
         self.nodes: list[Node] = []
         self._folder = folder
         self._task: asyncio.Task[None] | None = None
@@ -1031,6 +1122,7 @@
         """
         await self.store.server.start()
         await self.fleet.server.start()
+        await self.advice.server.start()
         self.store.put(
             "op",
             "",
@@ -1101,12 +1193,13 @@
         self, node: Node, prefix: str, job_id: str, job: Job, **fields: object
     ) -> Reply:
         """Hands a job in once."""
-        self.fleet.jobs[job_id] = job
+        # Minions know a work unit by the ID of its job alone.
+        self.fleet.jobs.setdefault(job_id, job)
         return await self.call(
             node,
             "POST",
             prefix + job_id,
-            {"specification": "review", "steps": job.steps, **fields},
+            {"specification": job.specification, "steps": job.steps, **fields},
         )
 
 
