--- a/review/standin.py
+++ b/review/standin.py
@@ -60,6 +60,7 @@
     "harm_ms": 4000,
 }
 ROW_BYTES = 65_536
+MEMORY_MB = 300
 _ENTRIES_PER_TRANSACTION = 100
 _BYTES_PER_CALL = 1_000_000
 _ROWS_PER_PAGE = 500
@@ -532,7 +533,9 @@
                 continue
             if run.stopping_until is not None:
                 if at >= run.stopping_until:
-                    self.end(run, "stopped", self._save(run, run.stopping_until))
+                    self.end(
+                        run, "stopped", self._save(run, run.stopping_until)
+                    )
             elif run.begun is None:
                 if at - run.arrived > BOUNDS["gang_timeout_ms"] / 1000:
                     self.end(run, "alone", run.checkpoint)
@@ -683,7 +686,9 @@
         if "deadline_ms" in call:
             self._extend(call["deadline_ms"])
         self.ends_noted = max(self.ends_noted, call.get("last_seen", 0))
-        self.ends = [e for e in self.ends if e.number > call.get("last_seen", 0)]
+        self.ends = [
+            e for e in self.ends if e.number > call.get("last_seen", 0)
+        ]
         until = now() + min(call.get("wait_ms", 0), 2000) / 1000
         while not self.ends and now() < until:
             try:
@@ -966,7 +971,7 @@
             "[limits]",
             "cpu_share = 0.537",
             "cores = 2",
-            "memory_mb = 300",
+            f"memory_mb = {MEMORY_MB}",
             "[platform]",
             f'address = "{self._system.store.server.address}"',
             'form = "table"',
@@ -1036,6 +1041,19 @@
         await asyncio.sleep(down_s)
         await self.start()
 
+    @property
+    def memory_mb(self) -> float:
+        """Resident memory of the process; 0 if it doesn't run."""
+        assert self._process is not None
+        if self._process.returncode is not None:
+            return 0.0
+        path = pathlib.Path(f"/proc/{self._process.pid}/statm")
+        try:
+            pages = int(path.read_text().split()[1])
+        except (OSError, IndexError):
+            return 0.0
+        return pages * os.sysconf("SC_PAGE_SIZE") / 2**20
+
     @property
     def log(self) -> str:
         """What the process has written so far."""
@@ -1203,6 +1221,46 @@
         )
 
 
+class Client:
+    """Hands jobs in, repeats what has no clear answer, and asks for states.
+
+    Attributes:
+        accepted: The path of each accepted job, by ID.
+    """
+
+    def __init__(self, system: System) -> None:
+        self._system = system
+        self._turn = 0
+        self.accepted: dict[str, str] = {}
+
+    def _next_node(self) -> Node:
+        self._turn += 1
+        return self._system.nodes[self._turn % len(self._system.nodes)]
+
+    async def submit(self, prefix: str, job: Job, **fields: object) -> None:
+        """Hands a job in, with the same ID until the answer is clear."""
+        job_id = make_job_id()
+        for _ in range(5):
+            reply = await self._system.submit(
+                self._next_node(), prefix, job_id, job, **fields
+            )
+            if reply.status == 200:
+                self.accepted[job_id] = prefix + job_id
+                return
+            await asyncio.sleep(0.5)
+
+    async def ask(self, job_id: str) -> str:
+        """Returns the state of a job, or the last status."""
+        for _ in range(5):
+            reply = await self._system.call(
+                self._next_node(), "GET", self.accepted[job_id]
+            )
+            if reply.status == 200:
+                return str(reply.document.get("state"))
+            await asyncio.sleep(0.3)
+        return str(reply.status)
+
+
 def make_job_id() -> str:
     """Returns a new ID of a job."""
     return secrets.token_hex(8)
@@ -1224,12 +1282,21 @@
 
     async def run(directory: str) -> int:
         system = System(pathlib.Path(directory), record)
+        task = asyncio.current_task()
+        assert task is not None
+        # The nodes are ended, too, if the case is.
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(115):
                 return await case(system, is_troubled)
         except TimeoutError:
             record.say("the case took too long")
             return 2
+        except asyncio.CancelledError:
+            record.say("the case was ended")
+            return 2
         finally:
             await system.end()
 
