Review case 2: progress over row_bytes stops a service for good

Cause: the stored progress holds the checkpoints of all work units of a job in one row (scheduling/job_rows.py); without it no ends of a report are acknowledged. Test: review/2/run.sh.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
-"""A job is cancelled while its submission is on its way in the store."""
+"""One large job that saves its progress, beside small jobs of its service."""
 
 import asyncio
+import collections
 import pathlib
 import sys
 
@@ -9,116 +10,124 @@
 
 import standin  # noqa: E402
 
-_PREFIX = "/dispatch/"
-_STEPS = 7
-_WORK_MS = 2_000
-_LATE_S = 5.0
-_LOSS_S = 2.6
-_WATCH_S = 22.0
-_CANCEL_S = standin.BOUNDS["cancel_ms"] / 1000
-_CONTACT_S = standin.BOUNDS["contact_timeout_ms"] / 1000
-
-
-class LostAnswers:
-    """Lets the store perform the writes of one job late, without answers."""
-
-    def __init__(self, system: standin.System, job_id: str) -> None:
-        self._system = system
-        self._job_id = job_id
-        self._until = standin.now() + _LOSS_S
-        self.lost = 0
-        self.answered = 0
-        self.last_performed = standin.now()
-        system.store.choose_delay = self._choose_delay
-        system.store.on_late = self._note
-
-    def _choose_delay(self, call: dict) -> float | None:
-        if standin.now() > self._until:
-            return None
-        keys = {item["key"] for item in call["puts"]}
-        if self._job_id not in keys:
-            self.answered += 1
-            return None
-        self.lost += 1
-        self._system.record.write("store: a write of the job gets no answer")
-        return _LATE_S
-
-    def _note(self, call: dict, status: int) -> None:
-        self.last_performed = standin.now()
-        self._system.record.write(f"store: a late write ends with {status}")
+_SMALL_PREFIX = "/bill-calc/"
+_LARGE_PREFIX = "/bill-batch/"
+_MINIONS = 6
+_LARGE_COUNT = 8_000
+_PARTS = 80
+# A bit more than `checkpoint_interval_s`, so that each work unit saves once.
+_LARGE_WORK_MS = 1_200
+_SMALL_WORK_MS = 640
+_SMALL_INTERVAL_S = 0.5
+_TRAFFIC_S = 60.0
+_FINISH_S = standin.BOUNDS["finish_s"]
+_ASK_S = 10.0
+
+
+def _make_step(count: int, cpu: int, work_ms: int, is_saving: bool) -> dict:
+    step = {
+        "count": count,
+        "cpu": cpu,
+        "requested_memory_mb": 16,
+        "estimated_ms": work_ms,
+    }
+    return {**step, "checkpointing": True} if is_saving else step
 
 
 async def case(system: standin.System, is_troubled: bool) -> int:
     """Runs the case; see `standin.run_case`."""
     routes = [
-        {"name": "dispatch", "path_prefix": _PREFIX, "service": "fieldops"}
-    ]
-    if not await system.start(routes, {"fieldops": 6}, 6):
-        return 2
-    first, second = system.nodes[:2]
-    # A job before, so that the nodes know the queue.
-    probe = standin.Job([{"count": 1, "cpu": 100, "estimated_ms": 50}], [50])
-    reply = await system.submit(first, _PREFIX, standin.make_job_id(), probe)
-    if reply.status != 200:
-        return 2
-    await asyncio.sleep(3.0)
-    job_id = standin.make_job_id()
-    losses = LostAnswers(system, job_id) if is_troubled else None
-    steps = [
         {
-            "count": 1,
-            "cpu": 500,
-            "requested_memory_mb": 256,
-            "estimated_ms": _WORK_MS,
-            **({"after": [number - 1]} if number else {}),
-        }
-        for number in range(_STEPS)
+            "name": "bill-calc",
+            "path_prefix": _SMALL_PREFIX,
+            "service": "billing",
+        },
+        {
+            "name": "bill-batch",
+            "path_prefix": _LARGE_PREFIX,
+            "service": "billing",
+        },
     ]
-    job = standin.Job(steps, [_WORK_MS] * _STEPS)
-    await system.submit(first, _PREFIX, job_id, job)
-    # The client has given up and wants the job not to run.
-    cancelled_at = None
-    for _ in range(8):
-        reply = await system.call(second, "DELETE", _PREFIX + job_id)
-        if reply.status in (200, 410):
-            cancelled_at = standin.now()
-            break
-        await asyncio.sleep(0.3)
-    if cancelled_at is None:
-        system.record.say("the cancelling was not acknowledged")
+    if not await system.start(routes, {"billing": _MINIONS}, 2):
         return 2
-    await asyncio.sleep(_WATCH_S)
-    if losses is not None:
-        system.record.say(
-            f"writes while answers were lost: {losses.lost} without an answer, "
-            f"{losses.answered} with one"
-        )
-    return _judge(system, job_id, cancelled_at, losses)
-
-
-def _judge(
-    system: standin.System,
-    job_id: str,
-    cancelled_at: float,
-    losses: LostAnswers | None,
-) -> int:
-    """Returns 1 if work units start long after the acknowledged cancelling.
-
-    Only starts count that are later than `cancel_ms` after the answer, and
-    later than `contact_timeout_ms` after the store's last late write.
+    client = standin.Client(system)
+    started = standin.now()
+    small = standin.Job(
+        [_make_step(6, 880, _SMALL_WORK_MS, False)], [_SMALL_WORK_MS]
+    )
+    has_batch = False
+    while standin.now() - started < _TRAFFIC_S:
+        if not has_batch and standin.now() - started > 3.0:
+            has_batch = True
+            # The same work, as one job or as many.
+            count = 1 if is_troubled else _PARTS
+            step = _make_step(_LARGE_COUNT // count, 50, _LARGE_WORK_MS, True)
+            batch = standin.Job([step], [_LARGE_WORK_MS])
+            async with asyncio.TaskGroup() as group:
+                for _ in range(count):
+                    group.create_task(client.submit(_LARGE_PREFIX, batch))
+        await client.submit(_SMALL_PREFIX, small)
+        await asyncio.sleep(_SMALL_INTERVAL_S)
+    await asyncio.sleep(_FINISH_S)
+    return await _judge(system, client)
+
+
+async def _judge(system: standin.System, client: standin.Client) -> int:
+    """Returns 1 if accepted jobs wait though the minions are idle.
+
+    The rule: for 3 s, a job has nothing running while a work unit's turn has
+    come, there is capacity for it twice over, and under half of the service's
+    capacity is in use.
     """
-    limit = cancelled_at + _CANCEL_S
-    if losses is not None:
-        limit = max(limit, losses.last_performed + _CONTACT_S)
-    late = [
-        f"{s.unit} {s.at - cancelled_at:.1f} s after the answer"
-        for s in system.fleet.starts
-        if s.unit.startswith(job_id) and s.at > limit
-    ]
-    if not late:
-        return 0
-    system.record.say(f"BROKEN: starts of a cancelled job: {late}")
-    return 1
+    waiting: dict[str, float] = {}
+    longest: dict[str, float] = {}
+    until = standin.now() + _ASK_S
+    while standin.now() < until:
+        running = {
+            unit.partition(".")[0]
+            for minion in system.fleet.minions.values()
+            for unit in minion.runs
+        }
+        used = sum(m.used_cpu for m in system.fleet.minions.values())
+        is_idle = used < _MINIONS * system.fleet.capacity["cpu"] / 2
+        complete = _list_complete(system)
+        for job_id in client.accepted:
+            if job_id in complete or job_id in running or not is_idle:
+                waiting.pop(job_id, None)
+                continue
+            since = waiting.setdefault(job_id, standin.now())
+            longest[job_id] = max(
+                longest.get(job_id, 0.0), standin.now() - since
+            )
+        await asyncio.sleep(0.1)
+    left = [job_id for job_id, wait_s in longest.items() if wait_s > 3]
+    for minion in system.fleet.minions.values():
+        system.record.write(
+            f"{minion.id}: cpu in use {minion.used_cpu}, ends not taken note "
+            f"of {len(minion.ends)}, up to {minion.ends_noted} taken note of"
+        )
+    states = collections.Counter()
+    for job_id in client.accepted:
+        states[await client.ask(job_id)] += 1
+    system.record.say(
+        f"{len(client.accepted)} jobs accepted, states {dict(states)}; "
+        f"{len(left)} have had nothing running for over 3 s beside idle minions"
+    )
+    system.record.say(f"rejected writes: {dict(system.store.rejected)}")
+    if left:
+        system.record.say("BROKEN: accepted jobs aren't worked off")
+        return 1
+    return 0
+
+
+def _list_complete(system: standin.System) -> set[str]:
+    """Returns the jobs whose work units have all ended `done`."""
+    done = collections.Counter(unit[:16] for unit in system.fleet.done)
+    return {
+        job_id
+        for job_id, job in system.fleet.jobs.items()
+        if done[job_id] >= sum(step["count"] for step in job.steps)
+    }
 
 
 if __name__ == "__main__":
