--- a/review/standin.py
+++ b/review/standin.py
@@ -1004,7 +1004,7 @@
                 "python3",
                 "-m",
                 "fireflywell.platform",
-                cwd=self._folder,
+                cwd=REPOSITORY,
                 env=environment,
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log,
@@ -1021,6 +1021,11 @@
             await asyncio.sleep(0.1)
         return False
 
+    async def answers_readiness(self) -> bool:
+        """Returns whether its readiness address answers anything in 1 s."""
+        answer = await request(self._ports[1], "GET", "/readiness", "", 1.0)
+        return answer.status != 0
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal to the process."""
         assert self._process is not None
