Store the progress of large jobs in rows for ranges of their units

Cause: all progress of a job was one row. The store refused it over 65,536 bytes, for ever. Ends that came in a report beside one of the job's were not acknowledged, a worker lists 500 ends at most, and without the later ones the owner counted idle workers as full.

Change: progress over a quarter of a row is divided into rows for ranges of units, down to single units; units that are done keep no checkpoint; batches keep to the limits of a transaction; ends are acknowledged up to the first one that isn't stored; a refused row doesn't delay others. row_bytes comes from the settings. The stand-in for the store has the limits of the platform's.

Why it works: whatever a job's size, each row fits, and nothing that is acknowledged rests on a row that can be refused for its size.

--- a/src/fireflywell/coordination/row_store.py
+++ b/src/fireflywell/coordination/row_store.py
@@ -11,6 +11,9 @@
 
 from fireflywell import errors
 
+# Largest value of a row, unless the settings name another size.
+DEFAULT_ROW_BYTES = 65_536
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RowKey:
--- a/src/fireflywell/node/job_frontend.py
+++ b/src/fireflywell/node/job_frontend.py
@@ -32,9 +32,6 @@
 
 _DEFAULT_RETENTION = datetime.timedelta(seconds=60)
 
-# Largest value of a row that the store accepts.
-_LARGEST_ROW_BYTES = 65_536
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
@@ -121,6 +118,7 @@
         "_metrics",
         "_queues",
         "_remembered",
+        "_row_bytes",
         "_shown",
         "_store",
         "_undecided",
@@ -137,6 +135,7 @@
         queues: queue_services.QueueServices | None = None,
         find_owner: Callable[[str], str] = lambda _: "",
         get_write_time: Callable[[], datetime.timedelta] = datetime.timedelta,
+        row_bytes: int = row_store.DEFAULT_ROW_BYTES,
     ) -> None:
         """Creates a frontend.
 
@@ -154,7 +153,9 @@
                 empty if it isn't known or is this node.
             get_write_time: Returns how long this node's last write of its own
                 row took.
+            row_bytes: Largest value of a row of the store.
         """
+        self._row_bytes = row_bytes
         self._forwarding = submission_forwarding.ForwardingPolicy(
             clock, find_owner, get_write_time
         )
@@ -200,8 +201,8 @@
             job_id, policy, request, self._store.now_s()
         )
         size_bytes = len(job_rows.encode_submission(submission))
-        if size_bytes > _LARGEST_ROW_BYTES:
-            return TooLarge(size_bytes, _LARGEST_ROW_BYTES)
+        if size_bytes > self._row_bytes:
+            return TooLarge(size_bytes, self._row_bytes)
         started = self._clock.monotonic()
         deadline = started + min(timeout * _DEADLINE_SHARE, _RETRY_LIMIT)
         while True:
@@ -229,6 +230,10 @@
                 ):
                     # The platform may deliver a submission again.
                     return Accepted(known.service)
+            except errors.PlatformRejectedError as error:
+                # The store doesn't accept the row, at no attempt.
+                logs.log_event("job.rejected", job=job_id, error=str(error))
+                return self._make_refusal(policy.queue, job_id)
             except errors.PlatformError:
                 # The outcome is unknown until another attempt succeeds, also
                 # for later submissions of the job. The caller can't switch to
--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -11,6 +11,7 @@
 from fireflywell.node import ownership
 from fireflywell.node import present_rows
 from fireflywell.node import progress_writer
+from fireflywell.node import stored_progress
 from fireflywell.node import tables
 from fireflywell.scheduling import job_rows
 from fireflywell.scheduling import jobs as jobs_lib
@@ -64,7 +65,7 @@
         self._on_change = on_change
         self._on_relocation = on_relocation
         # Progress of jobs that haven't been added yet.
-        self._stored_progress: dict[str, row_store.Row] = {}
+        self._stored_progress: dict[str, stored_progress.StoredProgress] = {}
         self._loaded = anyio.Event()
         # Monotonic time at which the applied rows were last up to date.
         self._confirmed_at: datetime.timedelta | None = None
@@ -130,7 +131,7 @@
         page = await self._store.read(
             table, self._service, at_least=self._claim_version
         )
-        self._stored_progress = {row.row_key.key: row for row in page.rows}
+        self._stored_progress = stored_progress.group_rows(page.rows)
 
     def apply_snapshot(self, rows: tuple[row_store.Row, ...]) -> None:
         """Applies all rows of the table and marks the jobs as loaded."""
@@ -231,15 +232,13 @@
             )
 
     def _restore_progress(self, job: jobs_lib.Job) -> None:
-        row = self._stored_progress.pop(job.job_id, None)
-        if row is None:
+        stored = self._stored_progress.pop(job.job_id, None)
+        if stored is None:
             return
-        try:
-            progress = job_rows.decode_progress(row.value)
-        except errors.CorruptRowError as error:
-            logs.log_event("job.unreadable", job=job.job_id, error=str(error))
-            return
-        job_rows.restore_progress(job, progress)
-        job.row_version = row.version
-        if progress.state.is_final:
-            self._writer.record_final_state(job.job_id, progress.ended_at_s)
+        stored.restore(job)
+        if job.state.is_final:
+            self._writer.record_final_state(
+                job.job_id,
+                stored.ended_at_s,
+                has_ranges=bool(job.progress_ranges),
+            )
--- a/src/fireflywell/node/progress_writer.py
+++ b/src/fireflywell/node/progress_writer.py
@@ -2,7 +2,6 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Iterable
 import dataclasses
 import datetime
 import random
@@ -13,17 +12,13 @@
 from fireflywell import errors
 from fireflywell.coordination import row_store
 from fireflywell.node import ownership
+from fireflywell.node import progress_batches
 from fireflywell.node import tables
 from fireflywell.node import waiting_counts
-from fireflywell.scheduling import job_rows
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import service_state
 from fireflywell.telemetry import logs
 
-# A transaction holds at most 100 entries: the owner's condition, and for each
-# job a condition and a row.
-_JOBS_PER_WRITE = 40
-
 # How long changes are collected into one batch; the urgent delay applies if a
 # caller waits for one of them.
 _NORMAL_DELAY = datetime.timedelta(milliseconds=60)
@@ -46,7 +41,11 @@
 # Final states are kept this many times as long as callers may read them.
 RETENTION_FACTOR = 1.5
 _SWEEP_INTERVAL = datetime.timedelta(seconds=5)
-_ROWS_PER_SWEEP = 20
+
+# A transaction holds at most 100 entries: the owner's condition, and a row for
+# each key that is removed. A job without ranges has up to three rows.
+_ROWS_PER_REMOVAL = 96
+_JOBS_PER_SWEEP = _ROWS_PER_REMOVAL // 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,18 +65,17 @@
 
     __slots__ = (
         "_state",
+        "_batches",
         "_clock",
-        "_batch_size",
         "_checked_at",
         "_ended_at_s",
-        "_in_flight",
         "_is_check_requested",
         "_is_store_unreachable",
+        "_jobs_with_ranges",
         "_on_tenure_lost",
         "_rejected",
         "_retention",
         "_store",
-        "_stored",
         "_tenure",
         "_wake",
         "random",
@@ -92,6 +90,7 @@
         rng: random.Random,
         retention: datetime.timedelta,
         on_tenure_lost: Callable[[], None],
+        row_bytes: int = row_store.DEFAULT_ROW_BYTES,
     ) -> None:
         self._tenure = tenure
         self._state = state
@@ -104,30 +103,35 @@
         self._is_check_requested = False
         # Monotonic time of the last write that only checked the tenure.
         self._checked_at: datetime.timedelta | None = None
-        self._stored = anyio.Event()
-        # Jobs of the transaction that has no answer yet.
-        self._in_flight: frozenset[str] = frozenset()
+        self._batches = progress_batches.ProgressBatches(
+            tenure.service, state, row_bytes
+        )
         self._is_store_unreachable = False
-        # Jobs per transaction, fewer after the store has rejected one.
-        self._batch_size = _JOBS_PER_WRITE
         # Jobs whose row was rejected by itself; each is logged once.
         self._rejected: set[str] = set()
         # When each final state was stored, on the store's clock.
         self._ended_at_s: dict[str, float] = {}
+        # Finished jobs of which rows of ranges may be stored.
+        self._jobs_with_ranges: set[str] = set()
 
     def wake(self) -> None:
         """Wakes the writer if any jobs have changes to store."""
-        if self._state.dirty:
+        if self._batches.has_rows:
             self._wake.set()
 
-    def record_final_state(self, job_id: str, ended_at_s: float) -> None:
-        """Records a final state that an earlier owner stored.
+    def record_final_state(
+        self, job_id: str, ended_at_s: float, *, has_ranges: bool
+    ) -> None:
+        """Records a final state that is stored.
 
         Args:
             job_id: The job, which is removed after the retention time.
             ended_at_s: When it ended, on the store's clock.
+            has_ranges: Whether rows of ranges of its units are stored, too.
         """
         self._ended_at_s[job_id] = ended_at_s
+        if has_ranges:
+            self._jobs_with_ranges.add(job_id)
 
     def check_tenure(self) -> None:
         """Wakes the writer for a write, which fails if the tenure is over."""
@@ -136,7 +140,7 @@
 
     async def wait_until_stored(
         self, job_ids: frozenset[str], timeout: datetime.timedelta
-    ) -> bool:
+    ) -> frozenset[str]:
         """Waits until all present changes of some jobs are stored.
 
         Args:
@@ -144,17 +148,19 @@
             timeout: Longest time to wait.
 
         Returns:
-            Whether they were stored in time.
+            The jobs whose changes were not stored in time.
         """
+        events = {job_id: self._batches.subscribe(job_id) for job_id in job_ids}
         self.wake()
         with anyio.move_on_after(timeout.total_seconds()):
-            while any(
-                job_id in self._state.dirty or job_id in self._in_flight
-                for job_id in job_ids
-            ):
-                await self._stored.wait()
-            return True
-        return False
+            for event in events.values():
+                if event is not None:
+                    await event.wait()
+        return frozenset(
+            job_id
+            for job_id, event in events.items()
+            if event is not None and not event.is_set()
+        )
 
     async def run(self) -> None:
         """Stores changes in batches until cancelled.
@@ -173,7 +179,7 @@
             self._is_check_requested = False
             if is_check_due:
                 await self._confirm_tenure()
-            while self._state.dirty:
+            while self._batches.has_rows:
                 await self._store_batch()
 
     async def run_waiting_counts(
@@ -216,91 +222,80 @@
         """
         while True:
             await self._clock.sleep(_SWEEP_INTERVAL)
-            oldest_s = self._store.now_s() - self._retention.total_seconds()
-            due = [j for j, at_s in self._ended_at_s.items() if at_s < oldest_s]
-            if due:
-                await self._remove_jobs(due[:_ROWS_PER_SWEEP])
-
-    def _signal_stored(self) -> None:
-        self._in_flight = frozenset()
-        stored, self._stored = self._stored, anyio.Event()
-        stored.set()
+            await self._sweep()
+
+    async def _sweep(self) -> None:
+        oldest_s = self._store.now_s() - self._retention.total_seconds()
+        due = [j for j, at_s in self._ended_at_s.items() if at_s < oldest_s]
+        for number in range(0, len(due), _JOBS_PER_SWEEP):
+            if not await self._remove_jobs(
+                due[number : number + _JOBS_PER_SWEEP]
+            ):
+                return
 
     async def _store_batch(self) -> None:
-        jobs = self._state.take_dirty(self._batch_size)
-        self._in_flight = frozenset(job.job_id for job in jobs)
+        now_s = self._store.now_s()
+        batch = self._batches.take(self._clock.monotonic(), now_s)
+        if not batch:
+            # Only jobs whose rows were rejected are left.
+            if self._batches.has_rows:
+                await self._clock.sleep(_RETRY_DELAY)
+            return
         try:
-            await self._store_jobs(jobs)
-        except Exception:
+            await self._store_rows(batch, now_s)
+        except BaseException:
             # The supervisor starts this task again; the changes must not be
             # lost with it.
-            self._mark_dirty(jobs)
+            self._batches.abandon(batch)
             self._wake.set()
             raise
-        finally:
-            self._signal_stored()
 
-    async def _store_jobs(self, jobs: list[jobs_lib.Job]) -> None:
-        service = self._tenure.service
-        now_s = self._store.now_s()
-        transaction = self._make_transaction(jobs, now_s)
-        match await self._transact(transaction):
+    async def _store_rows(
+        self, batch: tuple[progress_batches.BatchRow, ...], now_s: float
+    ) -> None:
+        match await self._transact(self._make_transaction(batch)):
             case row_store.Committed(version=version):
-                self._batch_size = min(_JOBS_PER_WRITE, 2 * self._batch_size)
-                for job in jobs:
-                    job.row_version = version
+                for job in self._batches.complete(batch, version):
                     self._mark_final_stored(job, now_s)
             case row_store.Conflict() as conflict:
                 self._check_owner(conflict)
-                for job in jobs:
-                    row_key = tables.locate_progress(service, job.job_id)
-                    job.row_version = conflict.find_version(row_key)
-                self._mark_dirty(jobs)
+                self._batches.abandon(batch)
+                for item in batch:
+                    item.write.row.version = conflict.find_version(item.row_key)
             case _Rejected(reason=reason):
-                await self._isolate_rejected(jobs, reason)
+                if self._batches.reject(batch, self._clock.monotonic()):
+                    self._log_rejected(batch[0], reason)
+                else:
+                    await self._clock.sleep(_RETRY_DELAY)
             case None:
-                self._mark_dirty(jobs)
+                self._batches.abandon(batch)
                 await self._clock.sleep(_RETRY_DELAY)
 
     def _make_transaction(
-        self, jobs: list[jobs_lib.Job], now_s: float
+        self, batch: tuple[progress_batches.BatchRow, ...]
     ) -> row_store.Transaction:
         expected = [self._tenure.make_condition()]
         puts = []
-        for job in jobs:
-            finished = self._state.finished.get(job.job_id)
-            reason = finished.reason if finished else ""
-            row_key = tables.locate_progress(self._tenure.service, job.job_id)
-            expected.append(row_store.Condition(row_key, job.row_version))
-            progress = job_rows.snapshot_progress(job, now_s, reason)
-            puts.append(
-                row_store.Put(row_key, job_rows.encode_progress(progress))
+        for item in batch:
+            expected.append(
+                row_store.Condition(item.row_key, item.write.row.version)
             )
+            puts.append(row_store.Put(item.row_key, item.write.value))
         return row_store.Transaction(tuple(expected), tuple(puts))
 
-    async def _isolate_rejected(
-        self, jobs: list[jobs_lib.Job], reason: str
+    def _log_rejected(
+        self, item: progress_batches.BatchRow, reason: str
     ) -> None:
-        """Writes fewer jobs at a time, and a single rejected one last.
-
-        One row that the store never accepts must not keep the others out.
-        """
-        self._batch_size = max(1, len(jobs) // 2)
-        if len(jobs) > 1:
-            self._mark_dirty(jobs)
-        else:
-            (job,) = jobs
-            self._state.dirty.setdefault(job.job_id, False)
-            if job.job_id not in self._rejected:
-                self._rejected.add(job.job_id)
-                logs.log_event(
-                    "progress.rejected", job=job.job_id, error=reason
-                )
-        await self._clock.sleep(_RETRY_DELAY)
-
-    def _mark_dirty(self, jobs: Iterable[jobs_lib.Job]) -> None:
-        for job in jobs:
-            self._state.dirty[job.job_id] = True
+        if item.job.job_id in self._rejected:
+            return
+        self._rejected.add(item.job.job_id)
+        logs.log_event(
+            "progress.rejected",
+            job=item.job.job_id,
+            row=item.row_key.key,
+            size_bytes=len(item.write.value),
+            error=reason,
+        )
 
     def _mark_final_stored(self, job: jobs_lib.Job, now_s: float) -> None:
         if not job.state.is_final or job.job_id in self._state.dirty:
@@ -308,7 +303,9 @@
         finished = self._state.finished.pop(job.job_id, None)
         if finished is None:
             return
-        self._ended_at_s[job.job_id] = now_s
+        self.record_final_state(
+            job.job_id, now_s, has_ranges=bool(job.progress_ranges)
+        )
         logs.log_event(
             "job.final",
             job=job.job_id,
@@ -316,7 +313,7 @@
             state=str(job.state),
             reason=finished.reason,
             age_s=round(now_s - job.submission.accepted_at_s, 3),
-            version=job.row_version,
+            version=job.state_row.version,
         )
 
     async def _transact(
@@ -371,24 +368,52 @@
             case _:
                 return
 
-    async def _remove_jobs(self, job_ids: list[str]) -> None:
+    async def _remove_jobs(self, job_ids: list[str]) -> bool:
+        """Removes all rows of finished jobs; returns whether that succeeded."""
         service = self._tenure.service
         removes = []
         for job_id in job_ids:
+            if job_id in self._jobs_with_ranges:
+                if not await self._remove_ranges(job_id):
+                    return False
+                self._jobs_with_ranges.discard(job_id)
             removes.append(tables.locate_job(service, job_id))
             removes.append(tables.locate_cancel(service, job_id))
             removes.append(tables.locate_progress(service, job_id))
+        if not await self._remove_rows(removes):
+            return False
+        for job_id in job_ids:
+            del self._ended_at_s[job_id]
+        return True
+
+    async def _remove_ranges(self, job_id: str) -> bool:
+        """Removes the rows of the ranges of a finished job's units."""
+        try:
+            rows = await tables.read_progress_ranges(
+                self._store, self._tenure.service, job_id
+            )
+        except errors.PlatformError:
+            return False
+        row_keys = [row.row_key for row in rows]
+        for number in range(0, len(row_keys), _ROWS_PER_REMOVAL):
+            if not await self._remove_rows(
+                row_keys[number : number + _ROWS_PER_REMOVAL]
+            ):
+                return False
+        return True
+
+    async def _remove_rows(self, row_keys: list[row_store.RowKey]) -> bool:
         result = await self._transact(
             row_store.Transaction(
-                (self._tenure.make_condition(),), (), tuple(removes)
+                (self._tenure.make_condition(),), (), tuple(row_keys)
             )
         )
         match result:
             case row_store.Committed():
-                for job_id in job_ids:
-                    del self._ended_at_s[job_id]
+                return True
             case row_store.Conflict() as conflict:
                 self._check_owner(conflict)
+        return False
 
     def _check_owner(self, conflict: row_store.Conflict) -> None:
         if self._tenure.is_over(conflict):
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -150,6 +150,7 @@
             rng,
             settings.bounds.status_retention,
             self.stop,
+            settings.row_bytes,
         )
         self._assigned_workers = assigned_workers.AssignedWorkers(
             tenure, self._state, store, clock, self._wake_planner, self.stop
--- a/src/fireflywell/node/settings.py
+++ b/src/fireflywell/node/settings.py
@@ -3,6 +3,8 @@
 import dataclasses
 import datetime
 
+from fireflywell.coordination import row_store
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OperatingLimits:
@@ -50,6 +52,7 @@
         advice_address: Address of the service that decides on eligible workers.
         bounds: Operating limits.
         cpu_millis: Processor speed, in thousandths of a core.
+        row_bytes: Largest value of a row of the store.
     """
 
     name: str
@@ -62,3 +65,4 @@
     advice_address: str
     bounds: OperatingLimits
     cpu_millis: int = 1000
+    row_bytes: int = row_store.DEFAULT_ROW_BYTES
--- a/src/fireflywell/node/tables.py
+++ b/src/fireflywell/node/tables.py
@@ -39,6 +39,11 @@
 
 _CANCEL_SUFFIX = "/cancel"
 
+# Separates a job's ID from the range of units of a row of its progress.
+_RANGE_SEPARATOR = "/"
+# The character after the separator, in the order of keys.
+_AFTER_SEPARATOR = "0"
+
 
 def name_jobs_table(service: str) -> str:
     """Returns the table of a service's accepted jobs."""
@@ -87,6 +92,43 @@
     return row_store.RowKey(name_progress_table(service), service, job_id)
 
 
+def locate_progress_range(
+    service: str, job_id: str, range_key: str
+) -> row_store.RowKey:
+    """Returns the row key of the progress of a range of a job's units."""
+    return row_store.RowKey(
+        name_progress_table(service),
+        service,
+        job_id + _RANGE_SEPARATOR + range_key,
+    )
+
+
+def split_progress_key(key: str) -> tuple[str, str]:
+    """Returns the job and the range of units of a row of progress.
+
+    The range is empty for the row of the job's state.
+    """
+    job_id, _, range_key = key.partition(_RANGE_SEPARATOR)
+    return job_id, range_key
+
+
+async def read_progress_ranges(
+    store: row_store.RowStore, service: str, job_id: str
+) -> tuple[row_store.Row, ...]:
+    """Reads the rows of all ranges of a job's units.
+
+    Raises:
+        PlatformError: The store doesn't answer.
+    """
+    page = await store.read(
+        name_progress_table(service),
+        service,
+        job_id + _RANGE_SEPARATOR,
+        job_id + _AFTER_SEPARATOR,
+    )
+    return page.rows
+
+
 def locate_waiting_counts(service: str) -> row_store.RowKey:
     """Returns the row key of the numbers of waiting jobs of all queues."""
     return row_store.RowKey(QUEUES, service, "waiting")
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -400,11 +400,21 @@
     async def _store_ends(
         self, report: orders.WorkerReport, last_end: int
     ) -> None:
-        """Waits until the ends of a report are stored, to acknowledge them."""
+        """Waits until the ends of a report are stored, to acknowledge them.
+
+        An acknowledgement covers all ends up to a number, so it stops before
+        the first end that isn't stored.
+        """
         self._log_ends(report)
         changed = frozenset(end.unit.partition(".")[0] for end in report.ended)
-        if await self._writer.wait_until_stored(changed, _STORE_TIMEOUT):
-            self._acknowledged_end = last_end
+        missing = await self._writer.wait_until_stored(changed, _STORE_TIMEOUT)
+        unstored = (
+            end.number
+            for end in report.ended
+            if end.unit.partition(".")[0] in missing
+        )
+        stored_end = min(unstored, default=last_end + 1) - 1
+        self._acknowledged_end = max(self._acknowledged_end, stored_end)
         await self._clock.sleep(_REPORT_PAUSE)
 
     async def _reach_worker(self, report: orders.WorkerReport) -> bool:
--- a/src/fireflywell/platform/job_requests.py
+++ b/src/fireflywell/platform/job_requests.py
@@ -16,8 +16,8 @@
 _MAX_SPECIFICATION_BYTES = 4000
 _JOB_ID_DIGITS = 16
 
-# The row of a job's progress holds a byte for each unit and at most 65,536
-# bytes. A job of a billion units would use up the memory of each owner.
+# An owner holds all units of its jobs in memory, which a job of a billion units
+# would use up.
 _MAX_UNITS = 60_000
 
 
--- a/src/fireflywell/platform/settings.py
+++ b/src/fireflywell/platform/settings.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from fireflywell import errors
+from fireflywell.coordination import row_store
 from fireflywell.node import settings as node_settings
 
 SETTINGS_VARIABLE = "FIREFLYWELL_CONFIG"
@@ -69,6 +70,7 @@
         cpu_millis=round(
             1000 * limits.number("cpu_share", 1) * limits.number("cores", 1)
         ),
+        row_bytes=int(store.number("row_bytes", row_store.DEFAULT_ROW_BYTES)),
     )
 
 
--- a/src/fireflywell/scheduling/job_rows.py
+++ b/src/fireflywell/scheduling/job_rows.py
@@ -48,7 +48,7 @@
     Attributes:
         number: Index of the step among the steps of all occurrences.
         done: One byte for each unit, 1 if it is done.
-        failures: Run numbers of the failed runs by unit index.
+        failures: Failed runs by unit index, see `encode_failures`.
         checkpoints: Last checkpoint by unit index.
     """
 
@@ -81,6 +81,8 @@
 ) -> Progress:
     """Returns a snapshot of a job's progress to store.
 
+    Units that are done need neither checkpoints nor failed runs.
+
     Args:
         job: The job.
         now_s: Current time on the store's clock, which becomes the end of a job
@@ -91,10 +93,11 @@
         return Progress(job.state, (), now_s, reason)
     steps = []
     for number, step in enumerate(job.steps):
-        failures = {u.index: u.failed_runs for u in step.units if u.failed_runs}
-        checkpoints = {
-            u.index: u.checkpoint for u in step.units if u.checkpoint
+        active = [unit for unit in step.units if not unit.is_done]
+        failures = {
+            u.index: encode_failures(u) for u in active if u.failed_runs
         }
+        checkpoints = {u.index: u.checkpoint for u in active if u.checkpoint}
         if not (step.done_count or failures or checkpoints):
             continue
         done = bytes(int(unit.is_done) for unit in step.units)
@@ -112,10 +115,40 @@
         step = job.steps[stored.number]
         for unit, done in zip(step.units, stored.done, strict=False):
             unit.is_done = bool(done)
-            unit.failed_runs = list(stored.failures.get(unit.index, ()))
-            unit.checkpoint = stored.checkpoints.get(unit.index, "")
-        step.done_count = sum(unit.is_done for unit in step.units)
-        step.waiting = [u for u in reversed(step.units) if not u.is_done]
+            restore_unit(
+                unit,
+                stored.failures.get(unit.index, []),
+                stored.checkpoints.get(unit.index, ""),
+            )
+        count_done_units(step)
+
+
+def encode_failures(unit: jobs.Unit) -> list[int]:
+    """Returns the numbers of a unit's failed runs as they are stored.
+
+    The number of earlier ones that aren't kept comes first, as a negative
+    number, if there are any.
+    """
+    if unit.older_failures:
+        return [-unit.older_failures, *unit.failed_runs]
+    return unit.failed_runs
+
+
+def restore_unit(unit: jobs.Unit, failures: list[int], checkpoint: str) -> None:
+    """Applies the stored failed runs and the checkpoint of a unit, if any."""
+    if failures and failures[0] < 0:
+        unit.older_failures = -failures[0]
+        failures = failures[1:]
+    if failures:
+        unit.failed_runs = list(failures)
+    if checkpoint:
+        unit.checkpoint = checkpoint
+
+
+def count_done_units(step: jobs.StepOccurrence) -> None:
+    """Updates a step after stored progress was applied to its units."""
+    step.done_count = sum(unit.is_done for unit in step.units)
+    step.waiting = [u for u in reversed(step.units) if not u.is_done]
 
 
 def encode_progress(progress: Progress) -> bytes:
@@ -157,14 +190,20 @@
 def _decode_step(row: Any) -> StepProgress:
     """Decodes one step, with the types that `restore_progress` relies on."""
     number, done, failures, checkpoints = row
-    if (
-        not isinstance(number, int)
-        or number < 0
-        or not isinstance(done, bytes)
-        or not all(
-            isinstance(run, int) for runs in failures.values() for run in runs
-        )
-        or not all(isinstance(text, str) for text in checkpoints.values())
-    ):
+    if not isinstance(number, int) or number < 0 or not isinstance(done, bytes):
         raise TypeError("a field of a step has another type")
+    check_unit_values(failures, checkpoints)
     return StepProgress(number, done, failures, checkpoints)
+
+
+def check_unit_values(failures: Any, checkpoints: Any) -> None:
+    """Checks the types that `restore_unit` relies on.
+
+    Raises:
+        TypeError: A value has another type.
+        AttributeError: An argument isn't a mapping.
+    """
+    if not all(
+        isinstance(run, int) for runs in failures.values() for run in runs
+    ) or not all(isinstance(text, str) for text in checkpoints.values()):
+        raise TypeError("a field of a unit has another type")
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -1,10 +1,16 @@
 """Progress of accepted jobs: their steps, units and runs."""
 
+import bisect
 from collections.abc import Iterator
 import enum
 import math
 
 from fireflywell.scheduling import model
+from fireflywell.scheduling import progress_ranges
+
+# Failed runs of a unit whose numbers are kept, which bounds the size of its
+# stored progress. Workers list only recent ends again.
+MAX_FAILED_RUNS = 256
 
 
 class JobState(enum.StrEnum):
@@ -185,6 +191,7 @@
         "is_done",
         "last_run_number",
         "last_worker_id",
+        "older_failures",
         "runs",
         "step",
     )
@@ -194,7 +201,10 @@
         self.index = index
         self.is_done = False
         self.checkpoint = ""
+        # Numbers of failed runs, so that none counts twice.
         self.failed_runs: list[int] = []
+        # Number of earlier failed runs whose numbers aren't kept any more.
+        self.older_failures = 0
         self.runs: list[Run] = []
         self.last_run_number = 0
         self.last_worker_id = ""
@@ -207,6 +217,45 @@
             f"{step.job.job_id}.{step.occurrence}.{step.position}.{self.index}"
         )
 
+    @property
+    def failure_count(self) -> int:
+        """Number of runs that have failed."""
+        return self.older_failures + len(self.failed_runs)
+
+    def mark_done(self) -> None:
+        """Records that the unit is done."""
+        self.is_done = True
+        self._mark_changed()
+
+    def save_checkpoint(self, checkpoint: str) -> None:
+        """Records the progress from which the next run resumes."""
+        if checkpoint != self.checkpoint:
+            self.checkpoint = checkpoint
+            self._mark_changed()
+
+    def add_failure(self, run_number: int) -> bool:
+        """Records a failed run.
+
+        Returns:
+            Whether the run wasn't recorded before. A run whose number may have
+            been dropped counts as recorded.
+        """
+        runs = self.failed_runs
+        if run_number in runs or (
+            self.older_failures and run_number < min(runs)
+        ):
+            return False
+        runs.append(run_number)
+        if len(runs) > MAX_FAILED_RUNS:
+            runs.remove(min(runs))
+            self.older_failures += 1
+        self._mark_changed()
+        return True
+
+    def _mark_changed(self) -> None:
+        step = self.step
+        step.job.changed_units.add(step.first_ordinal + self.index)
+
     def find_run(self, worker_id: str, number: int) -> Run | None:
         """Returns the run with this number on a worker, or None."""
         for run in self.runs:
@@ -222,6 +271,7 @@
         "advice_due_s",
         "denied_worker_ids",
         "done_count",
+        "first_ordinal",
         "job",
         "observed_unit_duration_s",
         "occurrence",
@@ -236,12 +286,19 @@
     )
 
     def __init__(
-        self, job: "Job", occurrence: int, position: int, spec: model.Step
+        self,
+        job: "Job",
+        occurrence: int,
+        position: int,
+        spec: model.Step,
+        first_ordinal: int = 0,
     ) -> None:
         self.job = job
         self.occurrence = occurrence
         self.position = position
         self.spec = spec
+        # Position of the first unit among the units of all steps of the job.
+        self.first_ordinal = first_ordinal
         self.done_count = 0
         self.observed_unit_duration_s: float | None = None
         # Monotonic time of the first planning pass that included the step.
@@ -293,10 +350,12 @@
 
     __slots__ = (
         "arrived_s",
+        "changed_units",
         "has_started",
         "is_recovered",
-        "row_version",
+        "progress_ranges",
         "state",
+        "state_row",
         "steps",
         "submission",
     )
@@ -308,13 +367,21 @@
         self.has_started = False
         # Whether a previous owner of the service may have started units.
         self.is_recovered = False
-        # Version of the stored progress; 0 if there is none.
-        self.row_version = 0
-        self.steps = [
-            StepOccurrence(self, occurrence, position, spec)
-            for occurrence in range(submission.request.occurrences)
-            for position, spec in enumerate(submission.request.steps)
-        ]
+        # Row that holds the state, and the progress of all units as long as it
+        # is small.
+        self.state_row = progress_ranges.StoredRow()
+        # Ranges of units whose progress is in rows of their own, in order.
+        self.progress_ranges: list[progress_ranges.ProgressRange] = []
+        # Units whose progress has changed since it was last encoded.
+        self.changed_units: set[int] = set()
+        self.steps: list[StepOccurrence] = []
+        ordinal = 0
+        for occurrence in range(submission.request.occurrences):
+            for position, spec in enumerate(submission.request.steps):
+                self.steps.append(
+                    StepOccurrence(self, occurrence, position, spec, ordinal)
+                )
+                ordinal += spec.count
 
     @property
     def job_id(self) -> str:
@@ -352,6 +419,25 @@
             return None
         return step.units[index]
 
+    def list_units(self, first: int, count: int) -> list[Unit]:
+        """Returns consecutive units in the order of all steps.
+
+        Args:
+            first: Ordinal of the first one.
+            count: Number of units; those after the last one are left out.
+        """
+        found: list[Unit] = []
+        position = bisect.bisect_right(
+            self.steps, first, key=lambda step: step.first_ordinal
+        )
+        position = max(0, position - 1)
+        while position < len(self.steps) and len(found) < count:
+            step = self.steps[position]
+            start = max(0, first - step.first_ordinal)
+            found.extend(step.units[start : start + count - len(found)])
+            position += 1
+        return found
+
     def iterate_units(self) -> Iterator[Unit]:
         """Yields the units of all steps."""
         for step in self.steps:
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Iterable
+from collections.abc import Set
 import dataclasses
 import math
 
@@ -160,8 +161,8 @@
         if job.are_units_done:
             self._finish(job, jobs_lib.JobState.COMPLETED, "")
             return
-        for step in job.steps:
-            self._fail_if_attempts_exhausted(step)
+        for unit in job.iterate_units():
+            self._fail_if_attempts_exhausted(unit)
         self._queue_ready_steps(job, None)
 
     def cancel_job(self, job_id: str) -> None:
@@ -420,12 +421,21 @@
                 f"{len(worker.runs)} runs"
             )
 
-    def take_dirty(self, limit: int) -> list[jobs_lib.Job]:
+    def take_dirty(
+        self, limit: int, excluded: Set[str] = frozenset()
+    ) -> list[jobs_lib.Job]:
         """Removes up to `limit` jobs from `dirty` and returns them.
 
         Jobs whose callers wait for the write come first.
+
+        Args:
+            limit: Number of jobs.
+            excluded: Jobs that stay in `dirty`.
         """
-        job_ids = sorted(self.dirty, key=lambda job_id: not self.dirty[job_id])
+        job_ids = sorted(
+            (job_id for job_id in self.dirty if job_id not in excluded),
+            key=lambda job_id: not self.dirty[job_id],
+        )
         batch = []
         for job_id in job_ids[:limit]:
             del self.dirty[job_id]
@@ -511,7 +521,7 @@
         for member in members:
             if member.is_done:
                 continue
-            member.is_done = True
+            member.mark_done()
             step.done_count += 1
             if member in step.waiting:
                 step.waiting.remove(member)
@@ -539,26 +549,24 @@
         self._record_checkpoint(unit, end.checkpoint)
         if unit.step.spec.is_long_running:
             return
-        if end.run not in unit.failed_runs:
-            unit.failed_runs.append(end.run)
+        if unit.add_failure(end.run):
             self.dirty.setdefault(unit.step.job.job_id, False)
-        self._fail_if_attempts_exhausted(unit.step)
+        self._fail_if_attempts_exhausted(unit)
 
-    def _fail_if_attempts_exhausted(
-        self, step: jobs_lib.StepOccurrence
-    ) -> None:
-        job = step.job
-        if step.spec.is_long_running or job.job_id not in self.jobs:
+    def _fail_if_attempts_exhausted(self, unit: jobs_lib.Unit) -> None:
+        job = unit.step.job
+        if (
+            unit.is_done
+            or unit.failure_count < job.policy.max_attempts
+            or unit.step.spec.is_long_running
+            or job.job_id not in self.jobs
+        ):
             return
-        limit = job.policy.max_attempts
-        for unit in step.units:
-            if not unit.is_done and len(unit.failed_runs) >= limit:
-                self._finish(
-                    job,
-                    jobs_lib.JobState.FAILED,
-                    f"unit {unit.name} failed {len(unit.failed_runs)} times",
-                )
-                return
+        self._finish(
+            job,
+            jobs_lib.JobState.FAILED,
+            f"unit {unit.name} failed {unit.failure_count} times",
+        )
 
     def _apply_running(
         self, worker: workers_lib.Worker, item: orders.RunReport, now_s: float
@@ -573,7 +581,7 @@
         run.percent = item.percent
         run.load = item.load
         if item.checkpoint:
-            run.unit.checkpoint = item.checkpoint
+            run.unit.save_checkpoint(item.checkpoint)
 
     def _adopt_run(
         self, worker: workers_lib.Worker, item: orders.RunReport, now_s: float
@@ -617,7 +625,7 @@
 
     def _record_checkpoint(self, unit: jobs_lib.Unit, checkpoint: str) -> None:
         if checkpoint and unit.step.spec.is_checkpointing:
-            unit.checkpoint = checkpoint
+            unit.save_checkpoint(checkpoint)
             self.dirty.setdefault(unit.step.job.job_id, False)
 
     def _drop_run(self, run: jobs_lib.Run) -> None:
--- a/src/fireflywell/standins/row_store.py
+++ b/src/fireflywell/standins/row_store.py
@@ -9,6 +9,13 @@
 from fireflywell import errors
 from fireflywell.coordination import row_store
 
+# Limits of a transaction, as the platform's store has them.
+_MAX_ENTRIES = 100
+_MAX_TRANSACTION_BYTES = 1_000_000
+
+# Size of an entry beside its value: names of fields, table, partition and key.
+_ENTRY_BYTES = 120
+
 # Changes that are kept for those who follow a table.
 _HISTORY_ROWS = 4000
 
@@ -25,6 +32,7 @@
         read_lag_s: How old the state is that reads and followers see.
         read_version: Version whose state reads and followers see; None for
             the state that `read_lag_s` tells.
+        row_bytes: Largest value of a row.
     """
 
     __slots__ = (
@@ -41,6 +49,7 @@
         "lose_answers",
         "read_lag_s",
         "read_version",
+        "row_bytes",
     )
 
     def __init__(self, clock: clock_lib.Clock) -> None:
@@ -60,6 +69,7 @@
         self.delay_s = 0.0
         self.read_lag_s = 0.0
         self.read_version: int | None = None
+        self.row_bytes = row_store.DEFAULT_ROW_BYTES
 
     @property
     def version(self) -> int:
@@ -119,6 +129,7 @@
             raise errors.PlatformRejectedError(
                 f"a transaction touches several partitions: {partitions}"
             )
+        _check_size(transaction, self.row_bytes)
         for item in transaction.expected:
             row = self._rows.get(item.row_key)
             if (row.version if row else 0) != item.version:
@@ -257,3 +268,36 @@
         await anyio.sleep(self.delay_s)
         if self.is_down:
             raise errors.PlatformUnavailableError("the store is down")
+
+
+def _check_size(transaction: row_store.Transaction, row_bytes: int) -> None:
+    """Checks the limits of the platform's store.
+
+    Raises:
+        PlatformRejectedError: The transaction exceeds one of them.
+    """
+    for put in transaction.puts:
+        if len(put.value) > row_bytes:
+            raise errors.PlatformRejectedError(
+                f"the value of row {put.row_key} has {len(put.value)} bytes; "
+                f"at most {row_bytes} are possible"
+            )
+    entries = (
+        len(transaction.expected)
+        + len(transaction.puts)
+        + len(transaction.removes)
+    )
+    if entries > _MAX_ENTRIES:
+        raise errors.PlatformRejectedError(
+            f"a transaction has {entries} entries; at most {_MAX_ENTRIES} are "
+            "possible"
+        )
+    # Values are sent in base64.
+    size_bytes = entries * _ENTRY_BYTES + sum(
+        len(put.value) * 4 // 3 for put in transaction.puts
+    )
+    if size_bytes > _MAX_TRANSACTION_BYTES:
+        raise errors.PlatformRejectedError(
+            f"a transaction has {size_bytes} bytes; at most "
+            f"{_MAX_TRANSACTION_BYTES} are possible"
+        )
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -177,20 +177,25 @@
 
 
 class FakeWriter:
-    """Stores nothing."""
+    """Stores nothing.
+
+    Attributes:
+        missing: Jobs that are never stored.
+    """
 
     def __init__(self) -> None:
         self.random = random.Random(1)
+        self.missing: frozenset[str] = frozenset()
 
     def check_tenure(self) -> None:
         """Accepts that a worker has seen a higher fencing token."""
 
     async def wait_until_stored(
         self, job_ids: frozenset[str], timeout: datetime.timedelta
-    ) -> bool:
-        """Reports the jobs as stored."""
-        del job_ids, timeout
-        return True
+    ) -> frozenset[str]:
+        """Reports the jobs as stored, unless the test says otherwise."""
+        del timeout
+        return job_ids & self.missing
 
 
 class FakeAssignedWorkers:
--- a/tests/test_moved_workers.py
+++ b/tests/test_moved_workers.py
@@ -105,7 +105,7 @@
 
             async def move_meanwhile(
                 job_ids: frozenset[str], timeout: datetime.timedelta
-            ) -> bool:
+            ) -> frozenset[str]:
                 if not world.client_after_move.renewals:
                     world.move()
                 return await wait(job_ids, timeout)
--- a/tests/test_not_stored.py
+++ b/tests/test_not_stored.py
@@ -200,6 +200,28 @@
         )
 
 
+class RejectedSubmissionTest(unittest.TestCase):
+    """A submission that the store refuses as it is."""
+
+    def test_caller_is_told_at_once_that_it_never_runs(self) -> None:
+        """Fails if the caller waits, or is told that the job may run.
+
+        The store's refusal counted as an answer that was lost.
+        """
+
+        async def run() -> None:
+            world = node_world.NodeWorld()
+            await world.submit(job_id="00000000000000b2")
+            world.store.row_bytes = 10
+            outcome = await world.submit()
+            self.assertIsInstance(outcome, job_frontend.NotStored)
+            calls = world.store.calls
+            await world.submit()
+            self.assertLess(world.store.calls - calls, 3)
+
+        anyio.run(run)
+
+
 class LateSubmissionTest(unittest.TestCase):
     """The cancellation of a job whose write the store applies late."""
 
