Keep jobs that were cancelled with 410 from being stored later

Cause: a cancellation that found no row of the job stored nothing, so a submission that was still on its way met no condition that fails. Only the node that had sent it knew of it, for 10 s and until a restart.

On that code a late write after a cancellation at another node stores the job, and the new rule of the stateful test of job locations fails.

Change: a cancellation that finds no row stores an early one in its place.

Why it works: all writes of submissions have the condition that their row is new, so none that was sent before the cancellation can be stored.

--- a/src/fireflywell/asgi.py
+++ b/src/fireflywell/asgi.py
@@ -20,6 +20,9 @@
 # `_LoggedApplication` logs failures instead.
 logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL + 1)
 
+# How long to wait for the end of a connection that was closed before.
+_DISCONNECT_WAIT = datetime.timedelta(milliseconds=20)
+
 Scope = MutableMapping[str, Any]
 Message = MutableMapping[str, Any]
 Receive = Callable[[], Awaitable[Message]]
@@ -166,6 +169,16 @@
             return bytes(body)
 
 
+async def is_caller_connected(receive: Receive) -> bool:
+    """Returns whether the caller keeps its connection open after the body."""
+    with anyio.move_on_after(_DISCONNECT_WAIT.total_seconds()):
+        while True:
+            message = await receive()
+            if message["type"] == "http.disconnect":
+                return False
+    return True
+
+
 async def send_response(
     send: Send, status: int, headers: tuple[Header, ...], body: bytes
 ) -> None:
--- a/src/fireflywell/coordination/row_store.py
+++ b/src/fireflywell/coordination/row_store.py
@@ -90,12 +90,17 @@
 
     rows: tuple[Row, ...]
 
+    def find_row(self, row_key: RowKey) -> Row | None:
+        """Returns a row as it is now; None if it doesn't exist."""
+        for row in self.rows:
+            if row.row_key == row_key and row.version:
+                return row
+        return None
+
     def find_version(self, row_key: RowKey) -> int:
         """Returns the current version of a row; 0 if it doesn't exist."""
-        for row in self.rows:
-            if row.row_key == row_key:
-                return row.version
-        return 0
+        row = self.find_row(row_key)
+        return row.version if row else 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fireflywell/errors.py
+++ b/src/fireflywell/errors.py
@@ -84,6 +84,10 @@
     """An object that a command names doesn't exist."""
 
 
+class JobCancelledError(FireflywellError):
+    """A job was cancelled before its submission was stored."""
+
+
 class JobRefusedError(FireflywellError):
     """A job was rejected because it could never run."""
 
--- a/src/fireflywell/node/heartbeat.py
+++ b/src/fireflywell/node/heartbeat.py
@@ -143,6 +143,16 @@
             )
         return self._renewed_version
 
+    @property
+    def renewed_version(self) -> int:
+        """Version of the store at the last renewal; 0 before the first one.
+
+        The store had it before any request arrived that is read now. That
+        doesn't hold for other answers of the store: a process that was paused
+        may read those before the requests that came earlier.
+        """
+        return self._renewed_version
+
     def find_proven_time(self, version: int) -> datetime.timedelta | None:
         """Returns a time before the end of a state of the store.
 
--- a/src/fireflywell/node/job_frontend.py
+++ b/src/fireflywell/node/job_frontend.py
@@ -49,6 +49,14 @@
     """The job was not stored and never runs; the caller may try again."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CancelledBefore:
+    """The job was cancelled, perhaps after this submission, and never runs.
+
+    The caller may submit it again.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OutcomeUnknown:
     """The change may have been stored; the caller has to repeat the call."""
@@ -84,6 +92,31 @@
     """The cancellation is stored."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """What tells when a submission was sent.
+
+    Attributes:
+        version: A version that the store had before the submission arrived.
+        is_caller_waiting: Returns whether the caller still waits for an answer.
+            What a caller has sent and given up may arrive long after.
+    """
+
+    version: int
+    is_caller_waiting: Callable[[], Awaitable[bool]]
+
+    async def is_after(self, version: int) -> bool:
+        """Returns whether it was certainly sent after a version was stored."""
+        return version <= self.version and await self.is_caller_waiting()
+
+
+async def _is_always_waiting() -> bool:
+    return True
+
+
+# Another node has passed the submission on, at whatever time it arrived there.
+UNKNOWN_ARRIVAL = Arrival(0, _is_always_waiting)
+
 # Passes a submission on to the node at an address, within a time limit. Raises
 # `PlatformUnavailableError` if that node wasn't asked.
 Forward = Callable[
@@ -113,6 +146,7 @@
 
     __slots__ = (
         "_clock",
+        "_find_arrival_version",
         "_forwarding",
         "_locations",
         "_metrics",
@@ -136,6 +170,7 @@
         find_owner: Callable[[str], str] = lambda _: "",
         get_write_time: Callable[[], datetime.timedelta] = datetime.timedelta,
         row_bytes: int = row_store.DEFAULT_ROW_BYTES,
+        find_arrival_version: Callable[[], int] | None = None,
     ) -> None:
         """Creates a frontend.
 
@@ -154,8 +189,12 @@
             get_write_time: Returns how long this node's last write of its own
                 row took.
             row_bytes: Largest value of a row of the store.
+            find_arrival_version: Returns a version that the store had before a
+                request that arrives now; the newest known one if it isn't
+                given.
         """
         self._row_bytes = row_bytes
+        self._find_arrival_version = find_arrival_version
         self._forwarding = submission_forwarding.ForwardingPolicy(
             clock, find_owner, get_write_time
         )
@@ -180,7 +219,8 @@
         request: model.JobRequest,
         timeout: datetime.timedelta,
         forward: Forward | None = None,
-    ) -> Accepted | NotStored | OutcomeUnknown | TooLarge:
+        arrival: Arrival | None = None,
+    ) -> Accepted | NotStored | CancelledBefore | OutcomeUnknown | TooLarge:
         """Stores a job; one that is already stored is accepted again.
 
         While the store is slow or refuses this node, the owner of the service
@@ -193,10 +233,15 @@
             timeout: How long the caller waits for an answer.
             forward: Passes the submission on to another node; None if it may
                 not be passed on.
+            arrival: When it arrived, for a job that was cancelled before; None
+                if the caller calls this as it sends the submission.
 
         Returns:
             Whether the job is stored, as far as the store has answered.
         """
+        arrival = arrival or Arrival(
+            self.find_arrival_version(), _is_always_waiting
+        )
         submission = model.Submission(
             job_id, policy, request, self._store.now_s()
         )
@@ -221,7 +266,14 @@
                         forward = None
             attempt_started = self._clock.monotonic()
             try:
-                location = await self._locations.store(submission)
+                location = await self._locations.store(
+                    submission, arrival.is_after
+                )
+            except errors.JobCancelledError:
+                # No earlier write of the job can be applied any more, either.
+                self._undecided.discard(policy.queue, job_id)
+                self._metrics.count("node.jobs.not_accepted")
+                return CancelledBefore()
             except errors.PlatformUnavailableError:
                 self._forwarding.record_failure(policy.service)
                 known = self._remembered.find(policy.queue, job_id)
@@ -388,12 +440,23 @@
         self._queues.require_recent(policy.queue)
         return sum(counts)
 
+    def find_arrival_version(self) -> int:
+        """Returns a version that the store had before now, for `Arrival`."""
+        if self._find_arrival_version is None:
+            return self._store.newest_version
+        return max(
+            self._find_arrival_version(),
+            self._locations.newest_cancellation_version,
+        )
+
     async def _cancel_once(
         self, job_id: str, policy: model.QueuePolicy
-    ) -> Cancelled | UnknownJob | OutcomeUnknown:
+    ) -> Cancelled | UnknownJob:
         location = self._remembered.find(policy.queue, job_id)
         if location is None:
-            location = await self._locations.find(job_id, policy)
+            location = await self._locations.find_by_read(job_id, policy)
+        if location is None:
+            location = await self._locations.find_or_cancel(job_id, policy)
         while location is not None:
             row_key = tables.locate_cancel(location.service, job_id)
             # The cancellation of a removed job would stay in the store.
@@ -407,11 +470,10 @@
                 case row_store.Committed():
                     return Cancelled()
                 case row_store.Conflict():
-                    location = await self._locations.find_present(
+                    location = await self._locations.find_or_cancel(
                         job_id, policy
                     )
-        if self._undecided.may_be_stored_later(policy.queue, job_id):
-            return OutcomeUnknown()
+        self._undecided.discard(policy.queue, job_id)
         return UnknownJob()
 
     def _may_be_stored(self, queue: str, job_id: str) -> bool:
--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -34,6 +34,7 @@
         "_loaded",
         "_record_arrival",
         "_on_change",
+        "_on_early_cancellation",
         "_on_relocation",
         "_stored_progress",
         "_service",
@@ -53,6 +54,9 @@
         on_relocation: Callable[
             [row_store.Row, model.Relocation], None
         ] = lambda *_: None,
+        on_early_cancellation: Callable[
+            [row_store.Row, model.EarlyCancellation], None
+        ] = lambda *_: None,
     ) -> None:
         self._record_arrival = record_arrival
         self._service = tenure.service
@@ -64,6 +68,7 @@
         self._clock = clock
         self._on_change = on_change
         self._on_relocation = on_relocation
+        self._on_early_cancellation = on_early_cancellation
         # Progress of jobs that haven't been added yet.
         self._stored_progress: dict[str, stored_progress.StoredProgress] = {}
         self._loaded = anyio.Event()
@@ -113,10 +118,10 @@
             rows = await present_rows.read_present_rows(
                 self._store, row_key, cancel_key
             )
-            if not any(row.row_key == row_key for row in rows):
-                self._missing_jobs.add(job_id)
             # Other units of the job may run on workers that haven't reported.
             self._apply_rows(rows, is_fetched=True)
+            if not self._state.has_job(job_id):
+                self._missing_jobs.add(job_id)
 
     async def load_progress(self) -> None:
         """Reads the progress that earlier owners stored.
@@ -195,6 +200,8 @@
             case model.Relocation() as relocation:
                 # Another service holds the job and runs it.
                 self._on_relocation(row, relocation)
+            case model.EarlyCancellation() as cancellation:
+                self._on_early_cancellation(row, cancellation)
 
     def _add_job(
         self,
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -164,6 +164,7 @@
             self._find_owner_address,
             lambda: self._heartbeat.write_time,
             settings.row_bytes,
+            lambda: self._heartbeat.renewed_version,
         )
         self._owners: dict[str, service_owner.ServiceOwner] = {}
         self._owners_tree = supervisor_lib.Supervisor("owners", clock, rng)
--- a/src/fireflywell/node/relocation_sweeper.py
+++ b/src/fireflywell/node/relocation_sweeper.py
@@ -8,6 +8,7 @@
 from fireflywell.coordination import row_store
 from fireflywell.node import present_rows
 from fireflywell.node import progress_writer
+from fireflywell.node import row_removal
 from fireflywell.node import tables
 from fireflywell.scheduling import model
 
@@ -131,31 +132,15 @@
 
     async def _remove(self, unused: list[_StoredRelocation]) -> None:
         """Removes relocations unless one of them was renewed."""
-        result = await self._store.transact(
-            row_store.Transaction(
-                tuple(
-                    row_store.Condition(r.row.row_key, r.row.version)
-                    for r in unused
-                ),
-                (),
-                tuple(r.row.row_key for r in unused),
-            )
+        removed = await row_removal.remove_unchanged(
+            self._store, [relocation.row for relocation in unused]
         )
-        match result:
-            case row_store.Committed():
-                removed = unused
-            case row_store.Conflict(rows=rows):
-                # Those that are gone or were renewed. Later rows of them
-                # arrive with the changes of the table.
-                present = {(row.row_key, row.version) for row in rows}
-                removed = [
-                    r
-                    for r in unused
-                    if (r.row.row_key, r.row.version) not in present
-                ]
-                for relocation in unused:
-                    relocation.due_at_s = self._store.now_s()
-        for relocation in removed:
+        # Later rows of those that were renewed arrive with the changes of the
+        # table.
+        gone = {row.row_key for row in removed}
+        for relocation in unused:
+            relocation.due_at_s = self._store.now_s()
             key = relocation.row.row_key.key
-            if self._relocations.get(key) is relocation:
+            is_known = self._relocations.get(key) is relocation
+            if is_known and relocation.row.row_key in gone:
                 del self._relocations[key]
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -12,6 +12,7 @@
 from fireflywell.coordination import row_store
 from fireflywell.node import advice_requester
 from fireflywell.node import assigned_workers
+from fireflywell.node import cancellation_sweeper
 from fireflywell.node import drain_marks
 from fireflywell.node import first_report
 from fireflywell.node import fleet_cache
@@ -74,6 +75,7 @@
 
     __slots__ = (
         "_advice",
+        "_cancellations",
         "_state",
         "_clock",
         "_guard",
@@ -158,6 +160,9 @@
         self._relocations = relocation_sweeper.RelocationSweeper(
             store, clock, settings.bounds.status_retention
         )
+        self._cancellations = cancellation_sweeper.CancellationSweeper(
+            store, clock
+        )
         self._loader = job_loader.JobLoader(
             tenure,
             self._state,
@@ -167,6 +172,7 @@
             self._wake_planner,
             self._demand_estimator.record_arrival,
             self._relocations.add,
+            self._cancellations.add,
         )
         self._advice = advice_requester.AdviceRequester(
             self._state, advice, clock, self._wake_planner
@@ -250,6 +256,9 @@
             ),
             supervisor_lib.Child("sweep", self._writer.run_sweep, restart),
             supervisor_lib.Child("relocations", self._relocations.run, restart),
+            supervisor_lib.Child(
+                "cancellations", self._cancellations.run, restart
+            ),
             supervisor_lib.Child(
                 "assigned-workers", self._assigned_workers.run, restart
             ),
--- a/src/fireflywell/node/undecided_jobs.py
+++ b/src/fireflywell/node/undecided_jobs.py
@@ -8,10 +8,6 @@
 # Number of jobs that are remembered.
 _MAX_JOBS = 4096
 
-# The store applies a write without an answer within this time, or never. It
-# takes up to 6 s.
-_LATEST_WRITE = datetime.timedelta(seconds=10)
-
 
 class UndecidedJobs:
     """Recent jobs of which a write had no answer, by queue and id."""
@@ -38,10 +34,3 @@
     def contains(self, queue: str, job_id: str) -> bool:
         """Returns whether the store may hold a job, by an earlier write."""
         return (queue, job_id) in self._written_at
-
-    def may_be_stored_later(self, queue: str, job_id: str) -> bool:
-        """Returns whether the store may still apply a write of a job."""
-        written_at = self._written_at.get((queue, job_id))
-        if written_at is None:
-            return False
-        return self._clock.monotonic() - written_at < _LATEST_WRITE
--- a/src/fireflywell/platform/job_api.py
+++ b/src/fireflywell/platform/job_api.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 import contextlib
 import datetime
+import functools
 import json
 
 import anyio
@@ -77,6 +78,10 @@
     async def _serve(
         self, scope: asgi.Scope, receive: asgi.Receive, send: asgi.Send
     ) -> None:
+        arrival = job_frontend.Arrival(
+            self._frontend.find_arrival_version(),
+            functools.partial(asgi.is_caller_connected, receive),
+        )
         headers = asgi.decode_headers(scope)
         timeout = _read_timeout(headers)
         try:
@@ -99,7 +104,11 @@
         try:
             if scope["method"] == "POST" and job_requests.is_job_id(job_id):
                 forward = self._make_forward(headers, path, body)
-                await self._submit(job_id, route, body, timeout, forward, send)
+                if _is_forwarded(headers):
+                    arrival = job_frontend.UNKNOWN_ARRIVAL
+                await self._submit(
+                    job_id, route, body, timeout, forward, arrival, send
+                )
                 return
             await self._handle(scope["method"], job_id, route, timeout, send)
         except errors.PlatformError as error:
@@ -141,6 +150,7 @@
         body: bytes,
         timeout: datetime.timedelta,
         forward: job_frontend.Forward | None,
+        arrival: job_frontend.Arrival,
         send: asgi.Send,
     ) -> None:
         try:
@@ -151,7 +161,7 @@
             return
         started = self._clock.monotonic()
         outcome = await self._frontend.submit(
-            job_id, route.policy, request, timeout, forward
+            job_id, route.policy, request, timeout, forward, arrival
         )
         elapsed = self._clock.monotonic() - started
         match outcome:
@@ -175,6 +185,10 @@
             case job_frontend.NotStored():
                 self._log_refusal(job_id, "the store accepted no writes", 503)
                 await _send_error(send, 503, "the store can't be reached now")
+            case job_frontend.CancelledBefore():
+                text = "the job was cancelled before it was stored"
+                self._log_refusal(job_id, text, 503)
+                await _send_error(send, 503, f"{text}; submit it again")
             case job_frontend.OutcomeUnknown():
                 self._log_refusal(job_id, "the store didn't answer", 504)
                 await _send_error(send, 504, "ask again with the same id")
@@ -222,8 +236,7 @@
         None if another node has passed it on to this one.
         """
         forwarder = self._forwarder
-        is_forwarded = asgi.find_header(headers, job_requests.FORWARDED_HEADER)
-        if forwarder is None or is_forwarded:
+        if forwarder is None or _is_forwarded(headers):
             return None
         host = asgi.find_header(headers, "host") or ""
 
@@ -339,6 +352,11 @@
     )
 
 
+def _is_forwarded(headers: tuple[asgi.Header, ...]) -> bool:
+    """Returns whether another node has passed a request on."""
+    return bool(asgi.find_header(headers, job_requests.FORWARDED_HEADER))
+
+
 def _read_timeout(headers: tuple[asgi.Header, ...]) -> datetime.timedelta:
     text = asgi.find_header(headers, job_requests.DEADLINE_HEADER)
     if text is None:
--- a/src/fireflywell/scheduling/job_rows.py
+++ b/src/fireflywell/scheduling/job_rows.py
@@ -23,14 +23,23 @@
     return bytes(msgpack.packb([relocation.service, relocation.renewed_at_s]))
 
 
-def decode_job(data: bytes) -> model.Submission | model.Relocation:
-    """Decodes a row of an accepted job, or of its relocation.
+def encode_early_cancellation(cancellation: model.EarlyCancellation) -> bytes:
+    """Encodes the cancellation of a job that isn't stored."""
+    return bytes(msgpack.packb([cancellation.cancelled_at_s]))
+
+
+def decode_job(
+    data: bytes,
+) -> model.Submission | model.Relocation | model.EarlyCancellation:
+    """Decodes a row at the key of a job.
 
     Raises:
-        CorruptRowError: The bytes are neither.
+        CorruptRowError: The bytes are none of these.
     """
     try:
         match msgpack.unpackb(data):
+            case [float() as cancelled_at_s]:
+                return model.EarlyCancellation(cancelled_at_s)
             case [str() as service, float() as renewed_at_s]:
                 return model.Relocation(service, renewed_at_s)
             case document:
--- a/src/fireflywell/scheduling/model.py
+++ b/src/fireflywell/scheduling/model.py
@@ -156,6 +156,20 @@
     accepted_at_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EarlyCancellation:
+    """Cancels a job that wasn't stored yet, in the place of its submission.
+
+    The store may still apply an earlier write of the submission, which fails
+    where this is.
+
+    Attributes:
+        cancelled_at_s: Time of the cancellation on the store's steady clock.
+    """
+
+    cancelled_at_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Relocation:
     """Names the service that holds a job that its queue's origin doesn't hold.
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -165,6 +165,10 @@
             self._fail_if_attempts_exhausted(unit)
         self._queue_ready_steps(job, None)
 
+    def has_job(self, job_id: str) -> bool:
+        """Returns whether a job was added, or is known to have ended."""
+        return job_id in self.jobs or job_id in self.final_states
+
     def cancel_job(self, job_id: str) -> None:
         """Marks a job as cancelled and requests the stop of its runs.
 
@@ -356,9 +360,7 @@
         unit_names.update(item.unit for item in report.ended)
         job_ids = {name.partition(".")[0] for name in unit_names}
         return frozenset(
-            job_id
-            for job_id in job_ids
-            if job_id not in self.jobs and job_id not in self.final_states
+            job_id for job_id in job_ids if not self.has_job(job_id)
         )
 
     def drop_worker_runs(self, worker_id: str) -> tuple[DroppedRun, ...]:
--- a/tests/test_job_locations_machine.py
+++ b/tests/test_job_locations_machine.py
@@ -7,6 +7,7 @@
 from hypothesis import strategies as st
 
 from fireflywell.coordination import row_store
+from fireflywell.node import cancellation_sweeper
 from fireflywell.node import job_frontend
 from fireflywell.node import relocation_sweeper
 from fireflywell.node import tables
@@ -41,6 +42,9 @@
         self.configured = [queue_world.SERVICES[0] for _ in _NODES]
         self.accepted: set[str] = set()
         self.sent: set[str] = set()
+        # Jobs that didn't exist when they were cancelled, and weren't submitted
+        # since.
+        self.cancelled_early: set[str] = set()
 
     @stateful.rule(node=_nodes, service=_services)
     def reconfigure(self, node: int, service: str) -> None:
@@ -72,6 +76,7 @@
         """A caller submits a job, perhaps again."""
         is_new = job_id not in self.sent
         self.sent.add(job_id)
+        self.cancelled_early.discard(job_id)
         self.store.is_late = is_late
         outcome = anyio.run(self._submit, node, job_id)
         self.store.is_late = False
@@ -90,6 +95,7 @@
     def submit_twice(self, one: int, two: int, job_id: str) -> None:
         """A job reaches two nodes at the same time."""
         self.sent.add(job_id)
+        self.cancelled_early.discard(job_id)
         outcomes: list[object] = []
 
         async def run() -> None:
@@ -134,6 +140,8 @@
         )
         stored = self.world.list_submissions(job_id)
         assert isinstance(outcome, job_frontend.Cancelled) == bool(stored)
+        if isinstance(outcome, job_frontend.UnknownJob):
+            self.cancelled_early.add(job_id)
         for service in stored:
             row_key = tables.locate_cancel(service, job_id)
             assert self.store.get(row_key) is not None
@@ -181,6 +189,23 @@
         self.store.lose_answers = 0
         anyio.run(sweeper.sweep)
 
+    @stateful.rule()
+    def sweep_cancellations(self) -> None:
+        """The owners remove cancellations that no submission can follow."""
+        self._let_time_pass()
+        sweeper = cancellation_sweeper.CancellationSweeper(
+            self.store, self.world.clock
+        )
+        for service in queue_world.SERVICES:
+            for row in self.store.list_table(tables.name_jobs_table(service)):
+                if tables.split_cancel_key(row.row_key.key) is not None:
+                    continue
+                match job_rows.decode_job(row.value):
+                    case model.EarlyCancellation() as cancellation:
+                        sweeper.add(row, cancellation)
+        self.store.lose_answers = 0
+        anyio.run(sweeper.sweep)
+
     @stateful.invariant()
     def check_jobs(self) -> None:
         """Each job is stored once; those that were accepted surely are."""
@@ -189,6 +214,8 @@
             assert len(stored) <= 1, (job_id, stored)
             assert stored or job_id not in self.accepted, job_id
             assert not stored or job_id in self.sent, job_id
+            # Its caller was told that no such job exists, and sent no other.
+            assert not stored or job_id not in self.cancelled_early, job_id
 
     async def _submit(self, node: int, job_id: str) -> object:
         return await queue_world.submit(
