Encode the done units of a range as bytes, and read ranges where they are decoded

Cause: read again, the bits of a range were built as one integer, whose work grows with the square of the range, and the module of names of tables read rows.

Change: bytes in place of the integer; the read moved to stored_progress; the default of an argument that always has a value went.

--- a/src/fireflywell/node/job_locations.py
+++ b/src/fireflywell/node/job_locations.py
@@ -39,11 +39,6 @@
 IsSentAfter = Callable[[int], Awaitable[bool]]
 
 
-async def _is_not_sent_after(version: int) -> bool:
-    del version
-    return False
-
-
 class JobLocations:
     """Stores submissions and finds the services that hold jobs."""
 
@@ -88,7 +83,7 @@
     async def store(
         self,
         submission: model.Submission,
-        is_sent_after: IsSentAfter = _is_not_sent_after,
+        is_sent_after: IsSentAfter,
     ) -> remembered_jobs.JobLocation:
         """Stores a submission in the one service that may hold it.
 
--- a/src/fireflywell/node/progress_writer.py
+++ b/src/fireflywell/node/progress_writer.py
@@ -13,6 +13,7 @@
 from fireflywell.coordination import row_store
 from fireflywell.node import ownership
 from fireflywell.node import progress_batches
+from fireflywell.node import stored_progress
 from fireflywell.node import tables
 from fireflywell.node import waiting_counts
 from fireflywell.scheduling import jobs as jobs_lib
@@ -389,7 +390,7 @@
     async def _remove_ranges(self, job_id: str) -> bool:
         """Removes the rows of the ranges of a finished job's units."""
         try:
-            rows = await tables.read_progress_ranges(
+            rows = await stored_progress.read_ranges(
                 self._store, self._tenure.service, job_id
             )
         except errors.PlatformError:
--- a/src/fireflywell/node/stored_progress.py
+++ b/src/fireflywell/node/stored_progress.py
@@ -74,6 +74,23 @@
     return by_job
 
 
+async def read_ranges(
+    store: row_store.RowStore, service: str, job_id: str
+) -> tuple[row_store.Row, ...]:
+    """Reads the rows of all ranges of a job's units.
+
+    Raises:
+        PlatformError: The store doesn't answer.
+    """
+    page = await store.read(
+        tables.name_progress_table(service),
+        service,
+        tables.locate_progress_range(service, job_id, "").key,
+        tables.find_end_of_ranges(job_id),
+    )
+    return page.rows
+
+
 def _decode_range(
     row: row_store.Row, job_id: str
 ) -> progress_rows.StoredRange | None:
@@ -89,5 +106,5 @@
         logs.log_event("job.unreadable", job=job_id, error=str(error))
         # The row is written again with the next change of the job.
         units.row.value = None
-        progress = progress_rows.RangeProgress(0, {}, {})
+        progress = progress_rows.RangeProgress(b"", {}, {})
     return progress_rows.StoredRange(units, progress)
--- a/src/fireflywell/node/tables.py
+++ b/src/fireflywell/node/tables.py
@@ -112,21 +112,9 @@
     return job_id, range_key
 
 
-async def read_progress_ranges(
-    store: row_store.RowStore, service: str, job_id: str
-) -> tuple[row_store.Row, ...]:
-    """Reads the rows of all ranges of a job's units.
-
-    Raises:
-        PlatformError: The store doesn't answer.
-    """
-    page = await store.read(
-        name_progress_table(service),
-        service,
-        job_id + _RANGE_SEPARATOR,
-        job_id + _AFTER_SEPARATOR,
-    )
-    return page.rows
+def find_end_of_ranges(job_id: str) -> str:
+    """Returns the key after those of all ranges of a job's units."""
+    return job_id + _AFTER_SEPARATOR
 
 
 def locate_waiting_counts(service: str) -> row_store.RowKey:
--- a/src/fireflywell/scheduling/progress_rows.py
+++ b/src/fireflywell/scheduling/progress_rows.py
@@ -23,16 +23,22 @@
     """Stored progress of consecutive units.
 
     Attributes:
-        done: One bit for each unit from the lowest one on, 1 if it is done.
+        done: One bit for each unit, from the lowest one of the first byte on, 1
+            if it is done.
         failures: Failed runs by position in the range, see
             `job_rows.encode_failures`.
         checkpoints: Last checkpoint by position in the range.
     """
 
-    done: int
+    done: bytes
     failures: dict[int, list[int]]
     checkpoints: dict[int, str]
 
+    def is_done(self, position: int) -> bool:
+        """Returns whether the unit at a position in the range is done."""
+        byte, bit = divmod(position, 8)
+        return byte < len(self.done) and bool(self.done[byte] >> bit & 1)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredRange:
@@ -99,20 +105,20 @@
         units: The units.
         has_checkpoints: Whether their checkpoints are included.
     """
-    done = sum(1 << n for n, unit in enumerate(units) if unit.is_done)
+    done = bytearray(-(-len(units) // 8))
     failures = {}
     checkpoints = {}
     for position, unit in enumerate(units):
         if unit.is_done:
+            done[position // 8] |= 1 << position % 8
             continue
         if unit.failed_runs:
             failures[position] = job_rows.encode_failures(unit)
         if unit.checkpoint and has_checkpoints:
             checkpoints[position] = unit.checkpoint
-    if not (done or failures or checkpoints):
+    if not (any(done) or failures or checkpoints):
         return b""
-    bits = done.to_bytes(-(-len(units) // 8), "little")
-    return bytes(msgpack.packb([bits, failures, checkpoints]))
+    return bytes(msgpack.packb([bytes(done), failures, checkpoints]))
 
 
 def decode_range(data: bytes) -> RangeProgress:
@@ -122,17 +128,15 @@
         CorruptRowError: The bytes aren't an encoded progress.
     """
     if not data:
-        return RangeProgress(0, {}, {})
+        return RangeProgress(b"", {}, {})
     try:
-        bits, failures, checkpoints = msgpack.unpackb(
+        done, failures, checkpoints = msgpack.unpackb(
             data, strict_map_key=False
         )
-        if not isinstance(bits, bytes):
+        if not isinstance(done, bytes):
             raise TypeError("the units that are done aren't bytes")
         job_rows.check_unit_values(failures, checkpoints)
-        return RangeProgress(
-            int.from_bytes(bits, "little"), failures, checkpoints
-        )
+        return RangeProgress(done, failures, checkpoints)
     except Exception as error:
         raise errors.CorruptRowError(
             f"the progress of a range of units can't be decoded: {error!r}; it "
@@ -151,7 +155,7 @@
     for item in ordered:
         units = job.list_units(item.units.first, item.units.count)
         for position, unit in enumerate(units):
-            if item.progress.done >> position & 1:
+            if item.progress.is_done(position):
                 unit.is_done = True
             job_rows.restore_unit(
                 unit,
