--- a/tools/soak.py
+++ b/tools/soak.py
@@ -26,6 +26,7 @@
 from tools import soak_spans
 from tools import soak_stale
 from tools import soak_stalls
+from tools import soak_submissions
 from tools import soak_system
 from tools import soak_waits
 from tools import soak_waves
@@ -107,7 +108,12 @@
     rng = random.Random(seed)
     caller = soak_clients.Caller(system.callers_addresses, clock, rng)
     clients = [
-        soak_clients.Client(caller, shape.services, random.Random(seed + n))
+        soak_clients.Client(
+            caller,
+            shape.services,
+            random.Random(seed + n),
+            soak_submissions.choose_give_up_share(seed),
+        )
         for n in range(shape.clients)
     ]
     changes = soak_plan.plan_changes(seed, shape)
@@ -119,6 +125,7 @@
             *soak_losses.plan_losses(seed, shape),
             *soak_stale.plan_stale_state(seed, shape),
             *soak_waves.plan_waves(seed, shape),
+            *soak_submissions.plan_late_submissions(seed, shape),
         ),
         key=lambda item: item.at_s,
     )
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -90,6 +90,11 @@
             yield f"unit {start.unit} of a job that nobody submitted"
         elif job.accepted_s is None and not job.may_have_run:
             yield f"unit {start.unit} started, but its job was refused"
+        elif job.is_unknown and job.accepted_s is None:
+            yield (
+                f"unit {start.unit} started, but the cancellation of its job "
+                "was answered that no such job exists"
+            )
         elif job.cancelled_s is not None:
             late = soak_spans.Span(job.cancelled_s, start.at_s)
             late_s = soak_spans.measure(late, stale)
--- a/tools/soak_clients.py
+++ b/tools/soak_clients.py
@@ -46,6 +46,7 @@
         may_have_run: Whether any answer left open if it was stored.
         cancel_sent_s: When its cancellation was first sent, or None.
         cancelled_s: When its cancellation was acknowledged, or None.
+        is_unknown: Whether the answer was that no such job exists.
         state: State that was shown last.
         faults: What contradicts a promise, as seen by the client.
         unknown_s: When it was accepted and shown as unknown.
@@ -59,6 +60,7 @@
     may_have_run: bool = False
     cancel_sent_s: float | None = None
     cancelled_s: float | None = None
+    is_unknown: bool = False
     state: str = ""
     faults: list[str] = dataclasses.field(default_factory=list)
     unknown_s: list[float] = dataclasses.field(default_factory=list)
@@ -92,8 +94,14 @@
         """Closes all connections."""
         await self._pool.aclose()
 
-    async def submit(self, job: JobRecord) -> None:
-        """Hands a job in until it is accepted or refused for good."""
+    async def submit(self, job: JobRecord, *, gives_up: bool = False) -> None:
+        """Hands a job in until it is accepted or refused for good.
+
+        Args:
+            job: The job.
+            gives_up: Whether it isn't sent again after an answer that leaves
+                open if it was stored.
+        """
         step = {
             "count": job.units,
             "cpu": UNIT_CPU_MILLIS,
@@ -114,6 +122,8 @@
                 # The node says that it never runs, so it isn't sent again.
                 return
             job.may_have_run = True
+            if gives_up:
+                return
             await anyio.sleep(_TRY_PAUSE_S)
         job.faults.append("no answer to its submission in all tries")
 
@@ -124,6 +134,7 @@
             answer = await self._call("DELETE", job)
             if answer.status in (200, 410):
                 job.cancelled_s = self._now_s()
+                job.is_unknown = answer.status == 410
                 return
             await anyio.sleep(_TRY_PAUSE_S)
         job.faults.append("no answer to its cancellation in all tries")
@@ -166,11 +177,25 @@
 class Client:
     """Submits jobs one after the other and cancels some of them."""
 
-    __slots__ = ("_caller", "_random", "_services", "jobs")
+    __slots__ = ("_caller", "_give_up_share", "_random", "_services", "jobs")
 
     def __init__(
-        self, caller: Caller, services: tuple[str, ...], rng: random.Random
+        self,
+        caller: Caller,
+        services: tuple[str, ...],
+        rng: random.Random,
+        give_up_share: float = 0.0,
     ) -> None:
+        """Creates a client.
+
+        Args:
+            caller: Calls the nodes.
+            services: Names of the queues.
+            rng: Source of its choices.
+            give_up_share: Share of the jobs that it cancels if an answer to the
+                submission leaves open whether they are stored.
+        """
+        self._give_up_share = give_up_share
         self._caller = caller
         self._services = services
         self._random = rng
@@ -191,8 +216,13 @@
             self._random.random() < _LONG_SHARE,
         )
         self.jobs.append(job)
-        await self._caller.submit(job)
+        gives_up = bool(
+            self._give_up_share and self._random.random() < self._give_up_share
+        )
+        await self._caller.submit(job, gives_up=gives_up)
         if job.accepted_s is None:
+            if job.may_have_run and gives_up:
+                await self._caller.cancel(job)
             return
         if self._random.random() < _CANCEL_SHARE:
             await anyio.sleep(self._random.uniform(0.0, 1.5))
--- a/tools/soak_plan.py
+++ b/tools/soak_plan.py
@@ -48,6 +48,10 @@
 # from `FIRST_STALE_SEED` on.
 FIRST_WAVES_SEED = 4000
 
+# Seeds from here on have late submissions, whose callers cancel them, and nodes
+# that are lost meanwhile. They have no faults of other kinds.
+FIRST_SUBMISSIONS_SEED = 5000
+
 # Settings of the nodes and workers: the lease of a node and the longest lease
 # of a run.
 LEASE_S = 3.0
--- a/tools/soak_stale.py
+++ b/tools/soak_stale.py
@@ -38,7 +38,9 @@
     back under their ids.
     """
     planned: list[soak_plan.Planned] = []
-    if seed < soak_plan.FIRST_STALE_SEED:
+    if not (
+        soak_plan.FIRST_STALE_SEED <= seed < soak_plan.FIRST_SUBMISSIONS_SEED
+    ):
         return planned
     rng = random.Random(f"stale {seed}")
     at_s = soak_plan.FIRST_FAULT_S
--- a/tools/soak_waves.py
+++ b/tools/soak_waves.py
@@ -22,7 +22,9 @@
 def plan_waves(seed: int, shape: soak_plan.Shape) -> list[soak_plan.Planned]:
     """Returns the requests for waves; each names a VM that has left."""
     planned: list[soak_plan.Planned] = []
-    if seed < soak_plan.FIRST_WAVES_SEED:
+    if not (
+        soak_plan.FIRST_WAVES_SEED <= seed < soak_plan.FIRST_SUBMISSIONS_SEED
+    ):
         return planned
     rng = random.Random(f"waves {seed}")
     at_s = _FIRST_S
