Notice faults of divided progress and early cancellations

Cause: two of seven faults put into the code weren't noticed: units that are done kept their checkpoints, and the row of the state was written before the ranges.

--- a/tests/test_node_large_progress.py
+++ b/tests/test_node_large_progress.py
@@ -222,6 +222,27 @@
         stored = [u.checkpoint for u in world.restore(job).iterate_units()]
         self.assertEqual(stored, ["", "1" * 20, "2" * 60_000])
 
+    def test_units_that_are_done_keep_no_checkpoint(self) -> None:
+        """Fails if each unit of a large job adds to its progress for good."""
+        world = _World()
+        job = _make_large_job(4_001)
+        world.state.add_job(job)
+        world.report(
+            *(_end(i, orders.EndKind.STOPPED, "c" * 500) for i in range(4_000))
+        )
+        anyio.run(world.store_all, _LARGE_ID)
+        before = sum(len(row.value) for row in world.list_progress())
+        self.assertGreater(before, 2_000_000)
+        world.report(
+            *(_end(i, orders.EndKind.DONE, run=2) for i in range(4_000))
+        )
+        anyio.run(world.store_all, _LARGE_ID)
+        size_bytes = sum(
+            len(item.row.value or b"") for item in job.progress_ranges
+        )
+        self.assertGreater(len(job.progress_ranges), 100)
+        self.assertLess(size_bytes, 10_000)
+
     def test_small_job_takes_one_row(self) -> None:
         """Fails if jobs of the usual size take more rows than one each."""
         world = _World()
@@ -331,13 +352,16 @@
             world = _World(store)
             job = _make_large_job(600)
             world.state.add_job(job)
-            world.report(*(_end(i, orders.EndKind.DONE) for i in range(200)))
+            # The last ranges hold these.
+            world.report(
+                *(_end(i, orders.EndKind.DONE) for i in range(400, 600))
+            )
             store.left = 99
             await world.store_all(_LARGE_ID)
             world.report(
                 *(
                     _end(i, orders.EndKind.STOPPED, "c" * 3_000)
-                    for i in range(200, 600)
+                    for i in range(400)
                 )
             )
             store.left = writes
@@ -351,7 +375,7 @@
             successor = _World(store)
             successor.state.add_job(copy)
             successor.report(
-                *(_end(i, orders.EndKind.DONE) for i in range(200, 599))
+                *(_end(i, orders.EndKind.DONE) for i in range(399))
             )
             self.assertEqual(await successor.store_all(_LARGE_ID), frozenset())
             self.assertEqual(_describe(world.restore(job)), _describe(copy))
