--- a/tools/soak_seeds.py
+++ b/tools/soak_seeds.py
@@ -75,4 +75,14 @@
         "a node whose reads were behind answered that a job to cancel is "
         "unknown",
     ),
+    KnownSeed(
+        2034,
+        "a worker fell silent shortly before its owner was paused, and "
+        "inherited work waited for it from the claim of each successor",
+    ),
+    KnownSeed(
+        5100,
+        "jobs whose cancellation was answered that they are unknown ran once "
+        "their late submissions were stored",
+    ),
 )
