Count the validity of tickets from when they were issued

Cause: tickets counted as valid from before the call. The advice service handles the calls of a machine one after another, so with five owners the tickets had expired, counted so, when they arrived; planning dropped them and each owner asked again.

Change: a node makes one call at a time, chosen when its turn comes, and counts the validity, which the answer may tell, from when the tickets were issued. The time limit of a call begins with its turn and follows from the queue's policy. Steps without room ask only while no other call waits, a call names as many workers as can be decided on in half a ticket's validity, and a start whose ticket is over isn't sent. advice.received tells the times of each call.

Why it works: a wait in line no longer uses up a ticket, however many services share the line and however long a call takes.

--- a/src/fireflywell/node/advice_requester.py
+++ b/src/fireflywell/node/advice_requester.py
@@ -1,140 +1,230 @@
 """Requests tickets for workers from the advice service."""
 
 from collections.abc import Callable
-import dataclasses
-from typing import Protocol
+import datetime
 
 import anyio
 
 from fireflywell import clock as clock_lib
 from fireflywell import errors
+from fireflywell.node import advice_line
 from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import model
 from fireflywell.scheduling import service_state
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.telemetry import logs
+from fireflywell.telemetry import metrics as metrics_lib
 
 # Most workers that the advice service accepts in one call.
 _WORKERS_PER_CALL = 100
 
-# Tickets are renewed once only this share of their validity is left.
+# A call names fewer workers if the service would take longer than this share of
+# a ticket's validity for them, because all steps of the node wait meanwhile.
+_LONGEST_CALL_SHARE = 0.5
+
+# Tickets are renewed once only this share of their validity is left, or the
+# time of this many calls.
 _RENEW_SHARE = 0.3
+_RENEW_CALLS = 1.25
+
+# Longest time that an answer is assumed to have been on its way, also as a
+# share of the tickets' validity.
+_ANSWER_DELAY_S = 0.5
+_ANSWER_DELAY_SHARE = 0.25
 
 _INTERVAL_S = 0.05
 _RETRY_S = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Approval:
-    """The advice service's permission to run a step on a worker.
-
-    Attributes:
-        worker_id: The worker.
-        ticket: The ticket that the order to start must carry.
-    """
-
-    worker_id: str
-    ticket: str
-
-
-class AdviceClient(Protocol):
-    """Calls to the advice service.
-
-    Calls raise `PlatformError` if the service doesn't answer or refuses them
-    because too many are waiting.
-    """
-
-    async def advise(
-        self, step: str, workers: tuple[str, ...]
-    ) -> tuple[Approval, ...]:
-        """Returns an approval for each given worker that may run the step."""
-
-
 class AdviceRequester:
     """Requests and renews tickets for one service's waiting steps.
 
     Makes one call at a time.
     """
 
-    __slots__ = ("_state", "_client", "_clock", "_wake_planner")
+    __slots__ = (
+        "_chosen",
+        "_clock",
+        "_line",
+        "_metrics",
+        "_state",
+        "_wake_planner",
+    )
 
     def __init__(
         self,
         state: service_state.ServiceState,
-        client: AdviceClient,
+        line: advice_line.AdviceLine,
         clock: clock_lib.Clock,
         wake_planner: Callable[[], None],
+        metrics: metrics_lib.Metrics,
     ) -> None:
         self._state = state
-        self._client = client
+        self._line = line
         self._clock = clock
         self._wake_planner = wake_planner
+        self._metrics = metrics
+        # The step of the call that is being made.
+        self._chosen: jobs_lib.StepOccurrence | None = None
 
     async def run(self) -> None:
         """Requests tickets for the steps that need them until cancelled."""
         while True:
-            step = self._find_due_step()
-            if step is None:
+            if self._find_due_step() is None:
                 await anyio.sleep(_INTERVAL_S)
                 continue
-            try:
-                await self._request_tickets(step)
-            except errors.PlatformError as error:
-                logs.log_event(
-                    "advice.failed",
-                    job=step.job.job_id,
-                    step=step.key,
-                    error=str(error),
-                )
-                await anyio.sleep(_RETRY_S)
+            if not await self._request_tickets():
+                await anyio.sleep(_INTERVAL_S)
 
     def _find_due_step(self) -> jobs_lib.StepOccurrence | None:
-        now_s = self._clock.monotonic().total_seconds()
-        due: list[jobs_lib.StepOccurrence] = []
-        for step in self._state.list_waiting_steps():
-            if step.job.policy.advice is None:
-                continue
-            if now_s >= step.advice_due_s:
-                due.append(step)
-        # The step whose request has been due longest, so that none starves.
-        return min(due, key=lambda step: step.advice_due_s, default=None)
-
-    async def _request_tickets(self, step: jobs_lib.StepOccurrence) -> None:
-        advice = step.job.policy.advice
-        assert advice is not None
-        now_s = self._clock.monotonic().total_seconds()
-        # If the call fails or no worker accepts runs, the step is due again
-        # after a pause, and other steps come first until then.
-        step.advice_due_s = now_s + _RETRY_S
-        workers = [
+        """Returns the step that needs tickets most.
+
+        Those that fit on a worker now come first, and of them the one whose
+        request has been due longest, so that none starves. The others only get
+        tickets while no call waits, also of other services: these would often
+        expire before there is room.
+        """
+        now_s = self._now_s()
+        due = [
+            step
+            for step in self._state.list_waiting_steps()
+            if step.job.policy.advice is not None and now_s >= step.advice_due_s
+        ]
+        if not due:
+            return None
+        usable = [
             worker
             for worker in self._state.workers.values()
             if worker.accepts_runs(now_s)
         ]
+        free_cpu = max((worker.free_cpu for worker in usable), default=-1)
+        fitting = [step for step in due if _may_fit(step, free_cpu)]
+        if not fitting and self._line.is_free and usable:
+            fitting = due
+        return min(fitting, key=lambda step: step.advice_due_s, default=None)
+
+    async def _request_tickets(self) -> bool:
+        """Makes one call; returns whether one was made and answered."""
+        due_since_s = self._now_s()
+        try:
+            result = await self._line.call(self._choose_call)
+        except errors.PlatformError as error:
+            assert self._chosen is not None
+            self._metrics.count("node.advice.failed")
+            logs.log_event(
+                "advice.failed",
+                job=self._chosen.job.job_id,
+                step=self._chosen.key,
+                error=str(error),
+            )
+            await anyio.sleep(_RETRY_S)
+            return False
+        if result is None or self._chosen is None:
+            return False
+        self._apply_advice(self._chosen, result, due_since_s)
+        self._wake_planner()
+        return True
+
+    def _choose_call(self) -> advice_line.AdviceCall | None:
+        """Returns the call to make now that it is this service's turn."""
+        step = self._find_due_step()
+        self._chosen = step
+        if step is None:
+            return None
+        advice = step.job.policy.advice
+        assert advice is not None
+        now_s = self._now_s()
+        # If the call fails, the step is due again after a pause, and other
+        # steps come first until then.
+        step.advice_due_s = now_s + _RETRY_S
+        step.advice_asked_s = now_s
+        workers = self._list_workers(now_s)
         if not workers:
-            return
-        asked = _choose_workers_to_ask(step, workers)
-        approved = await self._client.advise(step.key, asked)
-        # Counted from before the call, so that no ticket is used after it has
-        # expired.
-        step.tickets_until_s = now_s + advice.validity_s
+            return None
+        asked = _choose_workers_to_ask(step, workers, advice)
+        return advice_line.AdviceCall(step.key, asked, advice)
+
+    def _apply_advice(
+        self,
+        step: jobs_lib.StepOccurrence,
+        result: advice_line.AdviceResult,
+        due_since_s: float,
+    ) -> None:
+        call = result.call
+        approved = result.advice.approvals
+        validity = result.advice.validity or datetime.timedelta(
+            seconds=call.policy.validity_s
+        )
+        validity_s = validity.total_seconds()
+        step.tickets_until_s = _estimate_issue_s(result, validity_s) + (
+            validity_s
+        )
         step.tickets = {item.worker_id: item.ticket for item in approved}
-        step.denied_worker_ids.update(set(asked) - step.tickets.keys())
-        if step.tickets or _are_all_denied(step, workers):
-            step.advice_due_s = now_s + max(
-                _RETRY_S, advice.validity_s * (1 - _RENEW_SHARE)
+        step.denied_worker_ids.update(set(call.workers) - step.tickets.keys())
+        if step.tickets or _are_all_denied(
+            step, self._list_workers(result.received_s)
+        ):
+            lead_s = max(
+                validity_s * _RENEW_SHARE, call.handling_s * _RENEW_CALLS
             )
+            step.advice_due_s = max(
+                result.received_s + _RETRY_S, step.tickets_until_s - lead_s
+            )
+        waited_s = result.sent_s - due_since_s
+        took_s = result.received_s - result.sent_s
+        self._metrics.record_duration(
+            "node.advice.wait", datetime.timedelta(seconds=waited_s)
+        )
+        self._metrics.record_duration(
+            "node.advice.call", datetime.timedelta(seconds=took_s)
+        )
         logs.log_event(
             "advice.received",
             job=step.job.job_id,
             step=step.key,
-            asked=len(asked),
+            asked=len(call.workers),
             approved=len(approved),
+            waited_s=round(waited_s, 3),
+            took_s=round(took_s, 3),
+            expected_s=round(call.handling_s, 3),
+            valid_s=round(step.tickets_until_s - result.received_s, 3),
         )
-        self._wake_planner()
+
+    def _list_workers(self, now_s: float) -> list[workers_lib.Worker]:
+        return [
+            worker
+            for worker in self._state.workers.values()
+            if worker.accepts_runs(now_s)
+        ]
+
+    def _now_s(self) -> float:
+        return self._clock.monotonic().total_seconds()
+
+
+def _may_fit(step: jobs_lib.StepOccurrence, free_cpu: int) -> bool:
+    spec = step.spec
+    return (0 if spec.is_filling else spec.demand.cpu_millis) <= free_cpu
+
+
+def _estimate_issue_s(
+    result: advice_line.AdviceResult, validity_s: float
+) -> float:
+    """Returns a monotonic time before which tickets were hardly issued.
+
+    The service issues them when it has decided, which takes as long as its
+    policy says from the time at which the call was sent, or longer: a wait at
+    the service isn't part of their validity. A worker refuses a start if they
+    were issued earlier nevertheless, and they are requested again.
+    """
+    delay_s = min(_ANSWER_DELAY_S, validity_s * _ANSWER_DELAY_SHARE)
+    decided_s = result.sent_s + result.call.handling_s
+    return min(result.received_s, max(decided_s, result.received_s - delay_s))
 
 
 def _choose_workers_to_ask(
-    step: jobs_lib.StepOccurrence, workers: list[workers_lib.Worker]
+    step: jobs_lib.StepOccurrence,
+    workers: list[workers_lib.Worker],
+    advice: model.AdvicePolicy,
 ) -> tuple[str, ...]:
     """Returns the workers for one call, those with the most free CPU first.
 
@@ -148,7 +238,11 @@
         workers,
         key=lambda worker: (worker.worker_id in denied, -worker.free_cpu),
     )
-    return tuple(w.worker_id for w in by_preference[:_WORKERS_PER_CALL])
+    limit = _WORKERS_PER_CALL
+    if advice.per_worker_s > 0:
+        longest_s = advice.validity_s * _LONGEST_CALL_SHARE
+        limit = max(1, min(limit, int(longest_s / advice.per_worker_s)))
+    return tuple(w.worker_id for w in by_preference[:limit])
 
 
 def _are_all_denied(
--- a/src/fireflywell/node/node_process.py
+++ b/src/fireflywell/node/node_process.py
@@ -12,7 +12,7 @@
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
 from fireflywell.coordination import row_store
-from fireflywell.node import advice_requester
+from fireflywell.node import advice_line
 from fireflywell.node import configuration as configuration_lib
 from fireflywell.node import directory as directory_lib
 from fireflywell.node import fleet_cache
@@ -75,7 +75,7 @@
     decode_wave: Callable[[bytes], maintenance.Wave]
     make_client: Callable[[workers_lib.WorkerInstance], orders.WorkerClient]
     fleet: vm_orders.FleetClient
-    advice: advice_requester.AdviceClient
+    advice: advice_line.AdviceClient
     make_callers_api: Callable[
         [job_frontend.JobFrontend, directory_lib.ConfigurationHolder],
         asgi.Application,
@@ -89,6 +89,7 @@
     """Builds and runs the supervisor tree of one node."""
 
     __slots__ = (
+        "_advice_line",
         "_dependencies",
         "_clock",
         "_configuration",
@@ -147,6 +148,7 @@
             settings.bounds.lease,
         )
         self._gate = ownership_gate.OwnershipGate()
+        self._advice_line = advice_line.AdviceLine(dependencies.advice, clock)
         self._fleet_cache = fleet_cache.FleetCache()
         self._waves = maintenance_waves.MaintenanceWaves(
             dependencies.decode_wave, store
@@ -397,7 +399,7 @@
             self._dependencies.make_client,
             self._fleet_cache,
             self._dependencies.metrics,
-            self._dependencies.advice,
+            self._advice_line,
         )
         self._owners[tenure.service] = owner
 
--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -183,6 +183,15 @@
         if not can_start:
             self._state.refuse_start(run, orders.Refusal.NO_ROOM, self._now_s())
             return
+        step = run.unit.step
+        if not step.may_start_on(self._worker.worker_id, self._now_s()):
+            # It has waited for a connection until its ticket was over.
+            self._log_refusal(run, "the ticket expired before it was sent")
+            self._state.refuse_start(
+                run, orders.Refusal.NO_TICKET, self._now_s()
+            )
+            self._on_change()
+            return
         try:
             self._apply_outcome(run, await self._send_start(run))
         finally:
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -10,6 +10,7 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.coordination import row_store
+from fireflywell.node import advice_line
 from fireflywell.node import advice_requester
 from fireflywell.node import assigned_workers
 from fireflywell.node import cancellation_sweeper
@@ -117,7 +118,7 @@
         make_client: MakeClient,
         cache: fleet_cache.FleetCache,
         metrics: metrics_lib.Metrics,
-        advice: advice_requester.AdviceClient,
+        advice: advice_line.AdviceLine,
     ) -> None:
         self._metrics = metrics
         self._fleet_cache = cache
@@ -175,7 +176,7 @@
             self._cancellations.add,
         )
         self._advice = advice_requester.AdviceRequester(
-            self._state, advice, clock, self._wake_planner
+            self._state, advice, clock, self._wake_planner, metrics
         )
         self._wait_reporter = wait_reporter.WaitReporter(
             tenure.service, self._state, metrics
--- a/src/fireflywell/platform/advice.py
+++ b/src/fireflywell/platform/advice.py
@@ -6,13 +6,9 @@
 
 from fireflywell import errors
 from fireflywell import http_client
-from fireflywell.node import advice_requester
+from fireflywell.node import advice_line
 from fireflywell.platform import json_values
 
-# The service handles the calls of one VM one after another, and the time of a
-# call grows with the number of workers in it.
-_TIMEOUT = datetime.timedelta(seconds=4)
-
 
 class HttpAdviceClient:
     """Asks the advice service which workers may run a step."""
@@ -23,14 +19,17 @@
         self._client = client
 
     async def advise(
-        self, step: str, workers: tuple[str, ...]
-    ) -> tuple[advice_requester.Approval, ...]:
+        self,
+        step: str,
+        workers: tuple[str, ...],
+        timeout: datetime.timedelta,
+    ) -> advice_line.Advice:
         """Returns the approved workers and their tickets.
 
         See `AdviceClient.advise`.
         """
         body = json.dumps({"step": step, "workers": list(workers)}).encode()
-        response = await self._client.call("POST", "/advise", body, _TIMEOUT)
+        response = await self._client.call("POST", "/advise", body, timeout)
         if response.status != 200:
             raise errors.PlatformUnavailableError(
                 "the advice service returned status "
@@ -41,7 +40,16 @@
             rows = json_values.read_list(
                 document.get("approved"), "approved", []
             )
-            return tuple(_decode_approval(row) for row in rows)
+            approvals = tuple(_decode_approval(row) for row in rows)
+            validity_ms = json_values.read_number(
+                document.get("validity_ms"), "validity_ms", 0
+            )
+            return advice_line.Advice(
+                approvals,
+                datetime.timedelta(milliseconds=validity_ms)
+                if validity_ms > 0
+                else None,
+            )
         except ValueError as error:
             raise errors.AnswerLostError(
                 f"the advice service's response can't be read: {error}; it is "
@@ -49,12 +57,12 @@
             ) from error
 
 
-def _decode_approval(row: Any) -> advice_requester.Approval:
+def _decode_approval(row: Any) -> advice_line.Approval:
     """Decodes a row [instance ID, ticket]."""
     instance_id, ticket, *_ = json_values.read_list(
         row, "approved row", min_length=2
     )
-    return advice_requester.Approval(
+    return advice_line.Approval(
         json_values.read_text(instance_id, "id"),
         json_values.read_text(ticket, "ticket"),
     )
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -268,6 +268,7 @@
     """One step in one occurrence of a job."""
 
     __slots__ = (
+        "advice_asked_s",
         "advice_due_s",
         "denied_worker_ids",
         "done_count",
@@ -312,6 +313,8 @@
         self.tickets_until_s = 0.0
         # Monotonic time of the next request to the advice service.
         self.advice_due_s = 0.0
+        # Monotonic time of the last request.
+        self.advice_asked_s = -math.inf
         # Workers that the advice service was asked about and didn't approve.
         self.denied_worker_ids: set[str] = set()
         self.units = [Unit(self, index) for index in range(spec.count)]
@@ -335,6 +338,12 @@
         """Identifier of the step, also towards the advice service."""
         return f"{self.job.job_id}.{self.occurrence}.{self.position}"
 
+    def may_start_on(self, worker_id: str, now_s: float) -> bool:
+        """Returns whether the queue's policy allows a start on a worker now."""
+        return self.job.policy.advice is None or (
+            worker_id in self.tickets and now_s < self.tickets_until_s
+        )
+
     def update_duration(self, seconds: float) -> None:
         """Adds a finished unit's duration to the exponential moving average."""
         if self.observed_unit_duration_s is None:
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -38,6 +38,10 @@
 
 _UNHEALTHY_PAUSE_S = 0.5
 
+# Least time between requests for tickets of one step after a worker refused
+# one.
+_TICKET_PAUSE_S = 0.25
+
 # Failed runs without a success in between after which a worker gets no units
 # for `_FAILURE_PAUSE_S`.
 _MAX_CONSECUTIVE_FAILURES = 3
@@ -266,8 +270,14 @@
             case orders.Refusal.NO_TICKET:
                 # The ticket has expired or belongs to a previous incarnation of
                 # the worker; tickets for other workers may still be valid.
-                run.unit.step.tickets.pop(run.worker_id, None)
-                run.unit.step.advice_due_s = 0.0
+                step = run.unit.step
+                step.tickets.pop(run.worker_id, None)
+                # Not at once, so that a worker that refuses all tickets doesn't
+                # keep others from the advice service.
+                step.advice_due_s = min(
+                    step.advice_due_s,
+                    max(now_s, step.advice_asked_s + _TICKET_PAUSE_S),
+                )
             case _ if worker is not None:
                 pause = (
                     _UNHEALTHY_PAUSE_S if reason is None else _REFUSAL_PAUSE_S
--- a/tests/node_world.py
+++ b/tests/node_world.py
@@ -12,7 +12,7 @@
 from fireflywell import asgi
 from fireflywell import clock as clock_lib
 from fireflywell.coordination import row_store
-from fireflywell.node import advice_requester
+from fireflywell.node import advice_line
 from fireflywell.node import directory as directory_lib
 from fireflywell.node import job_frontend
 from fireflywell.node import node_process
@@ -157,16 +157,24 @@
     def __init__(self) -> None:
         self.approved: set[str] = set()
         self.calls: list[str] = []
+        # How long a call waits before the service begins to handle it.
+        self.wait_s = 0.0
 
     async def advise(
-        self, step: str, workers: tuple[str, ...]
-    ) -> tuple[advice_requester.Approval, ...]:
+        self,
+        step: str,
+        workers: tuple[str, ...],
+        timeout: datetime.timedelta,  # noqa: ARG002
+    ) -> advice_line.Advice:
         """Approves the workers that the test chose."""
         self.calls.append(step)
-        return tuple(
-            advice_requester.Approval(name, f"ticket-{name}")
-            for name in workers
-            if name in self.approved
+        await anyio.sleep(self.wait_s)
+        return advice_line.Advice(
+            tuple(
+                advice_line.Approval(name, f"ticket-{name}")
+                for name in workers
+                if name in self.approved
+            )
         )
 
 
--- a/tests/test_node_takeover.py
+++ b/tests/test_node_takeover.py
@@ -216,6 +216,30 @@
 
         anyio.run(run)
 
+    def test_wait_at_the_service_is_no_part_of_the_validity(self) -> None:
+        """Fails if nothing starts while calls wait longer than tickets last.
+
+        The validity was counted from before the call, so the tickets of a node
+        that owns several services had expired when they arrived.
+        """
+
+        async def run() -> None:
+            world = node_world.NodeWorld("w1")
+            world.advice.approved = {"w1"}
+            world.advice.wait_s = 0.5
+            advice = model.AdvicePolicy(0.05, 0.0, 0.4)
+            policy = dataclasses.replace(node_world.POLICY, advice=advice)
+            async with self.run_node(world, "node-a"):
+                await world.frontend.submit(
+                    node_world.JOB_ID,
+                    policy,
+                    node_world.make_request(node_world.make_step(1)),
+                    datetime.timedelta(seconds=1),
+                )
+                await world.wait_for_state("completed")
+
+        anyio.run(run)
+
 
 class TakeoverTest(NodeTestCase):
     """A new owner after the node of the former owner was killed."""
--- a/tests/test_odd_answers.py
+++ b/tests/test_odd_answers.py
@@ -31,6 +31,7 @@
 _NESTED = b"[" * 200_000 + b"]" * 200_000
 _UNREADABLE = (b"", b"\xff", _NESTED, b"[]", b"3", b"null", b'{"a":' + _NESTED)
 
+_TIMEOUT = datetime.timedelta(seconds=1)
 _START = orders.StartOrder("a1.0.0.0", 1, "text", 5000, 1, "", "")
 _STOP = orders.StopOrder("a1.0.0.0", 1, 1)
 _THROTTLE = orders.ThrottleOrder("a1.0.0.0", 1, 50, 1)
@@ -276,13 +277,14 @@
         bodies = [*_UNREADABLE]
         for rows in (b"3", b"[3]", b'[["w1"]]', b'[["w1",3]]', b'[[[],"t"]]'):
             bodies.append(b'{"approved":' + rows + b"}")
+        bodies.append(b'{"approved":[["w1","t"]],"validity_ms":"long"}')
         for body in bodies:
             client = advice.HttpAdviceClient(_StubClient(body))
             with (
                 self.subTest(body=body[:60]),
                 self.assertRaises(errors.PlatformError),
             ):
-                anyio.run(client.advise, "a1.0.0", ("w1",))
+                anyio.run(client.advise, "a1.0.0", ("w1",), _TIMEOUT)
 
     def read_store(self, body: bytes) -> store.PlatformStore:
         """Reads the table of workers from a store with one answer."""
--- a/tests/test_order_sender.py
+++ b/tests/test_order_sender.py
@@ -4,6 +4,7 @@
 second run as soon as the service's state allows one.
 """
 
+import dataclasses
 import functools
 import unittest
 
@@ -103,6 +104,35 @@
 
         anyio.run(run)
 
+    def test_start_is_not_sent_once_its_ticket_has_expired(self) -> None:
+        """Fails if a start that waited too long is sent for a refusal."""
+
+        async def run() -> None:
+            world = session_world.SessionWorld()
+            policy = dataclasses.replace(
+                node_world.POLICY, advice=model.AdvicePolicy(0.1, 0.0, 3.0)
+            )
+            job = samples.make_job(session_world.JOB_ID, policy=policy)
+            world.state.add_job(job)
+            (step,) = world.state.list_waiting_steps()
+            step.tickets = {"w1": "ticket", "w2": "ticket"}
+            now_s = world.clock.monotonic().total_seconds()
+            step.tickets_until_s = now_s + 60
+            async with world.run():
+                (run,) = world.state.plan(now_s)
+                step.tickets_until_s = now_s
+                step.advice_due_s = now_s + 60
+                world.session.enqueue(order_sender.StartCommand(run))
+                await session_world.wait_until(
+                    lambda: run.phase is jobs_lib.RunPhase.ENDED
+                )
+            self.assertEqual(world.client.starts, [])
+            self.assertEqual(run.unit.failure_count, 0)
+            self.assertTrue(world.state.has_waiting_units)
+            self.assertLess(step.advice_due_s, now_s + 10)
+
+        anyio.run(run)
+
     def test_unexpected_answer_leaves_the_start_unknown(self) -> None:
         """Fails if a unit is lost after an answer that can't be interpreted."""
 
