--- a/src/fireflywell/node/job_loader.py
+++ b/src/fireflywell/node/job_loader.py
@@ -222,7 +222,8 @@
         )
         self._restore_progress(job)
         self._state.add_job(job)
-        if not is_inherited and not job.is_long_running:
+        is_due = not (is_inherited or job.is_long_running or job.is_recurring)
+        if is_due:
             self._record_arrival(now_s, ranking.compute_work(job))
         # Inherited jobs of the first snapshot are counted in
         # `ownership.loaded`.
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -385,7 +385,11 @@
                 await self._plan_wake.wait()
             self._plan_wake = anyio.Event()
             self._enqueue_stops()
-            self._state.queue_due_steps(self._read_unix_ms())
+            due_work = self._state.queue_due_steps(
+                self._read_unix_ms(), self._now_s()
+            )
+            if due_work:
+                self._demand_estimator.record_arrival(self._now_s(), due_work)
             # The drain requests must be loaded first: a former owner may have
             # drained VMs on which nothing may start.
             is_planning = (
--- a/src/fireflywell/platform/job_requests.py
+++ b/src/fireflywell/platform/job_requests.py
@@ -16,8 +16,8 @@
 _MAX_SPECIFICATION_BYTES = 4000
 _JOB_ID_DIGITS = 16
 
-# An owner holds all units of its jobs in memory, which a job of a billion units
-# would use up.
+# An owner holds a byte for each unit of a step that is due, and the rows of its
+# progress a bit for each unit of a job, which a billion units would use up.
 _MAX_UNITS = 60_000
 
 
--- a/src/fireflywell/scheduling/capacity.py
+++ b/src/fireflywell/scheduling/capacity.py
@@ -135,15 +135,16 @@
         for job_id, job in state.jobs.items():
             if job_id in self._missed or job.is_long_running:
                 continue
-            critical_path_s = ranking.compute_critical_path_s(
-                job, 0, remaining=False
-            )
-            objective_s = ranking.compute_objective_s(job, 0)
-            if now_s - job.arrived_s > objective_s:
-                self._missed.add(job_id)
-                continue
-            work = ranking.compute_remaining_work(job)
-            backlog += work / max(0.5, critical_path_s)
+            # Of a recurring job, only what is due needs cores now.
+            for steps in job.loaded_occurrences:
+                estimate = ranking.estimate_occurrence(steps)
+                start_s = ranking.find_objective_start_s(steps[0])
+                if now_s - start_s <= estimate.compute_objective_s(job.policy):
+                    backlog += estimate.remaining_work / max(
+                        0.5, estimate.critical_path_s
+                    )
+                elif not job.is_recurring:
+                    self._missed.add(job_id)
         return backlog
 
     def _forecast_rate(self, now_s: float) -> float:
--- a/src/fireflywell/scheduling/evictions.py
+++ b/src/fireflywell/scheduling/evictions.py
@@ -104,10 +104,11 @@
     state: service_state.ServiceState, unit: jobs_lib.Unit, now_s: float
 ) -> int:
     """Returns how many other units of a unit's step aren't serving."""
-    return sum(
-        other is not unit and not is_serving(state, other, now_s)
-        for other in unit.step.units
+    serving = sum(
+        other is not unit and is_serving(state, other, now_s)
+        for other in unit.step.begun_units
     )
+    return unit.step.spec.count - 1 - serving
 
 
 def is_serving(
--- a/src/fireflywell/scheduling/job_rows.py
+++ b/src/fireflywell/scheduling/job_rows.py
@@ -100,17 +100,26 @@
     """
     if job.state.is_final:
         return Progress(job.state, (), now_s, reason)
-    steps = []
-    for number, step in enumerate(job.steps):
-        active = [unit for unit in step.units if not unit.is_done]
+    specs = job.submission.request.steps
+    steps = [
+        StepProgress(
+            occurrence * len(specs) + position, b"\x01" * spec.count, {}, {}
+        )
+        for occurrence in job.done_occurrences
+        for position, spec in enumerate(specs)
+    ]
+    for step in job.steps:
+        active = step.begun_units
         failures = {
             u.index: encode_failures(u) for u in active if u.failed_runs
         }
         checkpoints = {u.index: u.checkpoint for u in active if u.checkpoint}
         if not (step.done_count or failures or checkpoints):
             continue
-        done = bytes(int(unit.is_done) for unit in step.units)
-        steps.append(StepProgress(number, done, failures, checkpoints))
+        number = step.occurrence * len(specs) + step.position
+        steps.append(
+            StepProgress(number, step.encode_done(), failures, checkpoints)
+        )
     return Progress(job.state, tuple(steps))
 
 
@@ -118,18 +127,23 @@
     """Applies stored progress to a job that has no progress yet."""
     job.state = progress.state
     job.has_started = progress.state is not jobs.JobState.QUEUED
+    steps_per_occurrence = len(job.submission.request.steps)
     for stored in progress.steps:
-        if stored.number >= len(job.steps):
+        step = job.find_step(*divmod(stored.number, steps_per_occurrence))
+        if step is None:
             continue
-        step = job.steps[stored.number]
-        for unit, done in zip(step.units, stored.done, strict=False):
-            unit.is_done = bool(done)
-            restore_unit(
-                unit,
-                stored.failures.get(unit.index, []),
-                stored.checkpoints.get(unit.index, ""),
-            )
-        count_done_units(step)
+        for index, done in enumerate(stored.done[: step.spec.count]):
+            if done:
+                step.mark_unit_done(index)
+        for index in stored.failures.keys() | stored.checkpoints.keys():
+            unit = step.find_unit(index)
+            if unit is not None:
+                restore_unit(
+                    unit,
+                    stored.failures.get(index, []),
+                    stored.checkpoints.get(index, ""),
+                )
+        job.release_if_done(step.occurrence)
 
 
 def encode_failures(unit: jobs.Unit) -> list[int]:
@@ -154,12 +168,6 @@
         unit.checkpoint = checkpoint
 
 
-def count_done_units(step: jobs.StepOccurrence) -> None:
-    """Updates a step after stored progress was applied to its units."""
-    step.done_count = sum(unit.is_done for unit in step.units)
-    step.waiting = [u for u in reversed(step.units) if not u.is_done]
-
-
 def encode_progress(progress: Progress) -> bytes:
     """Encodes a job's progress for the store."""
     document: dict[str, Any] = {"s": str(progress.state)}
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -1,10 +1,12 @@
 """Progress of accepted jobs: their steps, units and runs."""
 
 import bisect
+from collections.abc import Iterable
 from collections.abc import Iterator
 import enum
 import math
 
+from fireflywell.scheduling import done_occurrences
 from fireflywell.scheduling import model
 from fireflywell.scheduling import progress_ranges
 
@@ -188,7 +190,6 @@
         "checkpoint",
         "failed_runs",
         "index",
-        "is_done",
         "last_run_number",
         "last_worker_id",
         "older_failures",
@@ -199,7 +200,6 @@
     def __init__(self, step: "StepOccurrence", index: int) -> None:
         self.step = step
         self.index = index
-        self.is_done = False
         self.checkpoint = ""
         # Numbers of failed runs, so that none counts twice.
         self.failed_runs: list[int] = []
@@ -217,6 +217,11 @@
             f"{step.job.job_id}.{step.occurrence}.{step.position}.{self.index}"
         )
 
+    @property
+    def is_done(self) -> bool:
+        """Whether a run of it has ended as done."""
+        return self.step.is_unit_done(self.index)
+
     @property
     def failure_count(self) -> int:
         """Number of runs that have failed."""
@@ -224,7 +229,7 @@
 
     def mark_done(self) -> None:
         """Records that the unit is done."""
-        self.is_done = True
+        self.step.mark_unit_done(self.index)
         self._mark_changed()
 
     def save_checkpoint(self, checkpoint: str) -> None:
@@ -265,13 +270,23 @@
 
 
 class StepOccurrence:
-    """One step in one occurrence of a job."""
+    """One step in one occurrence of a job.
+
+    A step may have any number of units, so it holds objects only for those
+    that are begun: that were placed or named by a worker, or have progress, and
+    aren't done. The others are only numbers.
+    """
 
     __slots__ = (
+        "_begun",
+        "_done",
+        "_next_fresh",
+        "_queued",
         "advice_asked_s",
         "advice_due_s",
         "denied_worker_ids",
         "done_count",
+        "due_s",
         "first_ordinal",
         "job",
         "observed_unit_duration_s",
@@ -281,8 +296,6 @@
         "spec",
         "tickets",
         "tickets_until_s",
-        "units",
-        "waiting",
         "waiting_since_s",
     )
 
@@ -302,6 +315,9 @@
         self.first_ordinal = first_ordinal
         self.done_count = 0
         self.observed_unit_duration_s: float | None = None
+        # Monotonic time at which the occurrence of a recurring job was due;
+        # None until it was found to be due.
+        self.due_s: float | None = None
         # Monotonic time of the first planning pass that included the step.
         self.ready_since_s: float | None = None
         # Monotonic time of the first planning pass since units of the step wait
@@ -317,15 +333,55 @@
         self.advice_asked_s = -math.inf
         # Workers that the advice service was asked about and didn't approve.
         self.denied_worker_ids: set[str] = set()
-        self.units = [Unit(self, index) for index in range(spec.count)]
-        # A stack of the units without a run; the last one starts next.
-        self.waiting: list[Unit] = list(reversed(self.units))
+        # 1 for each unit that is done.
+        self._done = bytearray(spec.count)
+        # Begun units that aren't done, and those of them that wait without a
+        # run. The last one of these starts next, and units that aren't begun
+        # follow in their order.
+        self._begun: dict[int, Unit] = {}
+        self._queued: dict[int, Unit] = {}
+        # All units below this one are begun or done.
+        self._next_fresh = 0
 
     @property
     def is_done(self) -> bool:
         """Whether all units are done."""
         return self.done_count >= self.spec.count
 
+    @property
+    def is_begun(self) -> bool:
+        """Whether any unit is begun or done."""
+        return bool(self._begun or self.done_count)
+
+    @property
+    def begun_units(self) -> tuple[Unit, ...]:
+        """Units that are begun and not done."""
+        return tuple(self._begun.values())
+
+    def list_begun_units(self, first: int, end: int) -> list[Unit]:
+        """Returns the begun units with indexes from `first` up to `end`."""
+        if end - first < len(self._begun):
+            indexes = range(max(0, first), min(end, self.spec.count))
+            return [self._begun[i] for i in indexes if i in self._begun]
+        return [
+            unit for index, unit in self._begun.items() if first <= index < end
+        ]
+
+    @property
+    def queued_units(self) -> tuple[Unit, ...]:
+        """Begun units that wait without a run, the next one first."""
+        return tuple(reversed(self._queued.values()))
+
+    @property
+    def fresh_count(self) -> int:
+        """Number of units that are neither begun nor done."""
+        return self.spec.count - self.done_count - len(self._begun)
+
+    @property
+    def waiting_count(self) -> int:
+        """Number of units without a run that aren't done."""
+        return len(self._queued) + self.fresh_count
+
     @property
     def expected_unit_duration_s(self) -> float:
         """Expected duration of a unit: the observed average or the estimate."""
@@ -338,6 +394,78 @@
         """Identifier of the step, also towards the advice service."""
         return f"{self.job.job_id}.{self.occurrence}.{self.position}"
 
+    def is_unit_done(self, index: int) -> bool:
+        """Returns whether a unit is done."""
+        return bool(self._done[index])
+
+    def find_unit(self, index: int) -> Unit | None:
+        """Returns a unit, which begins it; None if there is none."""
+        if not 0 <= index < self.spec.count:
+            return None
+        if self._done[index]:
+            return Unit(self, index)
+        unit = self._begun.get(index)
+        if unit is None:
+            unit = Unit(self, index)
+            self._begun[index] = unit
+            self._queued[index] = unit
+        return unit
+
+    def find_begun_unit(self, index: int) -> Unit | None:
+        """Returns a unit that is begun and not done, or None."""
+        return self._begun.get(index)
+
+    def peek_fresh_unit(self) -> Unit:
+        """Returns a unit that isn't begun, without beginning it."""
+        while self._next_fresh < self.spec.count - 1 and (
+            self._done[self._next_fresh] or self._next_fresh in self._begun
+        ):
+            self._next_fresh += 1
+        return Unit(self, min(self._next_fresh, self.spec.count - 1))
+
+    def iterate_waiting(self) -> Iterator[Unit]:
+        """Yields the units without a run in the order in which they start.
+
+        Each unit that is yielded is begun. While the iterator is in use, no
+        unit may be queued, removed from the queue or done.
+        """
+        yield from self.queued_units
+        while self._next_fresh < self.spec.count:
+            index = self._next_fresh
+            self._next_fresh += 1
+            if not self._done[index] and index not in self._begun:
+                unit = self.find_unit(index)
+                assert unit is not None
+                yield unit
+
+    def queue_unit(self, unit: Unit) -> None:
+        """Puts a unit that has no run in front of the others, unless queued."""
+        self._queued.setdefault(unit.index, unit)
+
+    def take_from_queue(self, unit: Unit) -> None:
+        """Removes a unit that has got a run from the queue, if it is there."""
+        self._queued.pop(unit.index, None)
+
+    def encode_done(self) -> bytes:
+        """Returns a byte for each unit, 1 if it is done."""
+        return bytes(self._done)
+
+    def mark_unit_done(self, index: int) -> None:
+        """Records that a unit is done."""
+        if self._done[index]:
+            return
+        self._done[index] = 1
+        self.done_count += 1
+        self._begun.pop(index, None)
+        self._queued.pop(index, None)
+
+    def mark_all_done(self) -> None:
+        """Records that all units are done, as those of a gang are at once."""
+        first = self.first_ordinal
+        self.job.changed_units.update(range(first, first + self.spec.count))
+        for index in range(self.spec.count):
+            self.mark_unit_done(index)
+
     def may_start_on(self, worker_id: str, now_s: float) -> bool:
         """Returns whether the queue's policy allows a start on a worker now."""
         return self.job.policy.advice is None or (
@@ -355,9 +483,18 @@
 
 
 class Job:
-    """An accepted job with the progress of its units."""
+    """An accepted job with the progress of its units.
+
+    A recurring job may have any number of occurrences, most of them due in
+    the future. Only those that are due, or named by a worker, and aren't done
+    have steps; see `take_due`.
+    """
 
     __slots__ = (
+        "_done_occurrences",
+        "_next_due",
+        "_step_ordinals",
+        "_steps",
         "arrived_s",
         "changed_units",
         "has_started",
@@ -365,8 +502,8 @@
         "progress_ranges",
         "state",
         "state_row",
-        "steps",
         "submission",
+        "units_per_occurrence",
     )
 
     def __init__(self, submission: model.Submission, arrived_s: float) -> None:
@@ -383,14 +520,18 @@
         self.progress_ranges: list[progress_ranges.ProgressRange] = []
         # Units whose progress has changed since it was last encoded.
         self.changed_units: set[int] = set()
-        self.steps: list[StepOccurrence] = []
-        ordinal = 0
-        for occurrence in range(submission.request.occurrences):
-            for position, spec in enumerate(submission.request.steps):
-                self.steps.append(
-                    StepOccurrence(self, occurrence, position, spec, ordinal)
-                )
-                ordinal += spec.count
+        # Position of the first unit of each step within an occurrence.
+        self._step_ordinals: list[int] = []
+        self.units_per_occurrence = 0
+        for spec in submission.request.steps:
+            self._step_ordinals.append(self.units_per_occurrence)
+            self.units_per_occurrence += spec.count
+        self._steps: dict[int, tuple[StepOccurrence, ...]] = {}
+        self._done_occurrences = done_occurrences.DoneOccurrences()
+        # The first occurrence that wasn't found to be due yet.
+        self._next_due = 0
+        if submission.request.recurrence is None:
+            self.load_occurrence(0)
 
     @property
     def job_id(self) -> str:
@@ -407,81 +548,185 @@
         """Whether any step runs until the job is cancelled."""
         return any(s.is_long_running for s in self.submission.request.steps)
 
+    @property
+    def is_recurring(self) -> bool:
+        """Whether its steps run at times set by a schedule."""
+        return self.submission.request.recurrence is not None
+
+    @property
+    def unit_count(self) -> int:
+        """Number of units of all steps of all occurrences."""
+        return self.units_per_occurrence * self.submission.request.occurrences
+
+    @property
+    def steps(self) -> tuple[StepOccurrence, ...]:
+        """Steps of the occurrences that are loaded, in order."""
+        return tuple(
+            step
+            for occurrence in sorted(self._steps)
+            for step in self._steps[occurrence]
+        )
+
+    @property
+    def loaded_occurrences(self) -> tuple[tuple[StepOccurrence, ...], ...]:
+        """Steps of each occurrence that is loaded."""
+        return tuple(self._steps.values())
+
+    @property
+    def done_occurrences(self) -> done_occurrences.DoneOccurrences:
+        """Occurrences of a recurring job that are done and not loaded."""
+        return self._done_occurrences
+
+    def list_loaded_steps(self, first: int, end: int) -> list[StepOccurrence]:
+        """Returns the loaded steps of which units are in a range.
+
+        Args:
+            first: Ordinal of the first unit of the range.
+            end: Ordinal after the last one.
+        """
+        size = self.units_per_occurrence
+        lowest, highest = first // size, (end - 1) // size
+        occurrences: Iterable[int] = range(lowest, highest + 1)
+        if highest - lowest > len(self._steps):
+            occurrences = sorted(self._steps)
+        return [
+            step
+            for occurrence in occurrences
+            if lowest <= occurrence <= highest
+            for step in self._steps.get(occurrence, ())
+            if step.first_ordinal < end
+            and first < step.first_ordinal + step.spec.count
+        ]
+
+    def load_occurrence(self, occurrence: int) -> tuple[StepOccurrence, ...]:
+        """Returns the steps of an occurrence, which are created if necessary.
+
+        The steps of an occurrence that is done are created each time.
+        """
+        steps = self._steps.get(occurrence)
+        if steps is not None:
+            return steps
+        first = occurrence * self.units_per_occurrence
+        steps = tuple(
+            StepOccurrence(
+                self,
+                occurrence,
+                position,
+                spec,
+                first + self._step_ordinals[position],
+            )
+            for position, spec in enumerate(self.submission.request.steps)
+        )
+        if occurrence in self._done_occurrences:
+            for step in steps:
+                for index in range(step.spec.count):
+                    step.mark_unit_done(index)
+        else:
+            self._steps[occurrence] = steps
+        return steps
+
+    def release_if_done(self, occurrence: int) -> None:
+        """Drops the steps of an occurrence of a recurring job that is done."""
+        if not self.is_recurring:
+            return
+        steps = self._steps.get(occurrence, ())
+        if steps and all(step.is_done for step in steps):
+            del self._steps[occurrence]
+            self._done_occurrences.add(occurrence)
+
+    def mark_occurrence_done(self, occurrence: int) -> None:
+        """Records that all units of an occurrence are done."""
+        if self.is_recurring:
+            self._steps.pop(occurrence, None)
+            self._done_occurrences.add(occurrence)
+            return
+        for step in self._steps[occurrence]:
+            for index in range(step.spec.count):
+                step.mark_unit_done(index)
+
+    def take_due(
+        self, now_unix_ms: int, now_s: float, limit: int
+    ) -> list[tuple[StepOccurrence, ...]]:
+        """Returns the occurrences of a recurring job that have become due.
+
+        Each is returned once. All occurrences have the same steps, so further
+        ones stay where they are while several wait that aren't begun.
+
+        Args:
+            now_unix_ms: Wall-clock time.
+            now_s: Monotonic time.
+            limit: Number of occurrences that aren't begun up to which further
+                ones are returned.
+        """
+        recurrence = self.submission.request.recurrence
+        if recurrence is None:
+            return []
+        room = limit - sum(
+            not any(step.is_begun for step in steps)
+            for steps in self._steps.values()
+        )
+        taken = []
+        while self._next_due < recurrence.repetitions and room > 0:
+            due_unix_ms = recurrence.first_unix_ms + self._next_due * max(
+                0, recurrence.interval_ms
+            )
+            if now_unix_ms < due_unix_ms:
+                break
+            occurrence = self._next_due
+            self._next_due += 1
+            if occurrence in self._done_occurrences:
+                continue
+            is_loaded = occurrence in self._steps
+            steps = self.load_occurrence(occurrence)
+            room -= not is_loaded
+            for step in steps:
+                step.due_s = now_s - (now_unix_ms - due_unix_ms) / 1000
+            taken.append(steps)
+        return taken
+
     def find_step(
         self, occurrence: int, position: int
     ) -> StepOccurrence | None:
         """Returns a step by its position in an occurrence, or None."""
-        steps_per_occurrence = len(self.submission.request.steps)
-        if not 0 <= position < steps_per_occurrence:
+        request = self.submission.request
+        if not 0 <= position < len(request.steps):
             return None
-        index = occurrence * steps_per_occurrence + position
-        if not 0 <= index < len(self.steps):
+        if not 0 <= occurrence < request.occurrences:
             return None
-        return self.steps[index]
+        return self.load_occurrence(occurrence)[position]
 
     def find_unit(
         self, occurrence: int, position: int, index: int
     ) -> Unit | None:
         """Returns a unit by its step and index, or None if there is none."""
         step = self.find_step(occurrence, position)
-        if step is None or not 0 <= index < len(step.units):
-            return None
-        return step.units[index]
-
-    def list_units(self, first: int, count: int) -> list[Unit]:
-        """Returns consecutive units in the order of all steps.
-
-        Args:
-            first: Ordinal of the first one.
-            count: Number of units; those after the last one are left out.
-        """
-        found: list[Unit] = []
-        position = bisect.bisect_right(
-            self.steps, first, key=lambda step: step.first_ordinal
+        return step.find_unit(index) if step is not None else None
+
+    def find_unit_at(self, ordinal: int) -> Unit | None:
+        """Returns a unit by its position among the units of all steps."""
+        occurrence, offset = divmod(ordinal, self.units_per_occurrence)
+        position = bisect.bisect_right(self._step_ordinals, offset) - 1
+        return self.find_unit(
+            occurrence, position, offset - self._step_ordinals[position]
         )
-        position = max(0, position - 1)
-        while position < len(self.steps) and len(found) < count:
-            step = self.steps[position]
-            start = max(0, first - step.first_ordinal)
-            found.extend(step.units[start : start + count - len(found)])
-            position += 1
-        return found
-
-    def iterate_units(self) -> Iterator[Unit]:
-        """Yields the units of all steps."""
-        for step in self.steps:
-            yield from step.units
-
-    def iterate_runs(self) -> Iterator[Run]:
-        """Yields all runs that haven't ended."""
-        for unit in self.iterate_units():
-            yield from unit.runs
-
-    def is_step_ready(self, step: StepOccurrence, now_unix_ms: int) -> bool:
-        """Returns whether a step is due and the steps before it are done.
 
-        Args:
-            step: A step of this job.
-            now_unix_ms: Wall-clock time; only used if the job recurs.
-        """
-        recurrence = self.submission.request.recurrence
-        if recurrence is not None:
-            due_unix_ms = (
-                recurrence.first_unix_ms
-                + step.occurrence * recurrence.interval_ms
-            )
-            if now_unix_ms < due_unix_ms:
-                return False
-        for position in step.spec.after:
-            dependency = self.find_step(step.occurrence, position)
-            if dependency is not None and not dependency.is_done:
-                return False
-        return True
+    def is_step_ready(self, step: StepOccurrence) -> bool:
+        """Returns whether the steps before a step that is due are done."""
+        steps = self.load_occurrence(step.occurrence)
+        # References to steps that don't exist are ignored.
+        return all(
+            steps[position].is_done
+            for position in step.spec.after
+            if position < len(steps)
+        )
 
     @property
     def are_units_done(self) -> bool:
         """Whether every unit of every step is done."""
-        return all(step.is_done for step in self.steps)
+        if self.is_recurring:
+            occurrences = self.submission.request.occurrences
+            return len(self._done_occurrences) >= occurrences
+        return all(step.is_done for step in self._steps[0])
 
 
 def parse_unit_name(name: str) -> tuple[str, int, int, int] | None:
--- a/src/fireflywell/scheduling/long_running_demand.py
+++ b/src/fireflywell/scheduling/long_running_demand.py
@@ -10,6 +10,10 @@
 from fireflywell.scheduling import service_state
 from fireflywell.scheduling import workers as workers_lib
 
+# VMs whose remaining room is kept for units of further steps. A job may have
+# more units than all pools together could run.
+_MAX_ROOMS = 500
+
 # A unit that waits for a shorter time calls no VM, so that a worker that is
 # maintained or restarted has time to come back.
 _MIN_WAIT_S = 2.0
@@ -38,27 +42,48 @@
     the labels of the VMs in the spare pool aren't known.
     """
     unplaced = sorted(
-        _iterate_unplaced_steps(state, now_s),
-        key=lambda step: -step.spec.demand.cpu_millis,
+        _iterate_unplaced(state, now_s),
+        key=lambda item: -item.step.spec.demand.cpu_millis,
     )
     if not unplaced:
         return LongRunningDemand(0, 0.0)
     own = [_Room.of_worker(worker) for worker in _list_own_workers(state)]
-    overflow = [step for step in unplaced if not _add_to_any(own, step)]
+    overflow = [
+        _Unplaced(item.step, rest)
+        for item in unplaced
+        if (rest := _add_to_rooms(own, item.step, item.count))
+    ]
     vm_capacity = _find_vm_capacity(state)
     if vm_capacity is None:
         return LongRunningDemand(int(bool(overflow)), 0.0)
     vms: list[_Room] = []
+    vm_count = 0
     millis = 0
-    for step in overflow:
-        if not _add_to_any(vms, step):
-            vm = _Room(vm_capacity, frozenset())
-            if not vm.fits(step):
-                continue
-            vm.add(step)
-            vms.append(vm)
-        millis += 0 if step.spec.is_filling else step.spec.demand.cpu_millis
-    return LongRunningDemand(len(vms), millis / 1000)
+    for item in overflow:
+        spec = item.step.spec
+        per_vm = _Room(vm_capacity, frozenset()).count_fitting(item.step)
+        rest = _add_to_rooms(vms, item.step, item.count)
+        if per_vm:
+            added = -(-rest // per_vm)
+            vm_count += added
+            new = [
+                _Room(vm_capacity, frozenset())
+                for _ in range(min(added, _MAX_ROOMS - len(vms)))
+            ]
+            _add_to_rooms(new, item.step, rest)
+            vms.extend(new)
+            rest = 0
+        if not spec.is_filling:
+            millis += (item.count - rest) * spec.demand.cpu_millis
+    return LongRunningDemand(vm_count, millis / 1000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Unplaced:
+    """A number of units of a step that no own worker has."""
+
+    step: jobs_lib.StepOccurrence
+    count: int
 
 
 class _Room:
@@ -85,55 +110,61 @@
                 room.add(run.unit.step)
         return room
 
-    def fits(self, step: jobs_lib.StepOccurrence) -> bool:
-        """Returns whether one more unit of a step fits."""
+    def count_fitting(self, step: jobs_lib.StepOccurrence) -> int:
+        """Returns how many more units of a step fit."""
         spec = step.spec
         demand = spec.demand
         if spec.required_label and spec.required_label not in self._labels:
-            return False
-        if spec.max_per_worker and (
-            self._units[step.key] >= spec.max_per_worker
-        ):
-            return False
-        return (
-            (spec.is_filling or demand.cpu_millis <= self._cpu)
-            and demand.memory_mb <= self._memory
-            and demand.accelerators <= self._accelerators
+            return 0
+        amounts = (
+            (self._cpu, 0 if spec.is_filling else demand.cpu_millis),
+            (self._memory, demand.memory_mb),
+            (self._accelerators, demand.accelerators),
         )
-
-    def add(self, step: jobs_lib.StepOccurrence) -> None:
-        """Adds a unit of a step."""
+        limits = [spec.count]
+        limits.extend(free // need for free, need in amounts if need)
+        if spec.max_per_worker:
+            limits.append(spec.max_per_worker - self._units[step.key])
+        return max(0, min(limits))
+
+    def add(self, step: jobs_lib.StepOccurrence, count: int = 1) -> None:
+        """Adds units of a step."""
         demand = step.spec.demand
-        self._cpu -= 0 if step.spec.is_filling else demand.cpu_millis
-        self._memory -= demand.memory_mb
-        self._accelerators -= demand.accelerators
-        self._units[step.key] += 1
+        self._cpu -= 0 if step.spec.is_filling else count * demand.cpu_millis
+        self._memory -= count * demand.memory_mb
+        self._accelerators -= count * demand.accelerators
+        self._units[step.key] += count
 
 
-def _add_to_any(rooms: Sequence[_Room], step: jobs_lib.StepOccurrence) -> bool:
+def _add_to_rooms(
+    rooms: Sequence[_Room], step: jobs_lib.StepOccurrence, count: int
+) -> int:
+    """Adds units of a step where they fit; returns how many are left."""
     for room in rooms:
-        if room.fits(step):
-            room.add(step)
-            return True
-    return False
+        if not count:
+            break
+        added = min(count, room.count_fitting(step))
+        if added:
+            room.add(step, added)
+            count -= added
+    return count
 
 
-def _iterate_unplaced_steps(
+def _iterate_unplaced(
     state: service_state.ServiceState, now_s: float
-) -> Iterator[jobs_lib.StepOccurrence]:
-    """Yields the step of each unit that no own worker has, once for a unit."""
+) -> Iterator[_Unplaced]:
+    """Yields the units of each step that no own worker has."""
     for step in state.list_waiting_steps():
         if not step.spec.is_long_running or step.waiting_since_s is None:
             continue
         if now_s - step.waiting_since_s > _MIN_WAIT_S:
-            for _ in step.waiting:
-                yield step
+            yield _Unplaced(step, step.waiting_count)
     for worker in state.workers.values():
         if not worker.is_from_spare_pool:
             continue
         for run in worker.runs.values():
             if run.unit.step.spec.is_long_running:
-                yield run.unit.step
+                yield _Unplaced(run.unit.step, 1)
 
 
 def _list_own_workers(
--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -1,5 +1,6 @@
 """Chooses the workers for the units of one step."""
 
+from collections.abc import Iterator
 from collections.abc import Sequence
 import dataclasses
 
@@ -185,51 +186,59 @@
 
 def place_singles(
     step: jobs.StepOccurrence,
-    units: Sequence[jobs.Unit],
+    units: Iterator[jobs.Unit],
+    limit: int,
     workers: Sequence[workers_lib.Worker],
     reservations: reservations_lib.Reservations,
     capacity: RemainingCapacity,
 ) -> list[Placement]:
-    """Places units of a step one by one until one doesn't fit."""
+    """Places units of a step one by one until one doesn't fit.
+
+    Args:
+        step: The step.
+        units: Its waiting units, of which as many are taken as fit.
+        limit: Number of units to place at most.
+        workers: Workers that may get them.
+        reservations: Reservations of this pass.
+        capacity: Free capacity, which is updated.
+    """
     placements: list[Placement] = []
-    for unit in units:
+    while len(placements) < limit:
         worker = _choose_worker(step, workers, reservations, capacity, "")
         if worker is None:
             break
         capacity.allocate(worker, step)
-        placements.append(Placement(unit, worker))
+        placements.append(Placement(next(units), worker))
     return placements
 
 
 def place_gang(
     step: jobs.StepOccurrence,
-    units: Sequence[jobs.Unit],
+    units: Iterator[jobs.Unit],
     workers: Sequence[workers_lib.Worker],
     reservations: reservations_lib.Reservations,
     capacity: RemainingCapacity,
 ) -> list[Placement]:
-    """Places all units of a gang or none.
+    """Places all units of a gang, which all wait, or none.
 
     A gang with `needs_single_rack` is placed on one rack if it fits there, else
     on any racks.
     """
-    if len(units) < step.spec.count:
-        return []
     racks = sorted({worker.instance.rack for worker in workers})
     if not step.spec.needs_single_rack:
         racks = []
     for rack in (*racks, ""):
-        placements = []
-        for unit in units:
+        chosen: list[workers_lib.Worker] = []
+        while len(chosen) < step.spec.count:
             worker = _choose_worker(step, workers, reservations, capacity, rack)
             if worker is None:
                 break
             capacity.allocate(worker, step)
-            placements.append(Placement(unit, worker))
-        if len(placements) == step.spec.count:
-            return placements
-        for placement in placements:
-            capacity.release(placement.worker, step)
+            chosen.append(worker)
+        if len(chosen) == step.spec.count:
+            return [Placement(next(units), worker) for worker in chosen]
+        for worker in chosen:
+            capacity.release(worker, step)
     return []
 
 
--- a/src/fireflywell/scheduling/planning_pass.py
+++ b/src/fireflywell/scheduling/planning_pass.py
@@ -110,7 +110,7 @@
     if step.job.policy.advice and not step.tickets:
         return False
     # A gang can't start before its last run has ended.
-    return not step.spec.is_gang or len(step.waiting) == step.spec.count
+    return not step.spec.is_gang or step.waiting_count == step.spec.count
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -194,6 +194,7 @@
         "_unfitting",
         "_unreservable",
         "_usable",
+        "_waiting",
         "placements",
     )
 
@@ -232,6 +233,8 @@
                 key=lambda item: item.rank.arrived_s,
             )
         )
+        # Units of each step that were asked for and aren't placed yet.
+        self._waiting: dict[str, Iterator[jobs.Unit]] = {}
         # Shapes of which no more units fit, with the shortest duration for
         # which that is known, and those for which no worker is left to reserve.
         # Both last for a pass, in which capacity only decreases.
@@ -295,12 +298,16 @@
 
     def _count_waiting(self, step: jobs.StepOccurrence) -> int:
         """Returns how many units of a step this pass hasn't placed."""
-        return len(step.waiting) - self._placed_counts[step.key]
+        return step.waiting_count - self._placed_counts[step.key]
 
-    def _list_waiting(self, step: jobs.StepOccurrence) -> list[jobs.Unit]:
-        """Returns the units of a step that this pass hasn't placed."""
-        # The last unit is next, because `StepOccurrence.waiting` is a stack.
-        return step.waiting[: self._count_waiting(step)][::-1]
+    def _iterate_waiting(
+        self, step: jobs.StepOccurrence
+    ) -> Iterator[jobs.Unit]:
+        """Yields the units of a step that this pass hasn't placed."""
+        units = self._waiting.get(step.key)
+        if units is None:
+            units = self._waiting[step.key] = step.iterate_waiting()
+        return units
 
     def _place(self, step: jobs.StepOccurrence, max_units: int) -> int:
         """Places up to `max_units` units of a step, or a whole gang."""
@@ -309,8 +316,9 @@
         shape = _find_shape(step)
         if self._is_unfitting(step, shape) or not _is_startable(step):
             return 0
-        units = self._list_waiting(step)
+        units = self._iterate_waiting(step)
         workers = self._list_candidates(step)
+        limit = min(max_units, self._count_waiting(step))
         if step.spec.is_gang:
             chosen = placement.place_gang(
                 step, units, workers, self._reservations, self._capacity
@@ -318,12 +326,13 @@
         else:
             chosen = placement.place_singles(
                 step,
-                units[:max_units],
+                units,
+                limit,
                 workers,
                 self._reservations,
                 self._capacity,
             )
-        if shape is not None and len(chosen) < min(max_units, len(units)):
+        if shape is not None and len(chosen) < limit:
             self._unfitting[shape] = _find_longest_duration(step)
         self._placed_counts[step.key] += len(chosen)
         self.placements.extend(chosen)
--- a/src/fireflywell/scheduling/progress_rows.py
+++ b/src/fireflywell/scheduling/progress_rows.py
@@ -3,7 +3,7 @@
 import bisect
 import collections
 from collections.abc import Iterable
-from collections.abc import Sequence
+from collections.abc import Iterator
 import dataclasses
 
 import msgpack
@@ -34,10 +34,14 @@
     failures: dict[int, list[int]]
     checkpoints: dict[int, str]
 
-    def is_done(self, position: int) -> bool:
-        """Returns whether the unit at a position in the range is done."""
-        byte, bit = divmod(position, 8)
-        return byte < len(self.done) and bool(self.done[byte] >> bit & 1)
+    def iterate_done(self, count: int) -> Iterator[int]:
+        """Yields the positions of the units that are done, below a number."""
+        for number, byte in enumerate(self.done):
+            if not byte:
+                continue
+            for position in range(8 * number, min(count, 8 * number + 8)):
+                if byte >> position % 8 & 1:
+                    yield position
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,8 +90,7 @@
         if len(write.value) <= division_bytes:
             job.changed_units.clear()
             return [write]
-        unit_count = sum(step.spec.count for step in job.steps)
-        job.progress_ranges = [progress_ranges.ProgressRange(0, unit_count)]
+        job.progress_ranges = [progress_ranges.ProgressRange(0, job.unit_count)]
     writes = _list_range_writes(job, division_bytes, row_bytes)
     state = job_rows.Progress(job.state)
     value = job_rows.encode_progress(state)
@@ -97,25 +100,33 @@
 
 
 def encode_range(
-    units: Sequence[jobs.Unit], *, has_checkpoints: bool = True
+    job: jobs.Job,
+    units: progress_ranges.ProgressRange,
+    *,
+    has_checkpoints: bool = True,
 ) -> bytes:
-    """Encodes the progress of units; empty if they have none.
+    """Encodes the progress of consecutive units; empty if they have none.
 
     Args:
-        units: The units.
+        job: The job.
+        units: The range of its units.
         has_checkpoints: Whether their checkpoints are included.
     """
-    done = bytearray(-(-len(units) // 8))
+    done = bytearray(-(-units.count // 8))
     failures = {}
     checkpoints = {}
-    for position, unit in enumerate(units):
-        if unit.is_done:
-            done[position // 8] |= 1 << position % 8
-            continue
-        if unit.failed_runs:
-            failures[position] = job_rows.encode_failures(unit)
-        if unit.checkpoint and has_checkpoints:
-            checkpoints[position] = unit.checkpoint
+    for ordinal in _iterate_done_ordinals(job, units):
+        position = ordinal - units.first
+        done[position // 8] |= 1 << position % 8
+    for step in job.list_loaded_steps(units.first, units.end):
+        first = max(0, units.first - step.first_ordinal)
+        end = units.end - step.first_ordinal
+        for unit in step.list_begun_units(first, end):
+            position = step.first_ordinal + unit.index - units.first
+            if unit.failed_runs:
+                failures[position] = job_rows.encode_failures(unit)
+            if unit.checkpoint and has_checkpoints:
+                checkpoints[position] = unit.checkpoint
     if not (any(done) or failures or checkpoints):
         return b""
     return bytes(msgpack.packb([bytes(done), failures, checkpoints]))
@@ -152,24 +163,80 @@
     ordered = sorted(stored, key=lambda item: -item.units.count)
     if not ordered:
         return
+    # A unit that is done stays so, whichever range says it.
+    done = bytearray(job.unit_count)
+    for item in ordered:
+        for position in item.progress.iterate_done(item.units.count):
+            ordinal = item.units.first + position
+            if ordinal < len(done):
+                done[ordinal] = 1
+    _restore_done_units(job, bytes(done))
     for item in ordered:
-        units = job.list_units(item.units.first, item.units.count)
-        for position, unit in enumerate(units):
-            if item.progress.is_done(position):
-                unit.is_done = True
-            job_rows.restore_unit(
-                unit,
-                item.progress.failures.get(position, []),
-                item.progress.checkpoints.get(position, ""),
-            )
-    for step in job.steps:
-        job_rows.count_done_units(step)
+        failures = item.progress.failures
+        checkpoints = item.progress.checkpoints
+        for position in failures.keys() | checkpoints.keys():
+            unit = _find_unit(job, item.units, position)
+            if unit is not None and not unit.is_done:
+                job_rows.restore_unit(
+                    unit,
+                    failures.get(position, []),
+                    checkpoints.get(position, ""),
+                )
     job.progress_ranges = progress_ranges.arrange_ranges(
-        sum(step.spec.count for step in job.steps),
-        (item.units for item in ordered),
+        job.unit_count, (item.units for item in ordered)
     )
 
 
+def _restore_done_units(job: jobs.Job, done: bytes) -> None:
+    """Marks units as done.
+
+    Args:
+        job: The job.
+        done: A byte for each unit of all occurrences, 1 if it is done.
+    """
+    size = job.units_per_occurrence
+    for occurrence in range(job.submission.request.occurrences):
+        part = done[occurrence * size : (occurrence + 1) * size]
+        if 0 not in part:
+            job.mark_occurrence_done(occurrence)
+        elif 1 in part:
+            for step in job.load_occurrence(occurrence):
+                first = step.first_ordinal - occurrence * size
+                for index in range(step.spec.count):
+                    if part[first + index]:
+                        step.mark_unit_done(index)
+            job.release_if_done(occurrence)
+
+
+def _find_unit(
+    job: jobs.Job, units: progress_ranges.ProgressRange, position: int
+) -> jobs.Unit | None:
+    """Returns the unit at a position in a range, or None if there is none."""
+    ordinal = units.first + position
+    if not 0 <= position < units.count or ordinal >= job.unit_count:
+        return None
+    return job.find_unit_at(ordinal)
+
+
+def _iterate_done_ordinals(
+    job: jobs.Job, units: progress_ranges.ProgressRange
+) -> Iterator[int]:
+    """Yields the ordinals of the units in a range that are done."""
+    size = job.units_per_occurrence
+    for occurrence in job.done_occurrences.iterate_between(
+        units.first // size, -(-units.end // size)
+    ):
+        first = max(units.first, occurrence * size)
+        yield from range(first, min(units.end, (occurrence + 1) * size))
+    for step in job.list_loaded_steps(units.first, units.end):
+        first = max(0, units.first - step.first_ordinal)
+        end = min(step.spec.count, units.end - step.first_ordinal)
+        done = step.encode_done()
+        for index in range(first, end):
+            if done[index]:
+                yield step.first_ordinal + index
+
+
 def _make_state_write(
     job: jobs.Job, now_s: float, reason: str
 ) -> ProgressWrite:
@@ -190,15 +257,14 @@
         if not item.is_changed and item.row.value is not None:
             ranges.append(item)
             continue
-        units = job.list_units(item.first, item.count)
-        value = encode_range(units)
+        value = encode_range(job, item)
         if len(value) > division_bytes and item.count > 1:
             waiting.extendleft(reversed(item.divide()))
             continue
         if len(value) > row_bytes:
             # The unit resumes from an earlier checkpoint, or from the start,
             # if both its worker and its owner are lost.
-            value = encode_range(units, has_checkpoints=False)
+            value = encode_range(job, item, has_checkpoints=False)
         item.is_changed = False
         ranges.append(item)
         if value != item.row.value:
--- a/src/fireflywell/scheduling/ranking.py
+++ b/src/fireflywell/scheduling/ranking.py
@@ -7,10 +7,12 @@
 share of the overdue work; see `overdue_share`.
 """
 
+from collections.abc import Sequence
 import dataclasses
 import enum
 
 from fireflywell.scheduling import jobs
+from fireflywell.scheduling import model
 
 # A job projected to take more than this multiple of its objective is overdue.
 _LATE_FACTOR = 3.0
@@ -37,7 +39,7 @@
     Attributes:
         band: Class of urgency.
         priority: Priority of the queue; 0 comes first.
-        cost: Remaining core-seconds per unit of value.
+        cost: Remaining core-seconds of the occurrence per unit of value.
         arrived_s: Monotonic time of arrival, for an occurrence of a recurring
             job the time at which it was due. It breaks ties.
     """
@@ -77,77 +79,78 @@
         self._mean += weight * (core_seconds - self._mean)
 
 
-def compute_work(job: jobs.Job) -> float:
-    """Returns the core-seconds of all units of a job."""
-    return sum(
-        step.spec.count
-        * step.expected_unit_duration_s
-        * _compute_cores_per_unit(step)
-        for step in job.steps
-    )
+@dataclasses.dataclass(frozen=True, slots=True)
+class Estimate:
+    """Expected work of one occurrence of a job.
+
+    Attributes:
+        work: Core-seconds of all units.
+        remaining_work: Core-seconds of the units that aren't done.
+        critical_path_s: Longest dependency chain.
+        remaining_path_s: The same, without the steps that are done.
+    """
+
+    work: float
+    remaining_work: float
+    critical_path_s: float
+    remaining_path_s: float
 
+    def compute_objective_s(self, policy: model.QueuePolicy) -> float:
+        """Returns the target time from the arrival to the completion."""
+        return policy.stretch_factor * self.critical_path_s + policy.target_s
 
-def compute_remaining_work(job: jobs.Job) -> float:
-    """Returns the core-seconds of all units of a job that aren't done."""
+
+def compute_work(job: jobs.Job) -> float:
+    """Returns the core-seconds of one occurrence, as the caller declared."""
     return sum(
-        (step.spec.count - step.done_count)
-        * step.expected_unit_duration_s
-        * _compute_cores_per_unit(step)
-        for step in job.steps
+        spec.count * spec.estimated_s * _compute_cores_per_unit(spec)
+        for spec in job.submission.request.steps
     )
 
 
-def compute_critical_path_s(
-    job: jobs.Job, occurrence: int, *, remaining: bool
-) -> float:
-    """Returns the longest dependency chain of one occurrence, in seconds.
+def estimate_occurrence(steps: Sequence[jobs.StepOccurrence]) -> Estimate:
+    """Estimates the work of an occurrence from the units that have ended.
 
     Args:
-        job: The job.
-        occurrence: Index of the occurrence.
-        remaining: Whether steps that are done count as 0 seconds.
+        steps: All its steps.
     """
-    end_times_s: list[float] = []
-    for position, spec in enumerate(job.submission.request.steps):
-        step = job.find_step(occurrence, position)
-        assert step is not None
-        duration_s = (
-            0.0 if remaining and step.is_done else step.expected_unit_duration_s
-        )
+    work = 0.0
+    remaining_work = 0.0
+    ends_s: list[float] = []
+    remaining_ends_s: list[float] = []
+    for position, step in enumerate(steps):
+        spec = step.spec
+        duration_s = step.expected_unit_duration_s
+        work_per_unit = duration_s * _compute_cores_per_unit(spec)
+        work += spec.count * work_per_unit
+        remaining_work += (spec.count - step.done_count) * work_per_unit
         # A step can only depend on steps before it; other references are
         # ignored.
-        dependency_ends_s = [end_times_s[p] for p in spec.after if p < position]
-        end_times_s.append(duration_s + max(dependency_ends_s, default=0.0))
-    return max(end_times_s, default=0.0)
-
-
-def compute_objective_s(job: jobs.Job, occurrence: int) -> float:
-    """Returns the target time from a job's arrival to its completion.
-
-    Args:
-        job: The job.
-        occurrence: Index of the occurrence.
-    """
-    critical_path_s = compute_critical_path_s(job, occurrence, remaining=False)
-    return job.policy.stretch_factor * critical_path_s + job.policy.target_s
+        after = [p for p in spec.after if p < position]
+        ends_s.append(duration_s + max((ends_s[p] for p in after), default=0.0))
+        remaining_ends_s.append(
+            (0.0 if step.is_done else duration_s)
+            + max((remaining_ends_s[p] for p in after), default=0.0)
+        )
+    return Estimate(
+        work,
+        remaining_work,
+        max(ends_s, default=0.0),
+        max(remaining_ends_s, default=0.0),
+    )
 
 
 def find_objective_start_s(step: jobs.StepOccurrence) -> float:
     """Returns the monotonic time at which a step's objective starts.
 
     That is the arrival of its job or, if the job recurs, the time at which the
-    first step of the occurrence became ready.
+    occurrence was due, unless the job came later.
     """
     job = step.job
-    if job.submission.request.recurrence is None:
+    if not job.is_recurring:
         return job.arrived_s
-    ready_times_s = (
-        other.ready_since_s
-        for other in job.steps
-        if other.occurrence == step.occurrence
-        and other.ready_since_s is not None
-    )
-    return min(ready_times_s, default=job.arrived_s)
+    due_s = step.ready_since_s if step.due_s is None else step.due_s
+    return job.arrived_s if due_s is None else max(job.arrived_s, due_s)
 
 
 def rank_step(
@@ -155,6 +158,7 @@
     now_s: float,
     objective_start_s: float,
     mean_work: float,
+    estimate: Estimate,
 ) -> Rank:
     """Computes the sort key of a ready step.
 
@@ -164,28 +168,47 @@
         objective_start_s: Monotonic time at which the objective starts; see
             `find_objective_start_s`.
         mean_work: Mean core-seconds of the queue's jobs.
+        estimate: Estimate of its occurrence.
     """
     job = step.job
     if step.spec.is_long_running:
         return Rank(Band.SERVING, job.policy.priority, 0.0, job.arrived_s)
-    objective_s = compute_objective_s(job, step.occurrence)
-    critical_path_s = compute_critical_path_s(
-        job, step.occurrence, remaining=True
-    )
-    projected_duration_s = now_s - objective_start_s + critical_path_s
+    objective_s = estimate.compute_objective_s(job.policy)
+    projected_duration_s = now_s - objective_start_s + estimate.remaining_path_s
     if projected_duration_s <= objective_s:
         band = Band.FEASIBLE
     elif projected_duration_s <= objective_s * _LATE_FACTOR:
         band = Band.LATE
     else:
         band = Band.OVERDUE
-    relative_work = compute_work(job) / mean_work if mean_work > 0 else 1.0
+    relative_work = estimate.work / mean_work if mean_work > 0 else 1.0
     value = min(_MAX_VALUE, _BASE_VALUE + (1 - _BASE_VALUE) * relative_work)
-    cost = compute_remaining_work(job) / value
+    cost = estimate.remaining_work / value
     return Rank(band, job.policy.priority, cost, objective_start_s)
 
 
-def _compute_cores_per_unit(step: jobs.StepOccurrence) -> float:
+class Estimates:
+    """Estimates of the occurrences that one planning pass looks at.
+
+    Each is computed once in a pass, however many of its steps are ready.
+    """
+
+    __slots__ = ("_by_first_step",)
+
+    def __init__(self) -> None:
+        self._by_first_step: dict[jobs.StepOccurrence, Estimate] = {}
+
+    def find(self, step: jobs.StepOccurrence) -> Estimate:
+        """Returns the estimate of a step's occurrence."""
+        steps = step.job.load_occurrence(step.occurrence)
+        estimate = self._by_first_step.get(steps[0])
+        if estimate is None:
+            estimate = estimate_occurrence(steps)
+            self._by_first_step[steps[0]] = estimate
+        return estimate
+
+
+def _compute_cores_per_unit(spec: model.Step) -> float:
     # An accelerator counts as eight cores, as in the cost of wasted work.
-    demand = step.spec.demand
+    demand = spec.demand
     return demand.cpu_millis / 1000 + 8.0 * demand.accelerators
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -36,6 +36,11 @@
 # this time, so that its next report arrives first.
 _REFUSAL_PAUSE_S = 0.15
 
+# Occurrences of a recurring job that are queued before one of them is begun.
+# Ranking all that are due of a schedule that was submitted late would hold up
+# the process; a pass places only some of them.
+_QUEUED_OCCURRENCES = 32
+
 _UNHEALTHY_PAUSE_S = 0.5
 
 # Least time between requests for tickets of one step after a worker refused
@@ -160,14 +165,17 @@
             job.policy.queue, ranking.MeanWork()
         )
         mean_work.add(ranking.compute_work(job))
-        if job.submission.request.recurrence is not None:
+        if job.is_recurring:
             self._recurring_job_ids.add(job.job_id)
         if job.are_units_done:
             self._finish(job, jobs_lib.JobState.COMPLETED, "")
             return
-        for unit in job.iterate_units():
-            self._fail_if_attempts_exhausted(unit)
-        self._queue_ready_steps(job, None)
+        for step in job.steps:
+            for unit in step.begun_units:
+                self._fail_if_attempts_exhausted(unit)
+        # Occurrences of a recurring job are queued once they are due.
+        if not job.is_recurring:
+            self._queue_ready_steps(job.steps)
 
     def has_job(self, job_id: str) -> bool:
         """Returns whether a job was added, or is known to have ended."""
@@ -184,14 +192,27 @@
             return
         self._finish(job, jobs_lib.JobState.CANCELLED, "cancelled")
 
-    def queue_due_steps(self, now_unix_ms: int) -> None:
-        """Queues the steps of recurring jobs that have become due."""
+    def queue_due_steps(self, now_unix_ms: int, now_s: float) -> float:
+        """Queues the steps of recurring jobs that have become due.
+
+        Args:
+            now_unix_ms: Wall-clock time.
+            now_s: Monotonic time.
+
+        Returns:
+            The core-seconds of the occurrences that have become due.
+        """
+        work = 0.0
         for job_id in tuple(self._recurring_job_ids):
             job = self.jobs.get(job_id)
             if job is None:
                 self._recurring_job_ids.discard(job_id)
                 continue
-            self._queue_ready_steps(job, now_unix_ms)
+            for steps in job.take_due(now_unix_ms, now_s, _QUEUED_OCCURRENCES):
+                self._queue_ready_steps(steps)
+                if not job.is_long_running:
+                    work += ranking.compute_work(job)
+        return work
 
     def count_waiting(self, queue: str) -> int:
         """Returns the number of jobs of a queue that haven't started."""
@@ -221,10 +242,13 @@
                 step.tickets = {}
         usable = planning_pass.list_usable(self.workers.values(), now_s)
         ranked = []
+        estimates = ranking.Estimates()
         for step in planning_pass.select_steps(candidates, usable):
             mean = self._mean_work_by_queue[step.job.policy.queue].value
             start_s = ranking.find_objective_start_s(step)
-            rank = ranking.rank_step(step, now_s, start_s, mean)
+            rank = ranking.rank_step(
+                step, now_s, start_s, mean, estimates.find(step)
+            )
             ranked.append(planning_pass.RankedStep(rank, step))
         ranked.sort(key=lambda item: item.rank.sort_key)
         self.reservations = reservations.Reservations(now_s)
@@ -470,7 +494,7 @@
                     step.key,
                     max(
                         self._first_run_number,
-                        1 + max(u.last_run_number for u in step.units),
+                        1 + max(u.last_run_number for u in step.begun_units),
                     ),
                 )
             run = jobs_lib.Run(
@@ -479,8 +503,8 @@
             unit.last_run_number = number
             unit.last_worker_id = new_placement.worker.worker_id
             unit.runs.append(run)
-            step.waiting.remove(unit)
-            if not step.waiting:
+            step.take_from_queue(unit)
+            if not step.waiting_count:
                 self._waiting_steps.pop(step.key, None)
             new_placement.worker.add_run(run)
             if not step.job.has_started:
@@ -529,24 +553,25 @@
         if run is not None:
             step.update_duration(now_s - run.started_s)
         # A gang is done as a whole when one member reports that it is done.
-        members = step.units if step.spec.is_gang else [unit]
-        for member in members:
-            if member.is_done:
-                continue
-            member.mark_done()
-            step.done_count += 1
-            if member in step.waiting:
-                step.waiting.remove(member)
-            self._stop_runs(member)
-        if not step.waiting:
+        if step.spec.is_gang:
+            members = step.begun_units
+            step.mark_all_done()
+            for member in members:
+                self._stop_runs(member)
+        else:
+            unit.mark_done()
+            self._stop_runs(unit)
+        if not step.waiting_count:
             self._waiting_steps.pop(step.key, None)
         job = step.job
+        if step.is_done:
+            job.release_if_done(step.occurrence)
         if step.is_done and job.are_units_done:
             self._finish(job, jobs_lib.JobState.COMPLETED, "")
             return
         self.dirty.setdefault(job.job_id, False)
-        if step.is_done:
-            self._queue_ready_steps(job, None)
+        if step.is_done and step.occurrence not in job.done_occurrences:
+            self._queue_ready_steps(job.load_occurrence(step.occurrence))
 
     def _apply_failed(
         self,
@@ -620,9 +645,8 @@
         unit.last_run_number = max(unit.last_run_number, item.run)
         unit.last_worker_id = worker.worker_id
         unit.runs.append(run)
-        if unit in unit.step.waiting:
-            unit.step.waiting.remove(unit)
-        if not unit.step.waiting:
+        unit.step.take_from_queue(unit)
+        if not unit.step.waiting_count:
             self._waiting_steps.pop(unit.step.key, None)
         unit.step.job.has_started = True
         worker.add_run(run)
@@ -660,11 +684,10 @@
         step = unit.step
         if unit.is_done or unit.runs or step.job.job_id not in self.jobs:
             return
-        if unit not in step.waiting:
-            step.waiting.append(unit)
+        step.queue_unit(unit)
         if step.spec.is_gang:
             # Gang members can't make progress without this one.
-            for member in step.units:
+            for member in step.begun_units:
                 self._stop_runs(member)
         if step.key not in self._waiting_steps:
             step.waiting_since_s = None
@@ -675,15 +698,13 @@
             self.stop_run(run)
 
     def _queue_ready_steps(
-        self, job: jobs_lib.Job, now_unix_ms: int | None
+        self, steps: Iterable[jobs_lib.StepOccurrence]
     ) -> None:
-        is_timed = job.submission.request.recurrence is not None
-        if is_timed and now_unix_ms is None:
-            return
-        for step in job.steps:
-            if not step.waiting or step.key in self._waiting_steps:
+        """Queues those steps of an occurrence that is due that are ready."""
+        for step in steps:
+            if not step.waiting_count or step.key in self._waiting_steps:
                 continue
-            if job.is_step_ready(step, now_unix_ms or 0):
+            if step.job.is_step_ready(step):
                 self._waiting_steps[step.key] = step
 
     def _finish(
@@ -697,7 +718,7 @@
         self.dirty[job.job_id] = True
         for step in job.steps:
             self._waiting_steps.pop(step.key, None)
-            for unit in step.units:
+            for unit in step.begun_units:
                 self._stop_runs(unit)
 
 
--- a/src/fireflywell/scheduling/wait_reasons.py
+++ b/src/fireflywell/scheduling/wait_reasons.py
@@ -234,9 +234,15 @@
         return Reserved(tuple(sorted(keys)))
     return BehindOtherWork(
         # The band doesn't depend on the mean work of the queue.
-        ranking.rank_step(step, now_s, step.job.arrived_s, 0.0).band,
+        ranking.rank_step(
+            step,
+            now_s,
+            ranking.find_objective_start_s(step),
+            0.0,
+            ranking.Estimates().find(step),
+        ).band,
         len(state.list_waiting_steps()),
-        step.spec.is_gang and len(step.waiting) < step.spec.count,
+        step.spec.is_gang and step.waiting_count < step.spec.count,
     )
 
 
--- a/src/fireflywell/scheduling/waiting_work.py
+++ b/src/fireflywell/scheduling/waiting_work.py
@@ -51,8 +51,24 @@
     long_wait: LongWait | None
 
 
-# What waits: a job as a whole, or one long-running unit.
-_Key = jobs_lib.Job | jobs_lib.Unit
+# What waits: a job as a whole, one long-running unit, or all long-running units
+# of a step that never started.
+_Key = jobs_lib.Job | jobs_lib.Unit | jobs_lib.StepOccurrence
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Waiting:
+    """Units that wait together.
+
+    Attributes:
+        key: What waits.
+        unit: The unit that starts next.
+        count: Number of units.
+    """
+
+    key: _Key
+    unit: jobs_lib.Unit
+    count: int
 
 
 class WaitTracker:
@@ -81,19 +97,18 @@
         """
         before_s = self._since_s
         since_s: dict[_Key, float] = {}
-        late: list[jobs_lib.Unit] = []
+        late: list[_Waiting] = []
         unit_count = 0
-        for unit, count in self._iterate_waiting_units():
-            unit_count += count
-            key = _get_key(unit)
-            if key in since_s:
+        for item in self._iterate_waiting():
+            unit_count += item.count
+            if item.key in since_s:
                 continue
-            begun_s = before_s.get(key)
+            begun_s = before_s.get(item.key)
             if begun_s is None:
-                begun_s = _find_start_of_wait(unit, now_s)
-            since_s[key] = begun_s
+                begun_s = _find_start_of_wait(item.unit, now_s)
+            since_s[item.key] = begun_s
             if now_s - begun_s > EXPLAINED_WAIT_S:
-                late.append(unit)
+                late.append(item)
         self._since_s = since_s
         return WaitingWork(
             unit_count,
@@ -101,11 +116,11 @@
             self._explain_longest(late, now_s, unreported, is_planning),
         )
 
-    def _iterate_waiting_units(self) -> Iterator[tuple[jobs_lib.Unit, int]]:
+    def _iterate_waiting(self) -> Iterator[_Waiting]:
         """Yields ready units that wait, those without any run first.
 
-        One unit stands for all waiting units of a short step; the number says
-        how many there are.
+        One unit stands for all waiting units of a short step, and for those of
+        a long-running step that never started.
         """
         running = set()
         unconfirmed = []
@@ -117,20 +132,30 @@
                     unconfirmed.append(run.unit)
         for step in self._state.list_waiting_steps():
             if step.spec.is_long_running:
-                yield from ((unit, 1) for unit in step.waiting)
+                for unit in step.queued_units:
+                    yield _Waiting(unit, unit, 1)
+                if step.fresh_count:
+                    yield _Waiting(
+                        step, step.peek_fresh_unit(), step.fresh_count
+                    )
             elif step.job not in running:
-                yield step.waiting[-1], len(step.waiting)
+                yield _Waiting(
+                    step.job,
+                    next(iter(step.queued_units), step.peek_fresh_unit()),
+                    step.waiting_count,
+                )
         for unit in unconfirmed:
             step = unit.step
             is_wanted = step.job.job_id in self._state.jobs and not unit.is_done
             if is_wanted and (
                 step.spec.is_long_running or step.job not in running
             ):
-                yield unit, 1
+                is_whole = not step.spec.is_long_running
+                yield _Waiting(step.job if is_whole else unit, unit, 1)
 
     def _explain_longest(
         self,
-        late: Iterable[jobs_lib.Unit],
+        late: Iterable[_Waiting],
         now_s: float,
         unreported: Iterable[str],
         is_planning: bool,
@@ -139,8 +164,9 @@
         longest: jobs_lib.Unit | None = None
         longest_since_s = now_s
         room: dict[tuple[int, int, int, str], bool] = {}
-        for unit in late:
-            since_s = self._since_s[_get_key(unit)]
+        for item in late:
+            unit = item.unit
+            since_s = self._since_s[item.key]
             if since_s >= longest_since_s:
                 continue
             spec = unit.step.spec
@@ -168,11 +194,6 @@
         )
 
 
-def _get_key(unit: jobs_lib.Unit) -> _Key:
-    step = unit.step
-    return unit if step.spec.is_long_running else step.job
-
-
 def _find_start_of_wait(unit: jobs_lib.Unit, now_s: float) -> float:
     step = unit.step
     is_ready_from_start = (
--- a/tests/scheduling_samples.py
+++ b/tests/scheduling_samples.py
@@ -21,6 +21,12 @@
     )
 
 
+def list_units(job: jobs_lib.Job) -> list[jobs_lib.Unit]:
+    """Returns the units of all steps of all occurrences."""
+    units = [job.find_unit_at(number) for number in range(job.unit_count)]
+    return [unit for unit in units if unit is not None]
+
+
 def add_worker(
     state: service_state.ServiceState,
     name: str,
--- a/tests/test_node_job_loader.py
+++ b/tests/test_node_job_loader.py
@@ -78,8 +78,7 @@
             tables.locate_job(node_world.SERVICE, _EARLIER),
             job_rows.encode_submission(job.submission),
         )
-        job.steps[0].units[0].is_done = True
-        job.steps[0].done_count = 1
+        job.steps[0].mark_unit_done(0)
         self._put(
             tables.locate_progress(node_world.SERVICE, _EARLIER),
             job_rows.encode_progress(job_rows.snapshot_progress(job, 1.0, "")),
@@ -112,7 +111,7 @@
 
     def count_done_units(self) -> int:
         """Returns how many units of the job are done."""
-        units = self.state.jobs[_EARLIER].steps[0].units
+        units = samples.list_units(self.state.jobs[_EARLIER])
         return sum(unit.is_done for unit in units)
 
 
--- a/tests/test_node_large_progress.py
+++ b/tests/test_node_large_progress.py
@@ -121,7 +121,7 @@
             unit.failed_runs,
             unit.checkpoint,
         )
-        for unit in job.iterate_units()
+        for unit in samples.list_units(job)
     ]
 
 
@@ -142,7 +142,7 @@
                     job = _make_large_job(count + 1)
                     world.state.add_job(job)
                     world.state.add_job(samples.make_job(_SMALL_ID))
-                    for unit in job.iterate_units():
+                    for unit in samples.list_units(job):
                         unit.save_checkpoint("c" * length)
                     world.report(
                         *(_end(i, kind, "d" * length) for i in range(count))
@@ -180,7 +180,7 @@
             world.report(_end(0, orders.EndKind.FAILED, run=run))
         for run in (1, 19_000, 20_000):
             world.report(_end(0, orders.EndKind.FAILED, run=run))
-        unit = job.steps[0].units[0]
+        unit = samples.list_units(job)[0]
         self.assertEqual(unit.failure_count, 20_000)
         self.assertEqual(anyio.run(world.store_all, _LARGE_ID), frozenset())
         self.assertEqual(_describe(world.restore(job)), _describe(job))
@@ -219,7 +219,7 @@
                 _end(index, orders.EndKind.STOPPED, f"{index}" * length)
             )
         self.assertEqual(anyio.run(world.store_all, _LARGE_ID), frozenset())
-        stored = [u.checkpoint for u in world.restore(job).iterate_units()]
+        stored = [u.checkpoint for u in samples.list_units(world.restore(job))]
         self.assertEqual(stored, ["", "1" * 20, "2" * 60_000])
 
     def test_units_that_are_done_keep_no_checkpoint(self) -> None:
@@ -421,7 +421,7 @@
         rows: dict[str, bytes] = {}
 
         for number in range(rounds):
-            for ordinal, unit in enumerate(job.iterate_units()):
+            for ordinal, unit in enumerate(samples.list_units(job)):
                 if (ordinal + number) % 3 == 0:
                     unit.save_checkpoint(
                         str(number) * lengths[ordinal % len(lengths)]
@@ -430,7 +430,7 @@
                     unit.add_failure(1000 * number + run)
                 if ordinal % 5 == number and not unit.is_done:
                     unit.mark_done()
-                    unit.step.done_count += 1
+                    job.release_if_done(unit.step.occurrence)
             for write in progress_rows.list_writes(job, 0.0, "", row_bytes):
                 key = (
                     progress_rows.make_range_key(write.units)
--- a/tests/test_node_stale_reads.py
+++ b/tests/test_node_stale_reads.py
@@ -21,6 +21,7 @@
 from fireflywell.scheduling import service_state
 from fireflywell.telemetry import metrics as metrics_lib
 from tests import node_world
+from tests import scheduling_samples as samples
 from tests import test_platform_adapter
 
 _SERVICE = node_world.SERVICE
@@ -155,8 +156,8 @@
                 await loader.load_progress()
             table = tables.name_jobs_table(_SERVICE)
             loader.apply_snapshot(tuple(world.store.list_table(table)))
-            (step,) = state.jobs[node_world.JOB_ID].steps
-            self.assertEqual([u.is_done for u in step.units], [True, False])
+            units = samples.list_units(state.jobs[node_world.JOB_ID])
+            self.assertEqual([u.is_done for u in units], [True, False])
 
         anyio.run(run)
 
--- a/tests/test_odd_requests.py
+++ b/tests/test_odd_requests.py
@@ -167,8 +167,11 @@
         self.assertEqual(job_rows.decode_job(stored), submission)
         job = jobs.Job(submission, 5.0)
         self.assertTrue(math.isfinite(ranking.compute_work(job)))
+        job.take_due(1_790_000_000_123, 5.0, 32)
         for step in job.steps:
-            job.is_step_ready(step, 1_790_000_000_123)
+            job.is_step_ready(step)
+            estimate = ranking.estimate_occurrence([step])
+            self.assertTrue(math.isfinite(estimate.remaining_work))
 
 
 class OddRequestApiTest(unittest.TestCase):
--- a/tests/test_scheduling_order.py
+++ b/tests/test_scheduling_order.py
@@ -56,7 +56,9 @@
                 if final == "completed" and job_id in state.finished:
                     job = state.finished.pop(job_id).job
                     true_arrival = int(job_id, 16) * 0.1
-                    objective = ranking.compute_objective_s(job, 0)
+                    objective = ranking.estimate_occurrence(
+                        job.steps
+                    ).compute_objective_s(job.policy)
                     finished += now_s - true_arrival <= objective
             for run in state.plan(now_s):
                 running.append((now_s + 0.6, run.worker_id, run.unit.name))
@@ -89,13 +91,13 @@
             make_id(1), node_world.POLICY, request, 0.0
         )
         state.add_job(jobs_lib.Job(submission, 0.0))
-        state.queue_due_steps(0)
+        state.queue_due_steps(0, 0.0)
         for number, run in enumerate(state.plan(0.0), 1):
             end = samples.report_end(run.unit.name, run.number, number=number)
             report = samples.make_report(ended=(end,))
             state.apply_report("w1", report, -1.0, 1.0)
         self.assertEqual(state.plan(2.0), [])
-        state.queue_due_steps(50_000)
+        state.queue_due_steps(50_000, 50.0)
         costly = node_world.make_step(2, estimated_s=5.0)
         state.add_job(samples.make_job(make_id(2), costly, arrived_s=50.0))
         placed = [run.unit.step.job.job_id for run in state.plan(50.0)]
--- a/tests/test_scheduling_service_state.py
+++ b/tests/test_scheduling_service_state.py
@@ -209,9 +209,9 @@
         stored = job_rows.encode_progress(job_rows.snapshot_progress(job, 2.0))
         copy = samples.make_job(_ID, node_world.make_step(2))
         job_rows.restore_progress(copy, job_rows.decode_progress(stored))
-        done = [unit.is_done for unit in copy.iterate_units()]
+        done = [unit.is_done for unit in samples.list_units(copy)]
         self.assertEqual(sum(done), 1)
-        self.assertEqual(len(copy.steps[0].waiting), 1)
+        self.assertEqual(copy.steps[0].waiting_count, 1)
 
     def test_submission_is_equal_after_decoding(self) -> None:
         """Fails if a stored job has other values than the submitted one."""
--- a/tests/test_unanswered_orders.py
+++ b/tests/test_unanswered_orders.py
@@ -181,7 +181,7 @@
             async with world.run():
                 step = node_world.make_step(10)
                 world.state.add_job(samples.make_job("00000000000000b2", step))
-                units = world.state.jobs["00000000000000b2"].iterate_units()
+                units = samples.list_units(world.state.jobs["00000000000000b2"])
                 for unit in units:
                     start = jobs_lib.Run(unit, 1, "w1", 0.0)
                     world.session.enqueue(order_sender.StartCommand(start))
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -364,7 +364,7 @@
                     number += 1
                     job = samples.make_job(f"{number:016x}")
                     world.state.add_job(job)
-                    (unit,) = job.iterate_units()
+                    (unit,) = samples.list_units(job)
                     start = jobs_lib.Run(unit, 1, "w1", 0.0)
                     world.session.enqueue(order_sender.StartCommand(start))
                     await anyio.sleep(0.05)
