Send no start to a worker that drains

Cause: only the planner looked at the drain. Starts that it had placed before were sent when their turn came in the worker's queue, and repeated while they had no answer, for as long as their leases lasted.

Change: each transmission of a start is checked. One that wasn't sent goes back to the planner. The stop of one without an answer is requested at once, and its unit is free once that is confirmed and a report doesn't list the run. A session has a connection for each call that it may make, so that no order waits for one after the check.

Why it works: after the owner knows of the drain, nothing is sent any more; what may run there is settled as before, so no unit runs twice.

--- a/src/fireflywell/node/first_report.py
+++ b/src/fireflywell/node/first_report.py
@@ -8,7 +8,7 @@
 from fireflywell.scheduling import orders
 
 # Requests for the first report that may be on their way at the same time.
-_MOST_REQUESTS = 3
+MOST_REQUESTS = 3
 
 # Time between them. A worker answers within a few milliseconds unless it or a
 # link is slow; its answer to an earlier request still counts then.
@@ -83,7 +83,7 @@
                 scope.cancel()
 
         async with anyio.create_task_group() as group:
-            for _ in range(_MOST_REQUESTS):
+            for _ in range(MOST_REQUESTS):
                 failed = anyio.Event()
                 group.start_soon(request, failed, group.cancel_scope)
                 with anyio.move_on_after(_SPACING.total_seconds()):
--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -172,16 +172,28 @@
             if not is_settled:
                 self.enqueue(command)
 
-    async def _start(self, run: jobs_lib.Run) -> None:
-        if run.phase is not jobs_lib.RunPhase.SENDING:
-            return
-        can_start = (
+    @property
+    def _permits_starts(self) -> bool:
+        """Whether a start may be sent now.
+
+        Orders wait in a queue, for a connection and between repeats, so each
+        transmission is checked: the worker may have begun to drain since its
+        unit was placed.
+        """
+        return (
             self._worker.is_reachable
-            and self._leases.has_clock
+            and not self._worker.instance.is_draining
             and self._guard.permits_orders
         )
-        if not can_start:
+
+    async def _start(self, run: jobs_lib.Run) -> None:
+        if run.phase is not jobs_lib.RunPhase.SENDING:
+            return
+        if not (self._permits_starts and self._leases.has_clock):
+            if self._worker.instance.is_draining:
+                self._log_refusal(run, "the worker is draining")
             self._state.refuse_start(run, orders.Refusal.NO_ROOM, self._now_s())
+            self._on_change()
             return
         step = run.unit.step
         if not step.may_start_on(self._worker.worker_id, self._now_s()):
@@ -197,6 +209,11 @@
         finally:
             # After an unexpected error, too, the run must not stay undecided.
             match run.phase:
+                case jobs_lib.RunPhase.SENDING if (
+                    run.unanswered_starts and self._worker.instance.is_draining
+                ):
+                    # The lease in the order may end after the worker's life.
+                    self._state.give_up_start(run)
                 case jobs_lib.RunPhase.SENDING if run.unanswered_starts:
                     self._state.mark_start_unknown(run)
                 case jobs_lib.RunPhase.SENDING:
@@ -290,8 +307,7 @@
     def _may_send(self, run: jobs_lib.Run, order: orders.StartOrder) -> bool:
         return (
             run.phase is jobs_lib.RunPhase.SENDING
-            and self._worker.is_reachable
-            and self._guard.permits_orders
+            and self._permits_starts
             and not self._leases.is_past(order.lease_until_ms)
         )
 
--- a/src/fireflywell/node/worker_session.py
+++ b/src/fireflywell/node/worker_session.py
@@ -11,6 +11,7 @@
 from fireflywell.node import answer_times
 from fireflywell.node import assigned_workers
 from fireflywell.node import end_numbers
+from fireflywell.node import first_report
 from fireflywell.node import order_sender
 from fireflywell.node import ownership_guard
 from fireflywell.node import progress_writer
@@ -46,6 +47,18 @@
 # Stops and throttles that are sent to one worker at the same time.
 _MAX_CONCURRENT_OTHER_ORDERS = 2
 
+# Report requests that are on their way at the same time: several for the first
+# report.
+_MAX_CONCURRENT_REPORTS = first_report.MOST_REQUESTS
+
+# With a connection for each of them, no order waits for one after the last look
+# at whether it may be sent.
+MAX_CONCURRENT_CALLS = (
+    _MAX_CONCURRENT_STARTS
+    + _MAX_CONCURRENT_OTHER_ORDERS
+    + _MAX_CONCURRENT_REPORTS
+)
+
 # How long to wait until the ends of a report are stored. Until they are stored
 # and acknowledged, each report would list the same ends again.
 _STORE_TIMEOUT = datetime.timedelta(milliseconds=250)
--- a/src/fireflywell/platform/main.py
+++ b/src/fireflywell/platform/main.py
@@ -19,6 +19,7 @@
 from fireflywell.node import job_frontend
 from fireflywell.node import node_process
 from fireflywell.node import settings as node_settings
+from fireflywell.node import worker_session
 from fireflywell.platform import advice
 from fireflywell.platform import configuration
 from fireflywell.platform import instances
@@ -39,7 +40,7 @@
 # Each follower of a table holds one connection for its long polls; the others
 # serve short calls.
 _STORE_CONNECTIONS = 48
-_WORKER_CONNECTIONS = 8
+_WORKER_CONNECTIONS = worker_session.MAX_CONCURRENT_CALLS
 _ADVICE_CONNECTIONS = 2
 # Moves and waves list the VMs beside the orders.
 _FLEET_CONNECTIONS = fleet_tenure.MAX_CONCURRENT_ORDERS + 2
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -309,13 +309,23 @@
                 worker.avoid_until_s = max(worker.avoid_until_s, now_s + pause)
         if not run.unanswered_starts:
             self._drop_run(run)
-        elif run.phase is jobs_lib.RunPhase.SENDING:
+        elif reason is orders.Refusal.LEASE_OVER:
             self.mark_start_unknown(run)
-            # A stop may be carried out late, when the run is at work and the
-            # caller can't spare its unit.
-            may_be_stopped = not run.unit.step.spec.may_be_away
-            if may_be_stopped and reason is not orders.Refusal.LEASE_OVER:
-                self._stop_requests.add(run)
+        else:
+            self.give_up_start(run)
+
+    def give_up_start(self, run: jobs_lib.Run) -> None:
+        """Gives up a start without an answer and requests the run's stop.
+
+        The worker's answer to that settles the start before its lease ends.
+        """
+        if run.phase is not jobs_lib.RunPhase.SENDING:
+            return
+        self.mark_start_unknown(run)
+        # A stop may be carried out late, when the run is at work and the caller
+        # can't spare its unit.
+        if not run.unit.step.spec.may_be_away:
+            self._stop_requests.add(run)
 
     def mark_start_unknown(self, run: jobs_lib.Run) -> None:
         """Marks a start without an answer as unknown.
--- a/tests/test_order_sender.py
+++ b/tests/test_order_sender.py
@@ -230,6 +230,82 @@
         anyio.run(run)
 
 
+class DrainingWorkerTest(unittest.TestCase):
+    """Workers that begin to drain while starts are on their way."""
+
+    def drain(self, world: session_world.SessionWorld) -> None:
+        """Applies an entry that says that the worker is draining."""
+        instance = dataclasses.replace(world.worker.instance, is_draining=True)
+        world.worker.replace_instance(instance)
+
+    def test_nothing_is_sent_once_the_worker_drains(self) -> None:
+        """Fails if starts that wait or have no answer go on while it drains.
+
+        They were sent for as long as their leases lasted, and the units were
+        lost with the worker.
+        """
+
+        async def run(step: model.Step) -> None:
+            world = session_world.SessionWorld()
+            world.client.before_start = functools.partial(anyio.sleep, 0.05)
+            async with world.run():
+                world.state.add_job(
+                    samples.make_job(session_world.JOB_ID, step)
+                )
+                now_s = world.clock.monotonic().total_seconds()
+                for item in world.state.plan(now_s):
+                    world.session.enqueue(order_sender.StartCommand(item))
+                await session_world.wait_until(lambda: world.client.starts)
+                self.drain(world)
+                sent = len(world.client.starts)
+                await anyio.sleep(0.6)
+                self.assertEqual(len(world.client.starts), sent)
+                self.assertEqual(world.state.plan(now_s + 1), [])
+
+        demand = model.ResourceAmounts(10, 1)
+        for step in (
+            node_world.make_step(12, demand=demand),
+            node_world.make_step(40, demand=demand, is_gang=True),
+            node_world.make_step(
+                12, demand=demand, is_long_running=True, may_be_away=1
+            ),
+        ):
+            with self.subTest(step=step):
+                anyio.run(run, step)
+
+    def test_an_unanswered_start_is_settled_before_the_next(self) -> None:
+        """Fails if a unit starts elsewhere while a draining worker may run it.
+
+        The stop that settles it is sent at once, because the worker may leave
+        before the lease in the order ends.
+        """
+
+        async def run() -> None:
+            world = session_world.SessionWorld()
+            may_stop = anyio.Event()
+            world.client.before_stop = may_stop.wait
+            async with world.run():
+                first = world.begin_start()
+                await session_world.wait_until(lambda: world.client.starts)
+                self.drain(world)
+                await session_world.wait_until(
+                    lambda: first.phase is jobs_lib.RunPhase.START_UNKNOWN
+                )
+                self.assertEqual(world.place(), [])
+                world.send_stops()
+                await session_world.wait_until(lambda: world.client.stops)
+                await anyio.sleep(0.1)
+                self.assertEqual(world.place(), [])
+                may_stop.set()
+                await session_world.wait_until(
+                    lambda: world.state.has_waiting_units
+                )
+                (second,) = world.place()
+                self.assertEqual(second.worker_id, "w2")
+
+        anyio.run(run)
+
+
 class FullQueueTest(unittest.TestCase):
     """Sessions with more queued orders than they accept."""
 
