Count all runs that a worker lists

Cause: an owner counted only the runs of its units. A run in a report that it couldn't take over got a stop and took no capacity, so other units were placed beside it while it was being stopped.

Change: the runs of a report that no unit accounts for take CPU, memory, accelerators and places of max_per_worker until a report no longer lists them. If their step isn't known, the worker gets nothing until then. Each transmission of a start is checked against that. Nothing depends on enforces_capacity.

Why it works: what a worker holds is what it reports, and it is used only after a report of it is applied.

--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -177,12 +177,12 @@
         """Whether a start may be sent now.
 
         Orders wait in a queue, for a connection and between repeats, so each
-        transmission is checked: the worker may have begun to drain since its
-        unit was placed.
+        transmission is checked: since its unit was placed, the worker may have
+        begun to drain, or have listed runs that this owner didn't count.
         """
         return (
             self._worker.is_reachable
-            and not self._worker.instance.is_draining
+            and not self._worker.is_closed
             and self._guard.permits_orders
         )
 
@@ -190,8 +190,8 @@
         if run.phase is not jobs_lib.RunPhase.SENDING:
             return
         if not (self._permits_starts and self._leases.has_clock):
-            if self._worker.instance.is_draining:
-                self._log_refusal(run, "the worker is draining")
+            if self._worker.is_closed:
+                self._log_refusal(run, self._describe_closure())
             self._state.refuse_start(run, orders.Refusal.NO_ROOM, self._now_s())
             self._on_change()
             return
@@ -210,9 +210,9 @@
             # After an unexpected error, too, the run must not stay undecided.
             match run.phase:
                 case jobs_lib.RunPhase.SENDING if (
-                    run.unanswered_starts and self._worker.instance.is_draining
+                    run.unanswered_starts and self._worker.is_closed
                 ):
-                    # The lease in the order may end after the worker's life.
+                    # The worker may leave before the lease in the order ends.
                     self._state.give_up_start(run)
                 case jobs_lib.RunPhase.SENDING if run.unanswered_starts:
                     self._state.mark_start_unknown(run)
@@ -373,6 +373,13 @@
             case _:
                 self._log_failed_throttle(run, repr(outcome))
 
+    def _describe_closure(self) -> str:
+        if self._worker.instance.is_draining:
+            return "the worker is draining"
+        if self._worker.has_unknown_runs:
+            return "the worker lists runs whose resources aren't known"
+        return "the worker's runs exceed its capacity"
+
     async def _pause_since(self, sent_s: float) -> None:
         """Keeps calls from being repeated in a loop if they fail at once."""
         elapsed = datetime.timedelta(seconds=self._now_s() - sent_s)
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -388,6 +388,15 @@
         for item in report.running:
             listed.add((item.unit, item.run))
             self._apply_running(worker, item, now_s)
+        worker.replace_unclaimed_runs(
+            tuple(
+                workers_lib.UnclaimedRun(
+                    item.unit, item.run, self._find_spec(item.unit)
+                )
+                for item in report.running
+                if (item.unit, item.run) not in worker.runs
+            )
+        )
         if not report.has_all_ends:
             return last_end
         for key, run in tuple(worker.runs.items()):
@@ -669,6 +678,19 @@
         job = self.jobs.get(parts[0])
         return job.find_unit(*parts[1:]) if job else None
 
+    def _find_spec(self, name: str) -> model.Step | None:
+        """Returns the step of a unit of a job that is held; None if unknown."""
+        parts = jobs_lib.parse_unit_name(name)
+        if parts is None:
+            return None
+        job_id, _, position, _ = parts
+        finished = self.finished.get(job_id)
+        job = finished.job if finished else self.jobs.get(job_id)
+        if job is None:
+            return None
+        steps = job.submission.request.steps
+        return steps[position] if 0 <= position < len(steps) else None
+
     def _record_checkpoint(self, unit: jobs_lib.Unit, checkpoint: str) -> None:
         if checkpoint and unit.step.spec.is_checkpointing:
             unit.save_checkpoint(checkpoint)
--- a/src/fireflywell/scheduling/wait_reasons.py
+++ b/src/fireflywell/scheduling/wait_reasons.py
@@ -19,6 +19,8 @@
         unreachable: Don't report.
         draining: Leave soon.
         cordoned: Are kept free for maintenance or a move.
+        stopping: Have runs of unknown size, which are being stopped, or more
+            runs than they can hold.
         paused: Refused or failed starts a moment ago.
         open_starts: Haven't answered as many starts as they may have.
         label: Lack the required label.
@@ -32,6 +34,7 @@
     unreachable: int = 0
     draining: int = 0
     cordoned: int = 0
+    stopping: int = 0
     paused: int = 0
     open_starts: int = 0
     label: int = 0
@@ -277,6 +280,7 @@
         ("unreachable", not worker.is_reachable),
         ("draining", worker.instance.is_draining),
         ("cordoned", worker.is_cordoned),
+        ("stopping", worker.is_closed),
         ("paused", now_s < worker.avoid_until_s),
         ("open_starts", worker.open_starts >= workers_lib.MAX_OPEN_STARTS),
         (
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -46,8 +46,32 @@
     row_version: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnclaimedRun:
+    """A run that a worker lists and that no unit accounts for.
+
+    Its job is over or unknown, its unit is done or has another run, or the
+    worker has moved here from another service. Its stop is requested; until it
+    has ended it takes the worker's capacity.
+
+    Attributes:
+        unit: Name of the unit.
+        number: Number of the run.
+        spec: Step of the unit; None if it isn't known.
+    """
+
+    unit: str
+    number: int
+    spec: model.Step | None
+
+    @property
+    def step_key(self) -> str:
+        """Identifier of the step in this occurrence."""
+        return self.unit.rpartition(".")[0]
+
+
 class Worker:
-    """A worker's free capacity and the runs placed on it."""
+    """A worker's free capacity and the runs on it."""
 
     __slots__ = (
         "avoid_until_s",
@@ -65,6 +89,7 @@
         "reported_s",
         "runs",
         "slow_factor",
+        "unclaimed_runs",
         "units_per_step",
         "_short_accelerators",
         "_short_cpu",
@@ -84,6 +109,8 @@
         self.runs: dict[tuple[str, int], jobs.Run] = {}
         # Runs whose start it may not have answered.
         self._unanswered: list[jobs.Run] = []
+        # Runs in the last report that aren't among these.
+        self.unclaimed_runs: tuple[UnclaimedRun, ...] = ()
         # Number of the runs of filling units.
         self.filling_units = 0
         self.units_per_step: dict[str, int] = {}
@@ -131,11 +158,31 @@
             self._unanswered = [r for r in self._unanswered if r.is_start_open]
         return len(self._unanswered)
 
+    @property
+    def has_unknown_runs(self) -> bool:
+        """Whether it lists runs of which the resources aren't known."""
+        return any(run.spec is None for run in self.unclaimed_runs)
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether no start may be sent to it, also of units placed before.
+
+        A worker may start whatever it is told to, so the owner alone keeps it
+        within its capacity.
+        """
+        return (
+            self.instance.is_draining
+            or self.free_cpu < 0
+            or self.free_memory < 0
+            or self.free_accelerators < 0
+            or self.has_unknown_runs
+        )
+
     def accepts_runs(self, now_s: float) -> bool:
         """Returns whether new runs of any step may be placed on the worker."""
         return (
             self.is_reachable
-            and not self.instance.is_draining
+            and not self.is_closed
             and not self.is_cordoned
             and now_s >= self.avoid_until_s
         )
@@ -190,7 +237,7 @@
         self._unanswered.append(run)
         self.filling_units += step.spec.is_filling
         self._change_free_capacity(step.spec, -1)
-        self.units_per_step[step.key] = self.units_per_step.get(step.key, 0) + 1
+        self._count_unit(step.key, 1)
 
     def remove_run(self, run: jobs.Run) -> None:
         """Removes an ended run and releases its resources, at most once."""
@@ -199,13 +246,31 @@
         step = run.unit.step
         self.filling_units -= step.spec.is_filling
         self._change_free_capacity(step.spec, 1)
-        remaining = self.units_per_step[step.key] - 1
-        if remaining:
-            self.units_per_step[step.key] = remaining
+        self._count_unit(step.key, -1)
+
+    def replace_unclaimed_runs(self, runs: tuple[UnclaimedRun, ...]) -> None:
+        """Sets the runs of the last report that aren't in `runs`."""
+        for run in self.unclaimed_runs:
+            self._count_unclaimed(run, -1)
+        self.unclaimed_runs = runs
+        for run in runs:
+            self._count_unclaimed(run, 1)
+
+    def _count_unclaimed(self, run: UnclaimedRun, sign: int) -> None:
+        self._count_unit(run.step_key, sign)
+        if run.spec is not None:
+            self._change_free_capacity(run.spec, -sign, is_ending=True)
+
+    def _count_unit(self, step_key: str, change: int) -> None:
+        count = self.units_per_step.get(step_key, 0) + change
+        if count:
+            self.units_per_step[step_key] = count
         else:
-            del self.units_per_step[step.key]
+            del self.units_per_step[step_key]
 
-    def _change_free_capacity(self, spec: model.Step, sign: int) -> None:
+    def _change_free_capacity(
+        self, spec: model.Step, sign: int, *, is_ending: bool = False
+    ) -> None:
         demand = spec.demand
         cpu = 0 if spec.is_filling else sign * demand.cpu_millis
         memory = sign * demand.memory_mb
@@ -213,7 +278,7 @@
         self.free_cpu += cpu
         self.free_memory += memory
         self.free_accelerators += accelerators
-        if not spec.is_long_running:
+        if is_ending or not spec.is_long_running:
             self._short_cpu -= cpu
             self._short_memory -= memory
             self._short_accelerators -= accelerators
