Encode the done units of a range as numbers

Cause: a job's range is encoded with each change, and going through its units one by one costs an owner milliseconds for each of them, at worst for schedules and steps of many units, most of which are done.

Change: runs of done occurrences and the flags of a step become one number each.

--- a/src/fireflywell/scheduling/done_occurrences.py
+++ b/src/fireflywell/scheduling/done_occurrences.py
@@ -23,13 +23,15 @@
         yield from range(self._below)
         yield from sorted(self._above)
 
-    def iterate_between(self, first: int, end: int) -> Iterator[int]:
-        """Yields those from `first` up to `end`, which isn't included."""
-        yield from range(first, min(end, self._below))
-        if len(self._above) < end - first:
-            yield from (k for k in self._above if first <= k < end)
-        else:
-            yield from (k for k in range(first, end) if k in self._above)
+    def list_runs(self, first: int, end: int) -> list[range]:
+        """Returns those from `first` up to `end` as ranges, in any order."""
+        above = self._above
+        if end - first < len(above):
+            above = above.intersection(range(first, end))
+        runs = [range(k, k + 1) for k in above if first <= k < end]
+        if first < self._below:
+            runs.append(range(first, min(end, self._below)))
+        return runs
 
     def add(self, occurrence: int) -> None:
         """Adds an occurrence."""
--- a/src/fireflywell/scheduling/progress_rows.py
+++ b/src/fireflywell/scheduling/progress_rows.py
@@ -17,6 +17,9 @@
 # of one unit doesn't write much.
 _DIVISION_SHARE = 0.25
 
+# Binary digits of the flags of units.
+_DIGITS = bytes.maketrans(b"\x00\x01", b"01")
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RangeProgress:
@@ -112,12 +115,9 @@
         units: The range of its units.
         has_checkpoints: Whether their checkpoints are included.
     """
-    done = bytearray(-(-units.count // 8))
+    done = _encode_done_units(job, units)
     failures = {}
     checkpoints = {}
-    for ordinal in _iterate_done_ordinals(job, units):
-        position = ordinal - units.first
-        done[position // 8] |= 1 << position % 8
     for step in job.list_loaded_steps(units.first, units.end):
         first = max(0, units.first - step.first_ordinal)
         end = units.end - step.first_ordinal
@@ -129,7 +129,7 @@
                 checkpoints[position] = unit.checkpoint
     if not (any(done) or failures or checkpoints):
         return b""
-    return bytes(msgpack.packb([bytes(done), failures, checkpoints]))
+    return bytes(msgpack.packb([done, failures, checkpoints]))
 
 
 def decode_range(data: bytes) -> RangeProgress:
@@ -218,23 +218,29 @@
     return job.find_unit_at(ordinal)
 
 
-def _iterate_done_ordinals(
+def _encode_done_units(
     job: jobs.Job, units: progress_ranges.ProgressRange
-) -> Iterator[int]:
-    """Yields the ordinals of the units in a range that are done."""
+) -> bytes:
+    """Returns a bit for each unit of a range, 1 if it is done.
+
+    A large job is encoded with each change, so runs of units are encoded as one
+    number each.
+    """
     size = job.units_per_occurrence
-    for occurrence in job.done_occurrences.iterate_between(
+    bits = 0
+    for run in job.done_occurrences.list_runs(
         units.first // size, -(-units.end // size)
     ):
-        first = max(units.first, occurrence * size)
-        yield from range(first, min(units.end, (occurrence + 1) * size))
+        first = max(units.first, run.start * size)
+        count = min(units.end, run.stop * size) - first
+        bits |= ((1 << count) - 1) << (first - units.first)
     for step in job.list_loaded_steps(units.first, units.end):
         first = max(0, units.first - step.first_ordinal)
-        end = min(step.spec.count, units.end - step.first_ordinal)
-        done = step.encode_done()
-        for index in range(first, end):
-            if done[index]:
-                yield step.first_ordinal + index
+        flags = step.encode_done()[first : units.end - step.first_ordinal]
+        # The first unit is the lowest bit.
+        number = int(flags[::-1].translate(_DIGITS), 2)
+        bits |= number << (step.first_ordinal + first - units.first)
+    return bits.to_bytes(-(-units.count // 8), "little")
 
 
 def _make_state_write(
