Ask for as many tickets as the waiting units need

Cause: a call to the advice service named all workers of a service, and all steps of a node wait while it is handled. With a time for each worker, a job of two units held up the others as long as one of hundreds.

Change: a call names the workers that may hold the units that wait, by the share of workers that were approved so far, or as many as take no longer than the decision itself. Tickets of earlier calls stay valid, each until its own end, and a step that fits only on workers that no call has named asks at once.

Measured: test_few_units_need_few_workers, where a call named ten workers for one unit before, names two at most; test_room_on_a_worker_without_a_ticket_is_asked_about.

--- a/src/fireflywell/node/advice_requester.py
+++ b/src/fireflywell/node/advice_requester.py
@@ -1,7 +1,9 @@
 """Requests tickets for workers from the advice service."""
 
 from collections.abc import Callable
+import dataclasses
 import datetime
+import math
 
 import anyio
 
@@ -22,6 +24,11 @@
 # a ticket's validity for them, because all steps of the node wait meanwhile.
 _LONGEST_CALL_SHARE = 0.5
 
+# Weight of a call in the mean share of workers that are approved, and the least
+# share that is assumed.
+_APPROVAL_WEIGHT = 0.3
+_LEAST_APPROVAL = 0.05
+
 # Tickets are renewed once only this share of their validity is left, or the
 # time of this many calls.
 _RENEW_SHARE = 0.3
@@ -43,6 +50,7 @@
     """
 
     __slots__ = (
+        "_approval_share",
         "_chosen",
         "_clock",
         "_line",
@@ -64,6 +72,8 @@
         self._clock = clock
         self._wake_planner = wake_planner
         self._metrics = metrics
+        # Mean share of the workers in a call that were approved.
+        self._approval_share = 1.0
         # The step of the call that is being made.
         self._chosen: jobs_lib.StepOccurrence | None = None
 
@@ -85,23 +95,29 @@
         expire before there is room.
         """
         now_s = self._now_s()
-        due = [
+        steps = [
             step
             for step in self._state.list_waiting_steps()
-            if step.job.policy.advice is not None and now_s >= step.advice_due_s
+            if step.job.policy.advice is not None
         ]
-        if not due:
+        if not steps:
             return None
-        usable = [
-            worker
-            for worker in self._state.workers.values()
-            if worker.accepts_runs(now_s)
-        ]
-        free_cpu = max((worker.free_cpu for worker in usable), default=-1)
-        fitting = [step for step in due if _may_fit(step, free_cpu)]
-        if not fitting and self._line.is_free and usable:
-            fitting = due
-        return min(fitting, key=lambda step: step.advice_due_s, default=None)
+        workers = self._list_workers(now_s)
+        chosen: jobs_lib.StepOccurrence | None = None
+        chosen_since_s = math.inf
+        spare: jobs_lib.StepOccurrence | None = None
+        spare_since_s = math.inf
+        for step in steps:
+            need = _find_need(step, workers, now_s)
+            if need.since_s > now_s:
+                continue
+            if need.has_room and need.since_s < chosen_since_s:
+                chosen, chosen_since_s = step, need.since_s
+            elif need.since_s < spare_since_s:
+                spare, spare_since_s = step, need.since_s
+        if chosen is None and workers and self._line.is_free:
+            return spare
+        return chosen
 
     async def _request_tickets(self) -> bool:
         """Makes one call; returns whether one was made and answered."""
@@ -141,7 +157,10 @@
         workers = self._list_workers(now_s)
         if not workers:
             return None
-        asked = _choose_workers_to_ask(step, workers, advice)
+        step.drop_expired_tickets(now_s)
+        asked = _choose_workers_to_ask(
+            step, workers, advice, self._approval_share
+        )
         return advice_line.AdviceCall(step.key, asked, advice)
 
     def _apply_advice(
@@ -156,10 +175,15 @@
             seconds=call.policy.validity_s
         )
         validity_s = validity.total_seconds()
-        step.tickets_until_s = _estimate_issue_s(result, validity_s) + (
-            validity_s
+        until_s = _estimate_issue_s(result, validity_s) + validity_s
+        share = len(approved) / len(call.workers)
+        self._approval_share += _APPROVAL_WEIGHT * (
+            share - self._approval_share
         )
-        step.tickets = {item.worker_id: item.ticket for item in approved}
+        for worker_id in call.workers:
+            step.tickets.pop(worker_id, None)
+        for item in approved:
+            step.tickets[item.worker_id] = jobs_lib.Ticket(item.ticket, until_s)
         step.denied_worker_ids.update(set(call.workers) - step.tickets.keys())
         if step.tickets or _are_all_denied(
             step, self._list_workers(result.received_s)
@@ -167,8 +191,12 @@
             lead_s = max(
                 validity_s * _RENEW_SHARE, call.handling_s * _RENEW_CALLS
             )
+            oldest_s = min(
+                (ticket.until_s for ticket in step.tickets.values()),
+                default=until_s,
+            )
             step.advice_due_s = max(
-                result.received_s + _RETRY_S, step.tickets_until_s - lead_s
+                result.received_s + _RETRY_S, oldest_s - lead_s
             )
         waited_s = result.sent_s - due_since_s
         took_s = result.received_s - result.sent_s
@@ -187,7 +215,7 @@
             waited_s=round(waited_s, 3),
             took_s=round(took_s, 3),
             expected_s=round(call.handling_s, 3),
-            valid_s=round(step.tickets_until_s - result.received_s, 3),
+            valid_s=round(until_s - result.received_s, 3),
         )
 
     def _list_workers(self, now_s: float) -> list[workers_lib.Worker]:
@@ -201,9 +229,49 @@
         return self._clock.monotonic().total_seconds()
 
 
-def _may_fit(step: jobs_lib.StepOccurrence, free_cpu: int) -> bool:
-    spec = step.spec
-    return (0 if spec.is_filling else spec.demand.cpu_millis) <= free_cpu
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Need:
+    """When a step needs a request.
+
+    Attributes:
+        since_s: Monotonic time since or from which it does.
+        has_room: Whether it fits on a worker now.
+    """
+
+    since_s: float
+    has_room: bool
+
+
+def _find_need(
+    step: jobs_lib.StepOccurrence,
+    workers: list[workers_lib.Worker],
+    now_s: float,
+) -> _Need:
+    """Returns when a step needs a request.
+
+    It is due at a set time, or at once if it fits only on workers that the last
+    calls didn't name.
+    """
+    # A step that was never asked about is due since it is ready.
+    first_s = step.ready_since_s
+    if first_s is None:
+        first_s = step.job.arrived_s
+    due_s = max(step.advice_due_s, first_s)
+    has_room = False
+    has_untried = False
+    for worker in workers:
+        if not worker.fits(step):
+            continue
+        has_room = True
+        if step.may_start_on(worker.worker_id, now_s):
+            # It starts there in the next planning pass.
+            has_untried = False
+            break
+        if worker.worker_id not in step.denied_worker_ids:
+            has_untried = True
+    if has_untried:
+        due_s = min(due_s, max(first_s, step.advice_asked_s + _RETRY_S))
+    return _Need(due_s, has_room)
 
 
 def _estimate_issue_s(
@@ -225,24 +293,50 @@
     step: jobs_lib.StepOccurrence,
     workers: list[workers_lib.Worker],
     advice: model.AdvicePolicy,
+    approval_share: float,
 ) -> tuple[str, ...]:
     """Returns the workers for one call, those with the most free CPU first.
 
-    Workers that an earlier call didn't approve come last, so that each worker
-    of a large service is asked about.
+    Those with a ticket that lasts come after those without, and workers that an
+    earlier call didn't approve come last, so that each worker of a large
+    service is asked about. No more are named than may hold the units that
+    wait, unless they take the service little time.
     """
     denied = step.denied_worker_ids
     if _are_all_denied(step, workers):
         denied.clear()
     by_preference = sorted(
         workers,
-        key=lambda worker: (worker.worker_id in denied, -worker.free_cpu),
+        key=lambda worker: (
+            worker.worker_id in denied,
+            worker.worker_id in step.tickets,
+            -worker.free_cpu,
+        ),
     )
-    limit = _WORKERS_PER_CALL
+    most = _WORKERS_PER_CALL
     if advice.per_worker_s > 0:
         longest_s = advice.validity_s * _LONGEST_CALL_SHARE
-        limit = max(1, min(limit, int(longest_s / advice.per_worker_s)))
-    return tuple(w.worker_id for w in by_preference[:limit])
+        cheap = int(advice.decision_s / advice.per_worker_s)
+        needed = _count_needed(step, by_preference)
+        wanted = math.ceil(needed / max(_LEAST_APPROVAL, approval_share))
+        most = min(
+            most,
+            max(1, int(longest_s / advice.per_worker_s)),
+            max(1, cheap, wanted),
+        )
+    return tuple(w.worker_id for w in by_preference[:most])
+
+
+def _count_needed(
+    step: jobs_lib.StepOccurrence, workers: list[workers_lib.Worker]
+) -> int:
+    """Returns how many of the first workers hold the units that wait."""
+    missing = step.waiting_count
+    for number, worker in enumerate(workers):
+        if missing <= 0:
+            return number
+        missing -= worker.count_fitting(step)
+    return len(workers)
 
 
 def _are_all_denied(
--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -294,6 +294,7 @@
 
     def _make_start(self, run: jobs_lib.Run) -> orders.StartOrder:
         unit = run.unit
+        ticket = unit.step.tickets.get(self._worker.worker_id)
         return orders.StartOrder(
             unit.name,
             run.number,
@@ -301,7 +302,7 @@
             self._leases.grant_for_start(self.answered_s),
             self._find_token(),
             unit.checkpoint,
-            unit.step.tickets.get(self._worker.worker_id, ""),
+            ticket.text if ticket else "",
         )
 
     def _may_send(self, run: jobs_lib.Run, order: orders.StartOrder) -> bool:
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -3,6 +3,7 @@
 import bisect
 from collections.abc import Iterable
 from collections.abc import Iterator
+import dataclasses
 import enum
 import math
 
@@ -183,6 +184,19 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """The advice service's permission to run a step on a worker.
+
+    Attributes:
+        text: What the order to start must carry.
+        until_s: Monotonic time at which it expires.
+    """
+
+    text: str
+    until_s: float
+
+
 class Unit:
     """One unit of a step in one occurrence of a job."""
 
@@ -295,7 +309,6 @@
         "ready_since_s",
         "spec",
         "tickets",
-        "tickets_until_s",
         "waiting_since_s",
     )
 
@@ -323,10 +336,8 @@
         # Monotonic time of the first planning pass since units of the step wait
         # without a break.
         self.waiting_since_s: float | None = None
-        # Tickets of the advice service by worker, which permit starts there,
-        # and the monotonic time at which they expire.
-        self.tickets: dict[str, str] = {}
-        self.tickets_until_s = 0.0
+        # Tickets of the advice service by worker, which permit starts there.
+        self.tickets: dict[str, Ticket] = {}
         # Monotonic time of the next request to the advice service.
         self.advice_due_s = 0.0
         # Monotonic time of the last request.
@@ -468,9 +479,19 @@
 
     def may_start_on(self, worker_id: str, now_s: float) -> bool:
         """Returns whether the queue's policy allows a start on a worker now."""
-        return self.job.policy.advice is None or (
-            worker_id in self.tickets and now_s < self.tickets_until_s
-        )
+        if self.job.policy.advice is None:
+            return True
+        ticket = self.tickets.get(worker_id)
+        return ticket is not None and now_s < ticket.until_s
+
+    def drop_expired_tickets(self, now_s: float) -> None:
+        """Drops the tickets that are no longer valid."""
+        if any(ticket.until_s <= now_s for ticket in self.tickets.values()):
+            self.tickets = {
+                worker_id: ticket
+                for worker_id, ticket in self.tickets.items()
+                if now_s < ticket.until_s
+            }
 
     def update_duration(self, seconds: float) -> None:
         """Adds a finished unit's duration to the exponential moving average."""
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -238,8 +238,7 @@
                 step.ready_since_s = now_s
             if step.waiting_since_s is None:
                 step.waiting_since_s = now_s
-            if step.tickets and now_s >= step.tickets_until_s:
-                step.tickets = {}
+            step.drop_expired_tickets(now_s)
         usable = planning_pass.list_usable(self.workers.values(), now_s)
         ranked = []
         estimates = ranking.Estimates()
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -211,14 +211,32 @@
 
         Long-running units keep their capacity.
         """
+        return self._count_units(
+            step,
+            self.free_cpu + self._short_cpu,
+            self.free_memory + self._short_memory,
+            self.free_accelerators + self._short_accelerators,
+        )
+
+    def count_fitting(self, step: jobs.StepOccurrence) -> int:
+        """Returns how many units of a step fit now."""
+        return self._count_units(
+            step, self.free_cpu, self.free_memory, self.free_accelerators
+        )
+
+    def _count_units(
+        self,
+        step: jobs.StepOccurrence,
+        cpu: int,
+        memory: int,
+        accelerators: int,
+    ) -> int:
+        """Returns how many units of a step fit into an amount of resources."""
         spec = step.spec
         if spec.required_label and (
             spec.required_label not in self.instance.labels
         ):
             return 0
-        cpu = self.free_cpu + self._short_cpu
-        memory = self.free_memory + self._short_memory
-        accelerators = self.free_accelerators + self._short_accelerators
         limits = [spec.max_per_worker or spec.count]
         if spec.max_per_worker:
             limits[0] -= self.units_per_step.get(step.key, 0)
--- a/tests/test_node_advice.py
+++ b/tests/test_node_advice.py
@@ -10,6 +10,7 @@
 from fireflywell import errors
 from fireflywell.node import advice_line
 from fireflywell.node import advice_requester
+from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import service_state
 from fireflywell.telemetry import metrics as metrics_lib
@@ -198,7 +199,7 @@
         self.run_services(client, policy, [state], 1.0)
         (step,) = state.list_waiting_steps()
         now_s = clock_lib.SystemClock().monotonic().total_seconds()
-        self.assertLess(step.tickets_until_s, now_s + 0.2)
+        self.assertLess(step.tickets["w1"].until_s, now_s + 0.2)
 
     def test_steps_without_room_leave_the_line_to_others(self) -> None:
         """Fails if tickets that can't be used delay those that can.
@@ -291,23 +292,45 @@
         (step,) = state.list_waiting_steps()
         self.assertEqual(set(step.tickets), {names[-1]})
 
+    def find_largest_call(self, units: int) -> int:
+        """Returns how many of 80 workers a call names at most.
+
+        The service takes 0.1 s for each of them; tickets are valid for 2 s.
+        """
+        state = samples.make_state(*(f"w{number:03}" for number in range(80)))
+        policy = dataclasses.replace(
+            node_world.POLICY, advice=model.AdvicePolicy(0.01, 0.1, 2.0)
+        )
+        step = node_world.make_step(units)
+        state.add_job(samples.make_job(f"{1:016x}", step, policy=policy))
+        client = _FailingAdvice()
+        self.run_requester(state, client, 0.3)
+        self.assertGreater(len(client.calls), 0)
+        return client.largest_call
+
     def test_no_call_takes_longer_than_its_tickets_last(self) -> None:
         """Fails if one call names more workers than can be decided in time.
 
         Calls for all other steps of the node waited meanwhile.
         """
-        names = [f"w{number:03}" for number in range(80)]
-        state = self.make_state(*names)
-        (step,) = state.list_waiting_steps()
-        step.job.submission = dataclasses.replace(
-            step.job.submission,
-            policy=dataclasses.replace(
-                node_world.POLICY, advice=model.AdvicePolicy(0.01, 0.1, 2.0)
-            ),
-        )
+        self.assertEqual(self.find_largest_call(400), 10)
+
+    def test_few_units_need_few_workers(self) -> None:
+        """Fails if a call names all workers for a unit that one could hold."""
+        self.assertLessEqual(self.find_largest_call(1), 2)
+
+    def test_room_on_a_worker_without_a_ticket_is_asked_about(self) -> None:
+        """Fails if a unit waits for a renewal while another worker is free."""
+        state = self.make_state("w1", "w2")
         client = _FailingAdvice()
+        client.approved = {"w1", "w2"}
+        (step,) = state.list_waiting_steps()
+        now_s = clock_lib.SystemClock().monotonic().total_seconds()
+        step.tickets["w1"] = jobs_lib.Ticket("ticket", now_s + 60)
+        step.advice_due_s = now_s + 60
+        state.workers["w1"].free_cpu = 0
         self.run_requester(state, client, 0.3)
-        self.assertEqual(client.largest_call, 10)
+        self.assertEqual(set(step.tickets), {"w1", "w2"})
 
 
 if __name__ == "__main__":
--- a/tests/test_order_sender.py
+++ b/tests/test_order_sender.py
@@ -115,12 +115,11 @@
             job = samples.make_job(session_world.JOB_ID, policy=policy)
             world.state.add_job(job)
             (step,) = world.state.list_waiting_steps()
-            step.tickets = {"w1": "ticket", "w2": "ticket"}
             now_s = world.clock.monotonic().total_seconds()
-            step.tickets_until_s = now_s + 60
+            step.tickets["w1"] = jobs_lib.Ticket("ticket", now_s + 60)
             async with world.run():
                 (run,) = world.state.plan(now_s)
-                step.tickets_until_s = now_s
+                step.tickets["w1"] = jobs_lib.Ticket("ticket", now_s)
                 step.advice_due_s = now_s + 60
                 world.session.enqueue(order_sender.StartCommand(run))
                 await session_world.wait_until(
