--- a/src/fireflywell/node/advice_requester.py
+++ b/src/fireflywell/node/advice_requester.py
@@ -10,9 +10,9 @@
 from fireflywell import clock as clock_lib
 from fireflywell import errors
 from fireflywell.node import advice_line
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.telemetry import logs
 from fireflywell.telemetry import metrics as metrics_lib
@@ -75,7 +75,7 @@
         # Mean share of the workers in a call that were approved.
         self._approval_share = 1.0
         # The step of the call that is being made.
-        self._chosen: jobs_lib.StepOccurrence | None = None
+        self._chosen: steps_lib.StepOccurrence | None = None
 
     async def run(self) -> None:
         """Requests tickets for the steps that need them until cancelled."""
@@ -86,7 +86,7 @@
             if not await self._request_tickets():
                 await anyio.sleep(_INTERVAL_S)
 
-    def _find_due_step(self) -> jobs_lib.StepOccurrence | None:
+    def _find_due_step(self) -> steps_lib.StepOccurrence | None:
         """Returns the step that needs tickets most.
 
         Those that fit on a worker now come first, and of them the one whose
@@ -103,9 +103,9 @@
         if not steps:
             return None
         workers = self._list_workers(now_s)
-        chosen: jobs_lib.StepOccurrence | None = None
+        chosen: steps_lib.StepOccurrence | None = None
         chosen_since_s = math.inf
-        spare: jobs_lib.StepOccurrence | None = None
+        spare: steps_lib.StepOccurrence | None = None
         spare_since_s = math.inf
         for step in steps:
             need = _find_need(step, workers, now_s)
@@ -165,7 +165,7 @@
 
     def _apply_advice(
         self,
-        step: jobs_lib.StepOccurrence,
+        step: steps_lib.StepOccurrence,
         result: advice_line.AdviceResult,
         due_since_s: float,
     ) -> None:
@@ -183,7 +183,9 @@
         for worker_id in call.workers:
             step.tickets.pop(worker_id, None)
         for item in approved:
-            step.tickets[item.worker_id] = jobs_lib.Ticket(item.ticket, until_s)
+            step.tickets[item.worker_id] = steps_lib.Ticket(
+                item.ticket, until_s
+            )
         step.denied_worker_ids.update(set(call.workers) - step.tickets.keys())
         if step.tickets or _are_all_denied(
             step, self._list_workers(result.received_s)
@@ -243,7 +245,7 @@
 
 
 def _find_need(
-    step: jobs_lib.StepOccurrence,
+    step: steps_lib.StepOccurrence,
     workers: list[workers_lib.Worker],
     now_s: float,
 ) -> _Need:
@@ -290,7 +292,7 @@
 
 
 def _choose_workers_to_ask(
-    step: jobs_lib.StepOccurrence,
+    step: steps_lib.StepOccurrence,
     workers: list[workers_lib.Worker],
     advice: model.AdvicePolicy,
     approval_share: float,
@@ -328,7 +330,7 @@
 
 
 def _count_needed(
-    step: jobs_lib.StepOccurrence, workers: list[workers_lib.Worker]
+    step: steps_lib.StepOccurrence, workers: list[workers_lib.Worker]
 ) -> int:
     """Returns how many of the first workers hold the units that wait."""
     missing = step.waiting_count
@@ -340,6 +342,6 @@
 
 
 def _are_all_denied(
-    step: jobs_lib.StepOccurrence, workers: list[workers_lib.Worker]
+    step: steps_lib.StepOccurrence, workers: list[workers_lib.Worker]
 ) -> bool:
     return all(worker.worker_id in step.denied_worker_ids for worker in workers)
--- a/src/fireflywell/node/order_sender.py
+++ b/src/fireflywell/node/order_sender.py
@@ -15,8 +15,8 @@
 from fireflywell.node import progress_writer
 from fireflywell.node import worker_leases
 from fireflywell.scheduling import evictions
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import service_state
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.telemetry import logs
@@ -37,7 +37,7 @@
 class StartCommand:
     """A run to start."""
 
-    run: jobs_lib.Run
+    run: runs_lib.Run
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,7 +52,7 @@
 class ThrottleCommand:
     """A filling run whose share of the worker changes."""
 
-    run: jobs_lib.Run
+    run: runs_lib.Run
     percent: int
 
 
@@ -186,8 +186,8 @@
             and self._guard.permits_orders
         )
 
-    async def _start(self, run: jobs_lib.Run) -> None:
-        if run.phase is not jobs_lib.RunPhase.SENDING:
+    async def _start(self, run: runs_lib.Run) -> None:
+        if run.phase is not runs_lib.RunPhase.SENDING:
             return
         if not (self._permits_starts and self._leases.has_clock):
             if self._worker.is_closed:
@@ -209,19 +209,19 @@
         finally:
             # After an unexpected error, too, the run must not stay undecided.
             match run.phase:
-                case jobs_lib.RunPhase.SENDING if (
+                case runs_lib.RunPhase.SENDING if (
                     run.unanswered_starts and self._worker.is_closed
                 ):
                     # The worker may leave before the lease in the order ends.
                     self._state.give_up_start(run)
-                case jobs_lib.RunPhase.SENDING if run.unanswered_starts:
+                case runs_lib.RunPhase.SENDING if run.unanswered_starts:
                     self._state.mark_start_unknown(run)
-                case jobs_lib.RunPhase.SENDING:
+                case runs_lib.RunPhase.SENDING:
                     self._state.refuse_start(run, None, self._now_s())
         self._on_change()
 
     def _apply_outcome(
-        self, run: jobs_lib.Run, outcome: orders.OrderOutcome | None
+        self, run: runs_lib.Run, outcome: orders.OrderOutcome | None
     ) -> None:
         now_s = self._now_s()
         match outcome:
@@ -245,11 +245,11 @@
             case orders.IncarnationMismatch():
                 self._log_refusal(run, "another incarnation answered")
                 self._state.refuse_start(run, None, now_s)
-            case None if run.phase is jobs_lib.RunPhase.SENDING:
+            case None if run.phase is runs_lib.RunPhase.SENDING:
                 self._log_refusal(run, "no answer")
 
     async def _send_start(
-        self, run: jobs_lib.Run
+        self, run: runs_lib.Run
     ) -> orders.OrderOutcome | None:
         """Returns the deciding answer; None if the order may be carried out.
 
@@ -292,7 +292,7 @@
                     return outcome
         return None if run.unanswered_starts else orders.Unhealthy()
 
-    def _make_start(self, run: jobs_lib.Run) -> orders.StartOrder:
+    def _make_start(self, run: runs_lib.Run) -> orders.StartOrder:
         unit = run.unit
         ticket = unit.step.tickets.get(self._worker.worker_id)
         return orders.StartOrder(
@@ -305,9 +305,9 @@
             ticket.text if ticket else "",
         )
 
-    def _may_send(self, run: jobs_lib.Run, order: orders.StartOrder) -> bool:
+    def _may_send(self, run: runs_lib.Run, order: orders.StartOrder) -> bool:
         return (
-            run.phase is jobs_lib.RunPhase.SENDING
+            run.phase is runs_lib.RunPhase.SENDING
             and self._permits_starts
             and not self._leases.is_past(order.lease_until_ms)
         )
@@ -316,8 +316,8 @@
         """Sends a stop once; returns whether it needn't be sent again."""
         run = self._worker.runs.get((unit, number))
         if run is not None and run.phase not in (
-            jobs_lib.RunPhase.START_UNKNOWN,
-            jobs_lib.RunPhase.STOPPING,
+            runs_lib.RunPhase.START_UNKNOWN,
+            runs_lib.RunPhase.STOPPING,
         ):
             return True
         if run is not None and not evictions.may_send_stop(
@@ -352,9 +352,9 @@
                 await self._clock.sleep(_RETRY_DELAY)
                 return (unit, number) not in self._worker.runs
 
-    async def _throttle(self, run: jobs_lib.Run, percent: int) -> None:
+    async def _throttle(self, run: runs_lib.Run, percent: int) -> None:
         is_current = run.share_percent == percent
-        if run.phase is not jobs_lib.RunPhase.RUNNING or not is_current:
+        if run.phase is not runs_lib.RunPhase.RUNNING or not is_current:
             return
         order = orders.ThrottleOrder(
             run.unit.name, run.number, percent, self._find_token()
@@ -387,7 +387,7 @@
         if elapsed < _RETRY_DELAY:
             await self._clock.sleep(_RETRY_DELAY - elapsed)
 
-    def _log_failed_throttle(self, run: jobs_lib.Run, reason: str) -> None:
+    def _log_failed_throttle(self, run: runs_lib.Run, reason: str) -> None:
         logs.log_event(
             "worker.pace_failed",
             worker=self._worker.worker_id,
@@ -400,7 +400,7 @@
             case orders.Accepted() | orders.Refused():
                 self.answered_s = self._now_s()
 
-    def _log_refusal(self, run: jobs_lib.Run, reason: str) -> None:
+    def _log_refusal(self, run: runs_lib.Run, reason: str) -> None:
         self._metrics.count("node.runs.refused")
         logs.log_event(
             "run.refused",
@@ -423,7 +423,7 @@
             reason=str(reason),
         )
 
-    def _log_unanswered_start(self, run: jobs_lib.Run, reason: str) -> None:
+    def _log_unanswered_start(self, run: runs_lib.Run, reason: str) -> None:
         self._metrics.count("node.runs.unanswered")
         logs.log_event(
             "run.start_unanswered",
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -35,9 +35,9 @@
 from fireflywell.scheduling import capacity
 from fireflywell.scheduling import cordons
 from fireflywell.scheduling import evictions
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import maintenance
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import service_state
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.supervision import policies
@@ -594,7 +594,7 @@
         )
         self._enqueue_starts(runs)
 
-    def _enqueue_starts(self, runs: list[jobs_lib.Run]) -> None:
+    def _enqueue_starts(self, runs: list[runs_lib.Run]) -> None:
         for run in runs:
             self._sessions.by_worker[run.worker_id].session.enqueue(
                 order_sender.StartCommand(run)
--- a/src/fireflywell/scheduling/evictions.py
+++ b/src/fireflywell/scheduling/evictions.py
@@ -1,7 +1,8 @@
 """Decides which runs may be stopped to drain a worker."""
 
-from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.scheduling import workers as workers_lib
 
 # Time that short units get to end after their worker was cordoned; then they
@@ -22,7 +23,7 @@
     now_s: float,
     *,
     is_move: bool,
-) -> list[jobs_lib.Run]:
+) -> list[runs_lib.Run]:
     """Returns the runs to stop on a worker that is being drained.
 
     Units that end by themselves get `_DRAIN_GRACE_S` to do so. Long-running
@@ -37,10 +38,10 @@
         is_move: Whether the VM moves to another pool; then short units are
             never stopped.
     """
-    evicted: list[jobs_lib.Run] = []
+    evicted: list[runs_lib.Run] = []
     leaving: dict[str, int] = {}
     for run in worker.runs.values():
-        if run.phase is not jobs_lib.RunPhase.RUNNING:
+        if run.phase is not runs_lib.RunPhase.RUNNING:
             continue
         step = run.unit.step
         if not step.spec.is_long_running:
@@ -59,7 +60,7 @@
 
 def may_send_stop(
     state: service_state.ServiceState,
-    run: jobs_lib.Run,
+    run: runs_lib.Run,
     now_s: float,
     is_owner: bool,
 ) -> bool:
@@ -81,7 +82,7 @@
     return is_owner and count_unavailable(state, run.unit, now_s) < limit
 
 
-def _is_eviction(state: service_state.ServiceState, run: jobs_lib.Run) -> bool:
+def _is_eviction(state: service_state.ServiceState, run: runs_lib.Run) -> bool:
     """Returns whether a run is stopped although `may_be_away` limits that.
 
     The members of a gang are stopped together, and those of an ended job
@@ -91,7 +92,7 @@
     """
     step = run.unit.step
     return (
-        run.phase is jobs_lib.RunPhase.STOPPING
+        run.phase is runs_lib.RunPhase.STOPPING
         and step.spec.is_long_running
         and step.spec.may_be_away > 0
         and not step.spec.is_gang
@@ -101,7 +102,7 @@
 
 
 def count_unavailable(
-    state: service_state.ServiceState, unit: jobs_lib.Unit, now_s: float
+    state: service_state.ServiceState, unit: steps_lib.Unit, now_s: float
 ) -> int:
     """Returns how many other units of a unit's step aren't serving."""
     serving = sum(
@@ -112,7 +113,7 @@
 
 
 def is_serving(
-    state: service_state.ServiceState, unit: jobs_lib.Unit, now_s: float
+    state: service_state.ServiceState, unit: steps_lib.Unit, now_s: float
 ) -> bool:
     """Returns whether a recent report shows that a long-running unit serves.
 
@@ -126,7 +127,7 @@
             worker is not None
             and worker.is_reachable
             and now_s - worker.reported_s < _MAX_REPORT_AGE_S
-            and run.phase is jobs_lib.RunPhase.RUNNING
+            and run.phase is runs_lib.RunPhase.RUNNING
             and run.percent >= _SERVING_PERCENT
             and not _may_be_stopping(state, run, worker)
         ):
@@ -136,7 +137,7 @@
 
 def _may_be_stopping(
     state: service_state.ServiceState,
-    run: jobs_lib.Run,
+    run: runs_lib.Run,
     worker: workers_lib.Worker,
 ) -> bool:
     """Returns whether an earlier owner's stop may be ending an adopted run.
--- a/src/fireflywell/scheduling/job_rows.py
+++ b/src/fireflywell/scheduling/job_rows.py
@@ -9,6 +9,7 @@
 from fireflywell import errors
 from fireflywell.scheduling import jobs
 from fireflywell.scheduling import model
+from fireflywell.scheduling import steps as steps_lib
 
 _CONVERTER = cattrs.Converter(omit_if_default=True)
 
@@ -146,7 +147,7 @@
         job.release_if_done(step.occurrence)
 
 
-def encode_failures(unit: jobs.Unit) -> list[int]:
+def encode_failures(unit: steps_lib.Unit) -> list[int]:
     """Returns the numbers of a unit's failed runs as they are stored.
 
     The number of earlier ones that aren't kept comes first, as a negative
@@ -157,7 +158,9 @@
     return unit.failed_runs
 
 
-def restore_unit(unit: jobs.Unit, failures: list[int], checkpoint: str) -> None:
+def restore_unit(
+    unit: steps_lib.Unit, failures: list[int], checkpoint: str
+) -> None:
     """Applies the stored failed runs and the checkpoint of a unit, if any."""
     if failures and failures[0] < 0:
         unit.older_failures = -failures[0]
--- a/src/fireflywell/scheduling/long_running_demand.py
+++ b/src/fireflywell/scheduling/long_running_demand.py
@@ -5,9 +5,9 @@
 from collections.abc import Sequence
 import dataclasses
 
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.scheduling import workers as workers_lib
 
 # VMs whose remaining room is kept for units of further steps. A job may have
@@ -82,7 +82,7 @@
 class _Unplaced:
     """A number of units of a step that no own worker has."""
 
-    step: jobs_lib.StepOccurrence
+    step: steps_lib.StepOccurrence
     count: int
 
 
@@ -110,7 +110,7 @@
                 room.add(run.unit.step)
         return room
 
-    def count_fitting(self, step: jobs_lib.StepOccurrence) -> int:
+    def count_fitting(self, step: steps_lib.StepOccurrence) -> int:
         """Returns how many more units of a step fit."""
         spec = step.spec
         demand = spec.demand
@@ -127,7 +127,7 @@
             limits.append(spec.max_per_worker - self._units[step.key])
         return max(0, min(limits))
 
-    def add(self, step: jobs_lib.StepOccurrence, count: int = 1) -> None:
+    def add(self, step: steps_lib.StepOccurrence, count: int = 1) -> None:
         """Adds units of a step."""
         demand = step.spec.demand
         self._cpu -= 0 if step.spec.is_filling else count * demand.cpu_millis
@@ -137,7 +137,7 @@
 
 
 def _add_to_rooms(
-    rooms: Sequence[_Room], step: jobs_lib.StepOccurrence, count: int
+    rooms: Sequence[_Room], step: steps_lib.StepOccurrence, count: int
 ) -> int:
     """Adds units of a step where they fit; returns how many are left."""
     for room in rooms:
--- a/src/fireflywell/scheduling/maintenance.py
+++ b/src/fireflywell/scheduling/maintenance.py
@@ -6,9 +6,9 @@
 import dataclasses
 import enum
 
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.scheduling import workers as workers_lib
 
 # Time to drain a worker, maintain its VM and list its new incarnation.
@@ -270,7 +270,7 @@
 
 def _iterate_limited_steps(
     worker: workers_lib.Worker,
-) -> Iterator[jobs_lib.StepOccurrence]:
+) -> Iterator[steps_lib.StepOccurrence]:
     """Yields the step of each long-running unit with `may_be_away` set.
 
     A step with several units on the worker is yielded for each of them.
--- a/src/fireflywell/scheduling/placement.py
+++ b/src/fireflywell/scheduling/placement.py
@@ -4,8 +4,8 @@
 from collections.abc import Sequence
 import dataclasses
 
-from fireflywell.scheduling import jobs
 from fireflywell.scheduling import reservations as reservations_lib
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.scheduling import workers as workers_lib
 
 # Added to a worker's fit cost if it is on another rack than the step's data.
@@ -37,7 +37,7 @@
         worker: The worker that it starts on.
     """
 
-    unit: jobs.Unit
+    unit: steps_lib.Unit
     worker: workers_lib.Worker
 
 
@@ -56,18 +56,18 @@
         self._largest_cpu = 0
         self._update_largest_cpu()
 
-    def has_enough_cpu(self, step: jobs.StepOccurrence) -> bool:
+    def has_enough_cpu(self, step: steps_lib.StepOccurrence) -> bool:
         """Returns whether a worker that isn't withheld may fit a unit."""
         return step.spec.demand.cpu_millis <= self._largest_cpu
 
     def fits(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
+        self, worker: workers_lib.Worker, step: steps_lib.StepOccurrence
     ) -> bool:
         """Returns whether a unit fits in addition to this pass's units."""
         return worker.fits(step) and self._free[worker.worker_id].fits(step)
 
     def compute_fit_cost(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
+        self, worker: workers_lib.Worker, step: steps_lib.StepOccurrence
     ) -> int:
         """Returns the cost of a unit on a worker, in thousandths of a core.
 
@@ -91,7 +91,7 @@
         return free.cpu - step.spec.demand.cpu_millis
 
     def _count_in_rack(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
+        self, worker: workers_lib.Worker, step: steps_lib.StepOccurrence
     ) -> int:
         return sum(
             self._free[other.worker_id].units_per_step.get(step.key, 0)
@@ -100,14 +100,14 @@
         )
 
     def allocate(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
+        self, worker: workers_lib.Worker, step: steps_lib.StepOccurrence
     ) -> None:
         """Allocates the resources of one unit on a worker."""
         self._free[worker.worker_id].allocate(step)
         self._update_largest_cpu()
 
     def release(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
+        self, worker: workers_lib.Worker, step: steps_lib.StepOccurrence
     ) -> None:
         """Releases the resources that `allocate` took for one unit."""
         self._free[worker.worker_id].release(step)
@@ -147,7 +147,7 @@
         self.units_per_step = dict(worker.units_per_step)
         self.open_starts = worker.open_starts
 
-    def fits(self, step: jobs.StepOccurrence) -> bool:
+    def fits(self, step: steps_lib.StepOccurrence) -> bool:
         spec = step.spec
         demand = spec.demand
         # A gang is placed as a whole, so its units may exceed the limit.
@@ -164,13 +164,13 @@
             or self.units_per_step.get(step.key, 0) < spec.max_per_worker
         )
 
-    def allocate(self, step: jobs.StepOccurrence) -> None:
+    def allocate(self, step: steps_lib.StepOccurrence) -> None:
         self._change(step, -1)
 
-    def release(self, step: jobs.StepOccurrence) -> None:
+    def release(self, step: steps_lib.StepOccurrence) -> None:
         self._change(step, 1)
 
-    def _change(self, step: jobs.StepOccurrence, sign: int) -> None:
+    def _change(self, step: steps_lib.StepOccurrence, sign: int) -> None:
         demand = step.spec.demand
         if step.spec.is_filling:
             self.filling -= sign
@@ -185,8 +185,8 @@
 
 
 def place_singles(
-    step: jobs.StepOccurrence,
-    units: Iterator[jobs.Unit],
+    step: steps_lib.StepOccurrence,
+    units: Iterator[steps_lib.Unit],
     limit: int,
     workers: Sequence[workers_lib.Worker],
     reservations: reservations_lib.Reservations,
@@ -213,8 +213,8 @@
 
 
 def place_gang(
-    step: jobs.StepOccurrence,
-    units: Iterator[jobs.Unit],
+    step: steps_lib.StepOccurrence,
+    units: Iterator[steps_lib.Unit],
     workers: Sequence[workers_lib.Worker],
     reservations: reservations_lib.Reservations,
     capacity: RemainingCapacity,
@@ -243,7 +243,7 @@
 
 
 def _choose_worker(
-    step: jobs.StepOccurrence,
+    step: steps_lib.StepOccurrence,
     workers: Sequence[workers_lib.Worker],
     reservations: reservations_lib.Reservations,
     capacity: RemainingCapacity,
--- a/src/fireflywell/scheduling/planning_pass.py
+++ b/src/fireflywell/scheduling/planning_pass.py
@@ -8,12 +8,12 @@
 import itertools
 import math
 
-from fireflywell.scheduling import jobs
 from fireflywell.scheduling import model
 from fireflywell.scheduling import overdue_share
 from fireflywell.scheduling import placement
 from fireflywell.scheduling import ranking
 from fireflywell.scheduling import reservations as reservations_lib
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.scheduling import workers as workers_lib
 
 # After waiting this long for an own worker, a long-running unit may be placed
@@ -36,7 +36,7 @@
     """A ready step with its sort key."""
 
     rank: ranking.Rank
-    step: jobs.StepOccurrence
+    step: steps_lib.StepOccurrence
 
 
 def list_usable(
@@ -52,9 +52,9 @@
 
 
 def select_steps(
-    steps: Sequence[jobs.StepOccurrence],
+    steps: Sequence[steps_lib.StepOccurrence],
     usable: Sequence[workers_lib.Worker],
-) -> list[jobs.StepOccurrence]:
+) -> list[steps_lib.StepOccurrence]:
     """Returns the ready steps that take part in a pass.
 
     Long-running steps and those that may fit do, and the oldest of those that
@@ -65,8 +65,8 @@
         usable: Workers that may get units.
     """
     free_cpu = max((worker.free_cpu for worker in usable), default=-1)
-    selected: list[jobs.StepOccurrence] = []
-    large: list[jobs.StepOccurrence] = []
+    selected: list[steps_lib.StepOccurrence] = []
+    large: list[steps_lib.StepOccurrence] = []
     may_place = False
     for step in steps:
         spec = step.spec
@@ -84,9 +84,9 @@
 
 
 def _iterate_oldest(
-    steps: Sequence[jobs.StepOccurrence],
+    steps: Sequence[steps_lib.StepOccurrence],
     usable: Sequence[workers_lib.Worker],
-) -> Iterator[jobs.StepOccurrence]:
+) -> Iterator[steps_lib.StepOccurrence]:
     """Yields the steps that could reserve workers.
 
     Others would take the places of those that can start some time.
@@ -105,7 +105,7 @@
             yield step
 
 
-def _is_startable(step: jobs.StepOccurrence) -> bool:
+def _is_startable(step: steps_lib.StepOccurrence) -> bool:
     """Returns whether workers with enough room would be all that it needs."""
     if step.job.policy.advice and not step.tickets:
         return False
@@ -122,7 +122,7 @@
     is_filling: bool
 
 
-def _find_shape(step: jobs.StepOccurrence) -> _Shape | None:
+def _find_shape(step: steps_lib.StepOccurrence) -> _Shape | None:
     """Returns a step's shape; None if more than that decides."""
     spec = step.spec
     if (
@@ -135,7 +135,7 @@
     return _Shape(spec.demand, spec.required_label, spec.is_filling)
 
 
-def _find_longest_duration(step: jobs.StepOccurrence) -> float:
+def _find_longest_duration(step: steps_lib.StepOccurrence) -> float:
     """Returns the expected duration of a unit; inf if it is unknown."""
     duration_s = step.expected_unit_duration_s
     return duration_s if duration_s > 0 else math.inf
@@ -234,7 +234,7 @@
             )
         )
         # Units of each step that were asked for and aren't placed yet.
-        self._waiting: dict[str, Iterator[jobs.Unit]] = {}
+        self._waiting: dict[str, Iterator[steps_lib.Unit]] = {}
         # Shapes of which no more units fit, with the shortest duration for
         # which that is known, and those for which no worker is left to reserve.
         # Both last for a pass, in which capacity only decreases.
@@ -296,20 +296,20 @@
             else:
                 self._overdue.popleft()
 
-    def _count_waiting(self, step: jobs.StepOccurrence) -> int:
+    def _count_waiting(self, step: steps_lib.StepOccurrence) -> int:
         """Returns how many units of a step this pass hasn't placed."""
         return step.waiting_count - self._placed_counts[step.key]
 
     def _iterate_waiting(
-        self, step: jobs.StepOccurrence
-    ) -> Iterator[jobs.Unit]:
+        self, step: steps_lib.StepOccurrence
+    ) -> Iterator[steps_lib.Unit]:
         """Yields the units of a step that this pass hasn't placed."""
         units = self._waiting.get(step.key)
         if units is None:
             units = self._waiting[step.key] = step.iterate_waiting()
         return units
 
-    def _place(self, step: jobs.StepOccurrence, max_units: int) -> int:
+    def _place(self, step: steps_lib.StepOccurrence, max_units: int) -> int:
         """Places up to `max_units` units of a step, or a whole gang."""
         if not step.spec.is_filling and not self._capacity.has_enough_cpu(step):
             return 0
@@ -339,20 +339,20 @@
         return len(chosen)
 
     def _is_unfitting(
-        self, step: jobs.StepOccurrence, shape: _Shape | None
+        self, step: steps_lib.StepOccurrence, shape: _Shape | None
     ) -> bool:
         if shape is None or shape not in self._unfitting:
             return False
         return _find_longest_duration(step) >= self._unfitting[shape]
 
     def _reserve_by_rank(
-        self, step: jobs.StepOccurrence, is_serving: bool
+        self, step: steps_lib.StepOccurrence, is_serving: bool
     ) -> None:
         if is_serving or self._reserving_count < _MAX_RESERVING_STEPS:
             has_reserved = self._reserve(step)
             self._reserving_count += has_reserved and not is_serving
 
-    def _reserve(self, step: jobs.StepOccurrence) -> bool:
+    def _reserve(self, step: steps_lib.StepOccurrence) -> bool:
         shape = _find_shape(step)
         if shape in self._unreservable or not _is_startable(step):
             return False
@@ -365,7 +365,7 @@
         return bool(workers)
 
     def _list_candidates(
-        self, step: jobs.StepOccurrence
+        self, step: steps_lib.StepOccurrence
     ) -> Sequence[workers_lib.Worker]:
         """Returns the workers that units of a step may be placed on now.
 
@@ -380,7 +380,7 @@
         return self._candidates[step.key]
 
     def _choose_candidates(
-        self, step: jobs.StepOccurrence
+        self, step: steps_lib.StepOccurrence
     ) -> Sequence[workers_lib.Worker]:
         has_waited = step.waiting_since_s is not None and (
             self._now_s - step.waiting_since_s > _SPARE_POOL_AFTER_S
--- a/src/fireflywell/scheduling/progress_rows.py
+++ b/src/fireflywell/scheduling/progress_rows.py
@@ -12,6 +12,7 @@
 from fireflywell.scheduling import job_rows
 from fireflywell.scheduling import jobs
 from fireflywell.scheduling import progress_ranges
+from fireflywell.scheduling import steps as steps_lib
 
 # A row that exceeds this share of the largest row is divided, so that a change
 # of one unit doesn't write much.
@@ -210,7 +211,7 @@
 
 def _find_unit(
     job: jobs.Job, units: progress_ranges.ProgressRange, position: int
-) -> jobs.Unit | None:
+) -> steps_lib.Unit | None:
     """Returns the unit at a position in a range, or None if there is none."""
     ordinal = units.first + position
     if not 0 <= position < units.count or ordinal >= job.unit_count:
--- a/src/fireflywell/scheduling/ranking.py
+++ b/src/fireflywell/scheduling/ranking.py
@@ -13,6 +13,7 @@
 
 from fireflywell.scheduling import jobs
 from fireflywell.scheduling import model
+from fireflywell.scheduling import steps as steps_lib
 
 # A job projected to take more than this multiple of its objective is overdue.
 _LATE_FACTOR = 3.0
@@ -108,7 +109,7 @@
     )
 
 
-def estimate_occurrence(steps: Sequence[jobs.StepOccurrence]) -> Estimate:
+def estimate_occurrence(steps: Sequence[steps_lib.StepOccurrence]) -> Estimate:
     """Estimates the work of an occurrence from the units that have ended.
 
     Args:
@@ -140,7 +141,7 @@
     )
 
 
-def find_objective_start_s(step: jobs.StepOccurrence) -> float:
+def find_objective_start_s(step: steps_lib.StepOccurrence) -> float:
     """Returns the monotonic time at which a step's objective starts.
 
     That is the arrival of its job or, if the job recurs, the time at which the
@@ -154,7 +155,7 @@
 
 
 def rank_step(
-    step: jobs.StepOccurrence,
+    step: steps_lib.StepOccurrence,
     now_s: float,
     objective_start_s: float,
     mean_work: float,
@@ -196,9 +197,9 @@
     __slots__ = ("_by_first_step",)
 
     def __init__(self) -> None:
-        self._by_first_step: dict[jobs.StepOccurrence, Estimate] = {}
+        self._by_first_step: dict[steps_lib.StepOccurrence, Estimate] = {}
 
-    def find(self, step: jobs.StepOccurrence) -> Estimate:
+    def find(self, step: steps_lib.StepOccurrence) -> Estimate:
         """Returns the estimate of a step's occurrence."""
         steps = step.job.load_occurrence(step.occurrence)
         estimate = self._by_first_step.get(steps[0])
--- a/src/fireflywell/scheduling/reservations.py
+++ b/src/fireflywell/scheduling/reservations.py
@@ -3,9 +3,10 @@
 from collections.abc import Sequence
 import dataclasses
 
-from fireflywell.scheduling import jobs
 from fireflywell.scheduling import model
 from fireflywell.scheduling import ranking
+from fireflywell.scheduling import runs as runs_lib
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.scheduling import workers as workers_lib
 
 # After waiting this long without fitting anywhere, a step reserves the next
@@ -27,7 +28,7 @@
         free_s: Monotonic time at which the step is expected to fit.
     """
 
-    step: jobs.StepOccurrence
+    step: steps_lib.StepOccurrence
     free_s: float
 
 
@@ -59,7 +60,7 @@
         return not self._holds
 
     def is_closed_to(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
+        self, worker: workers_lib.Worker, step: steps_lib.StepOccurrence
     ) -> bool:
         """Returns whether a unit would delay the step that holds a worker."""
         hold = self._holds.get(worker.worker_id)
@@ -76,15 +77,17 @@
         return hold is not None and hold.free_s <= self._now_s
 
     def find_other_holder(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
-    ) -> jobs.StepOccurrence | None:
+        self, worker: workers_lib.Worker, step: steps_lib.StepOccurrence
+    ) -> steps_lib.StepOccurrence | None:
         """Returns the other step that keeps a step off a worker, or None."""
         if not self.is_closed_to(worker, step):
             return None
         return self._holds[worker.worker_id].step
 
     def reserve(
-        self, step: jobs.StepOccurrence, workers: Sequence[workers_lib.Worker]
+        self,
+        step: steps_lib.StepOccurrence,
+        workers: Sequence[workers_lib.Worker],
     ) -> Sequence[workers_lib.Worker]:
         """Reserves the suitable workers that are expected to be free first.
 
@@ -115,13 +118,13 @@
         return ()
 
     def _is_held_by_other(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
+        self, worker: workers_lib.Worker, step: steps_lib.StepOccurrence
     ) -> bool:
         hold = self._holds.get(worker.worker_id)
         return hold is not None and hold.step is not step
 
     def _expect_room(
-        self, worker: workers_lib.Worker, step: jobs.StepOccurrence
+        self, worker: workers_lib.Worker, step: steps_lib.StepOccurrence
     ) -> float:
         """Returns when a unit of a step is expected to fit on a worker.
 
@@ -155,7 +158,7 @@
         return ends
 
 
-def _expect_end(run: jobs.Run, now_s: float) -> float:
+def _expect_end(run: runs_lib.Run, now_s: float) -> float:
     end_s = run.started_s + run.unit.step.expected_unit_duration_s
     overrun_s = now_s - end_s
     if overrun_s > _MAX_OVERRUN_S:
@@ -164,7 +167,7 @@
 
 
 def could_hold(
-    step: jobs.StepOccurrence, workers: Sequence[workers_lib.Worker]
+    step: steps_lib.StepOccurrence, workers: Sequence[workers_lib.Worker]
 ) -> bool:
     """Returns whether a step fits once all short units have ended.
 
@@ -179,7 +182,7 @@
 
 
 def may_reserve(
-    step: jobs.StepOccurrence, rank: ranking.Rank, now_s: float
+    step: steps_lib.StepOccurrence, rank: ranking.Rank, now_s: float
 ) -> bool:
     """Returns whether a step that doesn't fit reserves workers by its rank.
 
@@ -199,7 +202,7 @@
 
 
 def _count_permitted(
-    worker: workers_lib.Worker, step: jobs.StepOccurrence
+    worker: workers_lib.Worker, step: steps_lib.StepOccurrence
 ) -> int:
     """Returns how many units may run once all short units have ended."""
     if step.job.policy.advice and worker.worker_id not in step.tickets:
@@ -208,7 +211,7 @@
 
 
 def _rate(
-    worker: workers_lib.Worker, step: jobs.StepOccurrence, free_s: float
+    worker: workers_lib.Worker, step: steps_lib.StepOccurrence, free_s: float
 ) -> tuple[bool, float, int]:
     """Returns a sort key of a worker; the smallest is reserved first."""
     spec = step.spec
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -21,6 +21,8 @@
 from fireflywell.scheduling import planning_pass
 from fireflywell.scheduling import ranking
 from fireflywell.scheduling import reservations
+from fireflywell.scheduling import runs as runs_lib
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.scheduling import stop_requests
 from fireflywell.scheduling import workers as workers_lib
 
@@ -65,8 +67,8 @@
 class DroppedRun:
     """A run that ended without a report, and its phase until then."""
 
-    run: jobs_lib.Run
-    phase: jobs_lib.RunPhase
+    run: runs_lib.Run
+    phase: runs_lib.RunPhase
 
 
 class ServiceState:
@@ -105,7 +107,7 @@
         self._mean_work_by_queue: dict[str, ranking.MeanWork] = {}
         self._overdue_share = overdue_share.OverdueShare()
         # Ready steps with waiting units.
-        self._waiting_steps: dict[str, jobs_lib.StepOccurrence] = {}
+        self._waiting_steps: dict[str, steps_lib.StepOccurrence] = {}
         # Jobs whose steps become ready at times set by their recurrence.
         self._recurring_job_ids: set[str] = set()
         self.jobs: dict[str, jobs_lib.Job] = {}
@@ -133,21 +135,21 @@
         """Stops that haven't been sent yet, oldest first."""
         return self._stop_requests.pending
 
-    def list_waiting_steps(self) -> tuple[jobs_lib.StepOccurrence, ...]:
+    def list_waiting_steps(self) -> tuple[steps_lib.StepOccurrence, ...]:
         """Returns the ready steps that have waiting units."""
         return tuple(self._waiting_steps.values())
 
-    def stop_run(self, run: jobs_lib.Run) -> None:
+    def stop_run(self, run: runs_lib.Run) -> None:
         """Requests the stop of a run; its unit is requeued after its end."""
         if run.phase in (
-            jobs_lib.RunPhase.STOPPING,
-            jobs_lib.RunPhase.ENDED,
+            runs_lib.RunPhase.STOPPING,
+            runs_lib.RunPhase.ENDED,
         ):
             return
-        if run.phase is jobs_lib.RunPhase.SENDING and not run.unanswered_starts:
+        if run.phase is runs_lib.RunPhase.SENDING and not run.unanswered_starts:
             # No transmission is open, and none follows.
             run.may_start_until_ms = -math.inf
-        run.phase = jobs_lib.RunPhase.STOPPING
+        run.phase = runs_lib.RunPhase.STOPPING
         self._stop_requests.add(run)
 
     def add_job(self, job: jobs_lib.Job) -> None:
@@ -222,7 +224,7 @@
             if job.policy.queue == queue
         )
 
-    def plan(self, now_s: float) -> list[jobs_lib.Run]:
+    def plan(self, now_s: float) -> list[runs_lib.Run]:
         """Places waiting units on workers.
 
         Returns:
@@ -261,13 +263,13 @@
         )
         return self._begin_runs(placements, now_s)
 
-    def confirm_start(self, run: jobs_lib.Run, now_s: float) -> None:
+    def confirm_start(self, run: runs_lib.Run, now_s: float) -> None:
         """Marks a run as running after its worker accepted the start."""
         if not run.may_start_on_next_incarnation:
             run.confirm(now_s)
 
     def refuse_start(
-        self, run: jobs_lib.Run, reason: orders.Refusal | None, now_s: float
+        self, run: runs_lib.Run, reason: orders.Refusal | None, now_s: float
     ) -> None:
         """Applies a worker's refusal to start a run.
 
@@ -282,7 +284,7 @@
             reason: Reason of the refusal, or None if the worker is unhealthy.
             now_s: Monotonic time.
         """
-        if run.phase is jobs_lib.RunPhase.ENDED:
+        if run.phase is runs_lib.RunPhase.ENDED:
             return
         worker = self.workers.get(run.worker_id)
         match reason:
@@ -313,12 +315,12 @@
         else:
             self.give_up_start(run)
 
-    def give_up_start(self, run: jobs_lib.Run) -> None:
+    def give_up_start(self, run: runs_lib.Run) -> None:
         """Gives up a start without an answer and requests the run's stop.
 
         The worker's answer to that settles the start before its lease ends.
         """
-        if run.phase is not jobs_lib.RunPhase.SENDING:
+        if run.phase is not runs_lib.RunPhase.SENDING:
             return
         self.mark_start_unknown(run)
         # A stop may be carried out late, when the run is at work and the caller
@@ -326,14 +328,14 @@
         if not run.unit.step.spec.may_be_away:
             self._stop_requests.add(run)
 
-    def mark_start_unknown(self, run: jobs_lib.Run) -> None:
+    def mark_start_unknown(self, run: runs_lib.Run) -> None:
         """Marks a start without an answer as unknown.
 
         The worker may still carry out the order until the lease in it ends. The
         unit isn't placed again until a later report doesn't list the run.
         """
-        if run.phase is jobs_lib.RunPhase.SENDING:
-            run.phase = jobs_lib.RunPhase.START_UNKNOWN
+        if run.phase is runs_lib.RunPhase.SENDING:
+            run.phase = runs_lib.RunPhase.START_UNKNOWN
 
     def confirm_stop(
         self, worker_id: str, unit_name: str, number: int, now_s: float
@@ -346,8 +348,8 @@
         worker = self.workers.get(worker_id)
         run = worker.runs.get((unit_name, number)) if worker else None
         if run is not None and run.phase in (
-            jobs_lib.RunPhase.START_UNKNOWN,
-            jobs_lib.RunPhase.STOPPING,
+            runs_lib.RunPhase.START_UNKNOWN,
+            runs_lib.RunPhase.STOPPING,
         ):
             run.confirm_over(now_s)
 
@@ -454,7 +456,7 @@
                 if run.end_incarnation():
                     self._stop_requests.add(run)
             elif (
-                run.phase is jobs_lib.RunPhase.SENDING
+                run.phase is runs_lib.RunPhase.SENDING
                 or run.confirmed_s < requested_s
             ):
                 dropped.append(DroppedRun(run, run.phase))
@@ -501,7 +503,7 @@
 
     def _begin_runs(
         self, placements: Iterable[placement.Placement], now_s: float
-    ) -> list[jobs_lib.Run]:
+    ) -> list[runs_lib.Run]:
         runs = []
         gang_numbers: dict[str, int] = {}
         for new_placement in placements:
@@ -515,7 +517,7 @@
                         1 + max(u.last_run_number for u in step.begun_units),
                     ),
                 )
-            run = jobs_lib.Run(
+            run = runs_lib.Run(
                 unit, number, new_placement.worker.worker_id, now_s
             )
             unit.last_run_number = number
@@ -556,8 +558,8 @@
 
     def _apply_done(
         self,
-        unit: jobs_lib.Unit,
-        run: jobs_lib.Run | None,
+        unit: steps_lib.Unit,
+        run: runs_lib.Run | None,
         worker: workers_lib.Worker,
         now_s: float,
     ) -> None:
@@ -593,7 +595,7 @@
 
     def _apply_failed(
         self,
-        unit: jobs_lib.Unit,
+        unit: steps_lib.Unit,
         end: orders.EndReport,
         worker: workers_lib.Worker,
         now_s: float,
@@ -608,7 +610,7 @@
             self.dirty.setdefault(unit.step.job.job_id, False)
         self._fail_if_attempts_exhausted(unit)
 
-    def _fail_if_attempts_exhausted(self, unit: jobs_lib.Unit) -> None:
+    def _fail_if_attempts_exhausted(self, unit: steps_lib.Unit) -> None:
         job = unit.step.job
         if (
             unit.is_done
@@ -640,7 +642,7 @@
 
     def _adopt_run(
         self, worker: workers_lib.Worker, item: orders.RunReport, now_s: float
-    ) -> jobs_lib.Run | None:
+    ) -> runs_lib.Run | None:
         unit = self._find_unit(item.unit)
         can_adopt = (
             unit is not None
@@ -657,7 +659,7 @@
                 self.late_starts.record(listed, is_kept=False)
             return None
         self.late_starts.record(listed, is_kept=True)
-        run = jobs_lib.Run(unit, item.run, worker.worker_id, now_s)
+        run = runs_lib.Run(unit, item.run, worker.worker_id, now_s)
         run.confirm(now_s)
         run.adopted_s = now_s
         unit.last_run_number = max(unit.last_run_number, item.run)
@@ -670,8 +672,8 @@
         worker.add_run(run)
         return run
 
-    def _find_unit(self, name: str) -> jobs_lib.Unit | None:
-        parts = jobs_lib.parse_unit_name(name)
+    def _find_unit(self, name: str) -> steps_lib.Unit | None:
+        parts = steps_lib.parse_unit_name(name)
         if parts is None:
             return None
         job = self.jobs.get(parts[0])
@@ -679,7 +681,7 @@
 
     def _find_spec(self, name: str) -> model.Step | None:
         """Returns the step of a unit of a job that is held; None if unknown."""
-        parts = jobs_lib.parse_unit_name(name)
+        parts = steps_lib.parse_unit_name(name)
         if parts is None:
             return None
         job_id, _, position, _ = parts
@@ -690,27 +692,27 @@
         steps = job.submission.request.steps
         return steps[position] if 0 <= position < len(steps) else None
 
-    def _record_checkpoint(self, unit: jobs_lib.Unit, checkpoint: str) -> None:
+    def _record_checkpoint(self, unit: steps_lib.Unit, checkpoint: str) -> None:
         if checkpoint and unit.step.spec.is_checkpointing:
             unit.save_checkpoint(checkpoint)
             self.dirty.setdefault(unit.step.job.job_id, False)
 
-    def _drop_run(self, run: jobs_lib.Run) -> None:
+    def _drop_run(self, run: runs_lib.Run) -> None:
         """Marks a run as ended without a reported end and requeues its unit."""
-        if run.phase is jobs_lib.RunPhase.ENDED:
+        if run.phase is runs_lib.RunPhase.ENDED:
             return
         self._remove_run(run)
         self._requeue(run.unit)
 
-    def _remove_run(self, run: jobs_lib.Run) -> None:
-        run.phase = jobs_lib.RunPhase.ENDED
+    def _remove_run(self, run: runs_lib.Run) -> None:
+        run.phase = runs_lib.RunPhase.ENDED
         if run in run.unit.runs:
             run.unit.runs.remove(run)
         worker = self.workers.get(run.worker_id)
         if worker is not None:
             worker.remove_run(run)
 
-    def _requeue(self, unit: jobs_lib.Unit) -> None:
+    def _requeue(self, unit: steps_lib.Unit) -> None:
         """Queues a unit again if it isn't done and has no other run."""
         step = unit.step
         if unit.is_done or unit.runs or step.job.job_id not in self.jobs:
@@ -724,12 +726,12 @@
             step.waiting_since_s = None
         self._waiting_steps[step.key] = step
 
-    def _stop_runs(self, unit: jobs_lib.Unit) -> None:
+    def _stop_runs(self, unit: steps_lib.Unit) -> None:
         for run in unit.runs:
             self.stop_run(run)
 
     def _queue_ready_steps(
-        self, steps: Iterable[jobs_lib.StepOccurrence]
+        self, steps: Iterable[steps_lib.StepOccurrence]
     ) -> None:
         """Queues those steps of an occurrence that is due that are ready."""
         for step in steps:
--- a/src/fireflywell/scheduling/stop_requests.py
+++ b/src/fireflywell/scheduling/stop_requests.py
@@ -3,7 +3,7 @@
 import collections
 import dataclasses
 
-from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import workers as workers_lib
 
 # A run that is still open this long after its stop was requested is stopped
@@ -35,7 +35,7 @@
         # When the stop of a run without a matching unit was last requested.
         self._orphan_times: dict[StopRequest, float] = {}
 
-    def add(self, run: jobs_lib.Run) -> None:
+    def add(self, run: runs_lib.Run) -> None:
         """Requests the stop of a run."""
         self.pending.append(
             StopRequest(run.worker_id, run.unit.name, run.number)
@@ -68,7 +68,7 @@
         """
         for run in worker.runs.values():
             if (
-                run.phase is not jobs_lib.RunPhase.STOPPING
+                run.phase is not runs_lib.RunPhase.STOPPING
                 and not run.may_start_on_next_incarnation
             ):
                 continue
--- a/src/fireflywell/scheduling/throttling.py
+++ b/src/fireflywell/scheduling/throttling.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from fireflywell.scheduling import jobs
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import workers as workers_lib
 
 # Share of a serving unit's latency target above which filling units are slowed
@@ -25,7 +25,7 @@
         percent: New share, 0 to 100.
     """
 
-    run: jobs.Run
+    run: runs_lib.Run
     percent: int
 
 
@@ -38,7 +38,7 @@
     hasn't accepted is returned also if it is unchanged.
     """
     latency_ratio = 0.0
-    filling_runs: list[jobs.Run] = []
+    filling_runs: list[runs_lib.Run] = []
     for run in worker.runs.values():
         spec = run.unit.step.spec
         if spec.is_filling:
--- a/src/fireflywell/scheduling/wait_reasons.py
+++ b/src/fireflywell/scheduling/wait_reasons.py
@@ -2,9 +2,10 @@
 
 import dataclasses
 
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import ranking
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.scheduling import workers as workers_lib
 
 # Names of workers and steps in one description.
@@ -195,7 +196,7 @@
 
 def find_reason(
     state: service_state.ServiceState,
-    unit: jobs_lib.Unit,
+    unit: steps_lib.Unit,
     now_s: float,
     unreported: tuple[str, ...],
     is_planning: bool,
@@ -250,17 +251,17 @@
 
 
 def _explain_run(
-    state: service_state.ServiceState, run: jobs_lib.Run
+    state: service_state.ServiceState, run: runs_lib.Run
 ) -> Reason:
     worker = state.workers.get(run.worker_id)
     match run.phase:
-        case jobs_lib.RunPhase.SENDING | jobs_lib.RunPhase.START_UNKNOWN:
+        case runs_lib.RunPhase.SENDING | runs_lib.RunPhase.START_UNKNOWN:
             others = worker.runs.values() if worker else ()
             return StartUnanswered(
                 run.worker_id,
                 run.number,
                 run.unanswered_starts,
-                run.phase is jobs_lib.RunPhase.START_UNKNOWN,
+                run.phase is runs_lib.RunPhase.START_UNKNOWN,
                 sum(other.phase is run.phase for other in others),
             )
         case _:
@@ -272,7 +273,7 @@
 
 
 def _find_obstacle(
-    worker: workers_lib.Worker, step: jobs_lib.StepOccurrence, now_s: float
+    worker: workers_lib.Worker, step: steps_lib.StepOccurrence, now_s: float
 ) -> str:
     """Returns the field of `Obstacles` that a worker counts for, or ''."""
     spec = step.spec
--- a/src/fireflywell/scheduling/waiting_work.py
+++ b/src/fireflywell/scheduling/waiting_work.py
@@ -5,7 +5,9 @@
 import dataclasses
 
 from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.scheduling import wait_reasons
 
 # A wait is explained once it is longer than this. Callers are promised that
@@ -53,7 +55,7 @@
 
 # What waits: a job as a whole, one long-running unit, or all long-running units
 # of a step that never started.
-_Key = jobs_lib.Job | jobs_lib.Unit | jobs_lib.StepOccurrence
+_Key = jobs_lib.Job | steps_lib.Unit | steps_lib.StepOccurrence
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -67,7 +69,7 @@
     """
 
     key: _Key
-    unit: jobs_lib.Unit
+    unit: steps_lib.Unit
     count: int
 
 
@@ -126,7 +128,7 @@
         unconfirmed = []
         for worker in self._state.workers.values():
             for run in worker.runs.values():
-                if run.phase is jobs_lib.RunPhase.RUNNING:
+                if run.phase is runs_lib.RunPhase.RUNNING:
                     running.add(run.unit.step.job)
                 else:
                     unconfirmed.append(run.unit)
@@ -161,7 +163,7 @@
         is_planning: bool,
     ) -> LongWait | None:
         """Explains the longest wait of a unit for which there is room."""
-        longest: jobs_lib.Unit | None = None
+        longest: steps_lib.Unit | None = None
         longest_since_s = now_s
         room: dict[tuple[int, int, int, str], bool] = {}
         for item in late:
@@ -194,7 +196,7 @@
         )
 
 
-def _find_start_of_wait(unit: jobs_lib.Unit, now_s: float) -> float:
+def _find_start_of_wait(unit: steps_lib.Unit, now_s: float) -> float:
     step = unit.step
     is_ready_from_start = (
         not step.spec.after and step.job.submission.request.recurrence is None
--- a/src/fireflywell/scheduling/workers.py
+++ b/src/fireflywell/scheduling/workers.py
@@ -3,8 +3,9 @@
 import dataclasses
 import datetime
 
-from fireflywell.scheduling import jobs
 from fireflywell.scheduling import model
+from fireflywell.scheduling import runs as runs_lib
+from fireflywell.scheduling import steps as steps_lib
 
 # Starts without an answer that a worker may have: enough to fill an empty
 # worker at once, because a busy owner reads answers late. Further units go to
@@ -106,9 +107,9 @@
         self._short_cpu = 0
         self._short_memory = 0
         self._short_accelerators = 0
-        self.runs: dict[tuple[str, int], jobs.Run] = {}
+        self.runs: dict[tuple[str, int], runs_lib.Run] = {}
         # Runs whose start it may not have answered.
-        self._unanswered: list[jobs.Run] = []
+        self._unanswered: list[runs_lib.Run] = []
         # Runs in the last report that aren't among these.
         self.unclaimed_runs: tuple[UnclaimedRun, ...] = ()
         # Number of the runs of filling units.
@@ -187,7 +188,7 @@
             and now_s >= self.avoid_until_s
         )
 
-    def fits(self, step: jobs.StepOccurrence) -> bool:
+    def fits(self, step: steps_lib.StepOccurrence) -> bool:
         """Returns whether one more unit of a step fits on the worker."""
         spec = step.spec
         demand = spec.demand
@@ -206,7 +207,7 @@
             or self.units_per_step.get(step.key, 0) < spec.max_per_worker
         )
 
-    def count_holdable(self, step: jobs.StepOccurrence) -> int:
+    def count_holdable(self, step: steps_lib.StepOccurrence) -> int:
         """Returns how many units of a step fit once all short units ended.
 
         Long-running units keep their capacity.
@@ -218,7 +219,7 @@
             self.free_accelerators + self._short_accelerators,
         )
 
-    def count_fitting(self, step: jobs.StepOccurrence) -> int:
+    def count_fitting(self, step: steps_lib.StepOccurrence) -> int:
         """Returns how many units of a step fit now."""
         return self._count_units(
             step, self.free_cpu, self.free_memory, self.free_accelerators
@@ -226,7 +227,7 @@
 
     def _count_units(
         self,
-        step: jobs.StepOccurrence,
+        step: steps_lib.StepOccurrence,
         cpu: int,
         memory: int,
         accelerators: int,
@@ -248,7 +249,7 @@
             limits.append(accelerators // spec.demand.accelerators)
         return max(0, min(limits))
 
-    def add_run(self, run: jobs.Run) -> None:
+    def add_run(self, run: runs_lib.Run) -> None:
         """Adds a run and allocates its resources."""
         step = run.unit.step
         self.runs[run.unit.name, run.number] = run
@@ -257,7 +258,7 @@
         self._change_free_capacity(step.spec, -1)
         self._count_unit(step.key, 1)
 
-    def remove_run(self, run: jobs.Run) -> None:
+    def remove_run(self, run: runs_lib.Run) -> None:
         """Removes an ended run and releases its resources, at most once."""
         if self.runs.pop((run.unit.name, run.number), None) is None:
             return
--- a/tests/scheduling_samples.py
+++ b/tests/scheduling_samples.py
@@ -4,6 +4,7 @@
 from fireflywell.scheduling import model
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.scheduling import workers as workers_lib
 from tests import node_world
 
@@ -21,7 +22,7 @@
     )
 
 
-def list_units(job: jobs_lib.Job) -> list[jobs_lib.Unit]:
+def list_units(job: jobs_lib.Job) -> list[steps_lib.Unit]:
     """Returns the units of all steps of all occurrences."""
     units = [job.find_unit_at(number) for number in range(job.unit_count)]
     return [unit for unit in units if unit is not None]
--- a/tests/session_world.py
+++ b/tests/session_world.py
@@ -15,9 +15,9 @@
 from fireflywell.node import order_sender
 from fireflywell.node import worker_leases
 from fireflywell.node import worker_session
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import workers as workers_lib
 from fireflywell.telemetry import metrics as metrics_lib
 from tests import scheduling_samples as samples
@@ -276,12 +276,12 @@
                 yield
                 group.cancel_scope.cancel()
 
-    def place(self) -> list[jobs_lib.Run]:
+    def place(self) -> list[runs_lib.Run]:
         """Returns the runs that may be placed now."""
         self.state.workers["w2"].is_cordoned = False
         return self.state.plan(self.clock.monotonic().total_seconds())
 
-    def begin_start(self, *steps: model.Step) -> jobs_lib.Run:
+    def begin_start(self, *steps: model.Step) -> runs_lib.Run:
         """Adds a job with one unit, places it on `w1` and sends the start."""
         self.state.add_job(samples.make_job(JOB_ID, *steps))
         (run,) = self.state.plan(self.clock.monotonic().total_seconds())
--- a/tests/test_node_advice.py
+++ b/tests/test_node_advice.py
@@ -10,9 +10,9 @@
 from fireflywell import errors
 from fireflywell.node import advice_line
 from fireflywell.node import advice_requester
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import service_state
+from fireflywell.scheduling import steps as steps_lib
 from fireflywell.telemetry import metrics as metrics_lib
 from tests import node_world
 from tests import scheduling_samples as samples
@@ -326,7 +326,7 @@
         client.approved = {"w1", "w2"}
         (step,) = state.list_waiting_steps()
         now_s = clock_lib.SystemClock().monotonic().total_seconds()
-        step.tickets["w1"] = jobs_lib.Ticket("ticket", now_s + 60)
+        step.tickets["w1"] = steps_lib.Ticket("ticket", now_s + 60)
         step.advice_due_s = now_s + 60
         state.workers["w1"].free_cpu = 0
         self.run_requester(state, client, 0.3)
--- a/tests/test_order_sender.py
+++ b/tests/test_order_sender.py
@@ -12,9 +12,10 @@
 
 from fireflywell import errors
 from fireflywell.node import order_sender
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import runs as runs_lib
+from fireflywell.scheduling import steps as steps_lib
 from tests import node_world
 from tests import scheduling_samples as samples
 from tests import session_world
@@ -31,7 +32,7 @@
 )
 
 
-async def _refuse(refusal: orders.OrderOutcome) -> list[jobs_lib.Run]:
+async def _refuse(refusal: orders.OrderOutcome) -> list[runs_lib.Run]:
     """Returns what may be placed after a repeat got this refusal."""
     world = session_world.SessionWorld()
     world.client.outcomes.extend((errors.AnswerLostError("no answer"), refusal))
@@ -75,7 +76,7 @@
             async with world.run():
                 first = world.begin_start()
                 await session_world.wait_until(
-                    lambda: first.phase is not jobs_lib.RunPhase.SENDING
+                    lambda: first.phase is not runs_lib.RunPhase.SENDING
                 )
                 world.send_stops()
                 await session_world.wait_until(
@@ -96,7 +97,7 @@
             async with world.run():
                 first = world.begin_start()
                 await session_world.wait_until(
-                    lambda: first.phase is not jobs_lib.RunPhase.SENDING
+                    lambda: first.phase is not runs_lib.RunPhase.SENDING
                 )
                 (second,) = world.place()
                 self.assertEqual(second.worker_id, "w2")
@@ -116,14 +117,14 @@
             world.state.add_job(job)
             (step,) = world.state.list_waiting_steps()
             now_s = world.clock.monotonic().total_seconds()
-            step.tickets["w1"] = jobs_lib.Ticket("ticket", now_s + 60)
+            step.tickets["w1"] = steps_lib.Ticket("ticket", now_s + 60)
             async with world.run():
                 (run,) = world.state.plan(now_s)
-                step.tickets["w1"] = jobs_lib.Ticket("ticket", now_s)
+                step.tickets["w1"] = steps_lib.Ticket("ticket", now_s)
                 step.advice_due_s = now_s + 60
                 world.session.enqueue(order_sender.StartCommand(run))
                 await session_world.wait_until(
-                    lambda: run.phase is jobs_lib.RunPhase.ENDED
+                    lambda: run.phase is runs_lib.RunPhase.ENDED
                 )
             self.assertEqual(world.client.starts, [])
             self.assertEqual(run.unit.failure_count, 0)
@@ -142,7 +143,7 @@
             async with world.run():
                 first = world.begin_start()
                 await session_world.wait_until(
-                    lambda: first.phase is not jobs_lib.RunPhase.SENDING
+                    lambda: first.phase is not runs_lib.RunPhase.SENDING
                 )
                 world.send_stops()
                 await session_world.wait_until(
@@ -183,7 +184,7 @@
                 world.session.enqueue(order_sender.StartCommand(run))
             await session_world.wait_until(
                 lambda: all(
-                    run.phase is jobs_lib.RunPhase.RUNNING for run in runs
+                    run.phase is runs_lib.RunPhase.RUNNING for run in runs
                 )
             )
             # The first latency halves shares, the second one keeps them.
@@ -288,7 +289,7 @@
                 await session_world.wait_until(lambda: world.client.starts)
                 self.drain(world)
                 await session_world.wait_until(
-                    lambda: first.phase is jobs_lib.RunPhase.START_UNKNOWN
+                    lambda: first.phase is runs_lib.RunPhase.START_UNKNOWN
                 )
                 self.assertEqual(world.place(), [])
                 world.send_stops()
--- a/tests/test_restarted_workers.py
+++ b/tests/test_restarted_workers.py
@@ -12,8 +12,8 @@
 
 import anyio
 
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.standins import unit_worker
 from tests import captured_log
 from tests import node_world
@@ -41,7 +41,7 @@
             with the higher token.
     """
 
-    run: jobs_lib.Run
+    run: runs_lib.Run
     start_may_arrive: anyio.Event
     request_may_arrive: anyio.Event
 
@@ -144,7 +144,7 @@
             async with world.run():
                 first = world.begin_start()
                 await session_world.wait_until(
-                    lambda: first.phase is jobs_lib.RunPhase.RUNNING
+                    lambda: first.phase is runs_lib.RunPhase.RUNNING
                 )
                 await session_world.wait_until(
                     lambda: world.state.has_waiting_units
@@ -193,7 +193,7 @@
                 self.assertEqual(world.place(), [])
                 late.request_may_arrive.set()
                 await session_world.wait_until(
-                    lambda: first.phase is jobs_lib.RunPhase.RUNNING
+                    lambda: first.phase is runs_lib.RunPhase.RUNNING
                 )
                 self.assertEqual(world.place(), [])
 
@@ -224,7 +224,7 @@
                 await anyio.sleep(0.05)
                 # The worker has refused it.
                 self.assertEqual(len(world.client.outcomes), 1)
-                self.assertIs(first.phase, jobs_lib.RunPhase.ENDED)
+                self.assertIs(first.phase, runs_lib.RunPhase.ENDED)
 
         virtual_time.run(run)
 
--- a/tests/test_scheduling_evictions.py
+++ b/tests/test_scheduling_evictions.py
@@ -3,7 +3,7 @@
 import unittest
 
 from fireflywell.scheduling import evictions
-from fireflywell.scheduling import jobs as jobs_lib
+from fireflywell.scheduling import runs as runs_lib
 from tests import node_world
 from tests import scheduling_samples as samples
 
@@ -26,7 +26,7 @@
             self.state.confirm_start(run, 1.1)
             self.report(run.worker_id, 2.0, run)
 
-    def report(self, worker_id: str, now_s: float, *runs: jobs_lib.Run) -> None:
+    def report(self, worker_id: str, now_s: float, *runs: runs_lib.Run) -> None:
         """Applies a report that lists the given runs."""
         listed = (
             samples.report_running(run.unit.name, run.number) for run in runs
--- a/tests/test_scheduling_open_starts.py
+++ b/tests/test_scheduling_open_starts.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import workers as workers_lib
 from tests import node_world
 from tests import scheduling_samples as samples
@@ -22,7 +22,7 @@
         """Builds a service with two workers."""
         self.state = samples.make_state("w1", "w2")
 
-    def start(self) -> jobs_lib.Run:
+    def start(self) -> runs_lib.Run:
         """Returns a run whose start was sent once without an answer."""
         self.state.add_job(samples.make_job(_ID, node_world.make_step(1)))
         (run,) = self.state.plan(1.0)
@@ -33,7 +33,7 @@
 
     def report(
         self,
-        run: jobs_lib.Run,
+        run: runs_lib.Run,
         clock_ms: int,
         *running: orders.RunReport,
         has_all_ends: bool = True,
@@ -51,9 +51,9 @@
         complete report shows whether the run began.
         """
         for phase in (
-            jobs_lib.RunPhase.SENDING,
-            jobs_lib.RunPhase.START_UNKNOWN,
-            jobs_lib.RunPhase.STOPPING,
+            runs_lib.RunPhase.SENDING,
+            runs_lib.RunPhase.START_UNKNOWN,
+            runs_lib.RunPhase.STOPPING,
         ):
             with self.subTest(phase=phase):
                 self.setUp()
@@ -72,7 +72,7 @@
         run = self.start()
         self.state.refuse_start(run, orders.Refusal.NO_ROOM, 2.0)
         self.report(run, 3000, samples.report_running(_UNIT))
-        self.assertIs(run.phase, jobs_lib.RunPhase.RUNNING)
+        self.assertIs(run.phase, runs_lib.RunPhase.RUNNING)
         self.assertEqual(self.state.plan(4.0), [])
 
     def test_lease_end_of_the_former_incarnation_decides_nothing(self) -> None:
@@ -100,9 +100,9 @@
         incomplete report may lack the run's end.
         """
         for phase in (
-            jobs_lib.RunPhase.SENDING,
-            jobs_lib.RunPhase.START_UNKNOWN,
-            jobs_lib.RunPhase.STOPPING,
+            runs_lib.RunPhase.SENDING,
+            runs_lib.RunPhase.START_UNKNOWN,
+            runs_lib.RunPhase.STOPPING,
         ):
             with self.subTest(phase=phase):
                 self.setUp()
@@ -134,7 +134,7 @@
         self.state.cancel_job(_ID)
         self.state.end_incarnation(run.worker_id, 2.0)
         self.report(run, 3000, samples.report_running(_UNIT))
-        self.assertIs(run.phase, jobs_lib.RunPhase.STOPPING)
+        self.assertIs(run.phase, runs_lib.RunPhase.STOPPING)
 
     def test_accepted_start_of_a_stopped_run_is_not_forgotten(self) -> None:
         """Fails if a unit starts beside its run whose stop has no answer.
--- a/tests/test_scheduling_overdue.py
+++ b/tests/test_scheduling_overdue.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import overdue_share
+from fireflywell.scheduling import runs as runs_lib
 from tests import node_world
 from tests import scheduling_samples as samples
 
@@ -28,7 +28,7 @@
     def __init__(self) -> None:
         self.state = samples.make_state("w1", "w2")
         self.started: list[str] = []
-        self._running: list[tuple[float, jobs_lib.Run]] = []
+        self._running: list[tuple[float, runs_lib.Run]] = []
         self._now_s = 0.0
         self._count = 0
 
--- a/tests/test_scheduling_service_state.py
+++ b/tests/test_scheduling_service_state.py
@@ -3,8 +3,8 @@
 import unittest
 
 from fireflywell.scheduling import job_rows
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import stop_requests
 from tests import node_world
 from tests import scheduling_samples as samples
@@ -20,7 +20,7 @@
         """Builds a service with two workers."""
         self.state = samples.make_state("w1", "w2")
 
-    def start(self, *steps: object) -> list[jobs_lib.Run]:
+    def start(self, *steps: object) -> list[runs_lib.Run]:
         """Adds a job and returns its first runs."""
         job = samples.make_job(_ID, *steps)  # type: ignore[arg-type]
         self.state.add_job(job)
@@ -53,7 +53,7 @@
         (run,) = self.start(node_world.make_step(1))
         self.state.confirm_start(run, 5.0)
         self.state.apply_report(run.worker_id, samples.make_report(), 4.9, 5.1)
-        self.assertIs(run.phase, jobs_lib.RunPhase.RUNNING)
+        self.assertIs(run.phase, runs_lib.RunPhase.RUNNING)
 
     def test_run_of_the_next_incarnation_survives_its_older_report(
         self,
@@ -67,7 +67,7 @@
         self.state.confirm_start(run, 5.0)
         self.assertEqual(self.state.end_incarnation(run.worker_id, 4.9), ())
         self.state.apply_report(run.worker_id, samples.make_report(), 4.9, 5.1)
-        self.assertIs(run.phase, jobs_lib.RunPhase.RUNNING)
+        self.assertIs(run.phase, runs_lib.RunPhase.RUNNING)
         self.state.apply_report(run.worker_id, samples.make_report(), 5.2, 5.3)
         self.assertEqual(len(self.state.plan(5.3)), 1)
 
@@ -98,7 +98,7 @@
         self.state.confirm_start(run, 1.0)
         report = samples.make_report(has_all_ends=False)
         self.state.apply_report(run.worker_id, report, 2.0, 2.1)
-        self.assertIs(run.phase, jobs_lib.RunPhase.RUNNING)
+        self.assertIs(run.phase, runs_lib.RunPhase.RUNNING)
         self.assertEqual(self.state.plan(3.0), [])
 
     def test_failure_counts_once_when_it_is_reported_again(self) -> None:
--- a/tests/test_scheduling_unclaimed_runs.py
+++ b/tests/test_scheduling_unclaimed_runs.py
@@ -10,9 +10,9 @@
 import anyio
 
 from fireflywell.node import order_sender
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import service_state
 from tests import node_world
 from tests import scheduling_samples as samples
@@ -189,7 +189,7 @@
                 )
                 world.session.enqueue(order_sender.StartCommand(runs[0]))
                 await session_world.wait_until(
-                    lambda: runs[0].phase is jobs_lib.RunPhase.ENDED
+                    lambda: runs[0].phase is runs_lib.RunPhase.ENDED
                 )
             self.assertEqual(world.client.starts, [])
 
--- a/tests/test_unanswered_orders.py
+++ b/tests/test_unanswered_orders.py
@@ -10,8 +10,8 @@
 
 from fireflywell import errors
 from fireflywell.node import order_sender
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import runs as runs_lib
 from tests import node_world
 from tests import scheduling_samples as samples
 from tests import session_world
@@ -61,9 +61,9 @@
         async with world.run():
             run = world.begin_start()
             await session_world.wait_until(
-                lambda: run.phase is not jobs_lib.RunPhase.SENDING
+                lambda: run.phase is not runs_lib.RunPhase.SENDING
             )
-            self.assertIs(run.phase, jobs_lib.RunPhase.RUNNING)
+            self.assertIs(run.phase, runs_lib.RunPhase.RUNNING)
             self.assertFalse(world.state.pending_stops)
             self.assertEqual(len(world.client.starts), len(outcomes))
             leases = {item.lease_until_ms for item in world.client.starts}
@@ -82,14 +82,14 @@
             async with world.run():
                 first = world.begin_start(step)
                 await session_world.wait_until(
-                    lambda: first.phase is not jobs_lib.RunPhase.SENDING
+                    lambda: first.phase is not runs_lib.RunPhase.SENDING
                 )
                 self.assertFalse(world.state.pending_stops)
                 world.client.running = (
                     samples.report_running(session_world.UNIT),
                 )
                 await session_world.wait_until(
-                    lambda: first.phase is jobs_lib.RunPhase.RUNNING
+                    lambda: first.phase is runs_lib.RunPhase.RUNNING
                 )
             self.assertEqual(world.client.stops, [])
 
@@ -104,13 +104,13 @@
             async with world.run():
                 first = world.begin_start()
                 await session_world.wait_until(
-                    lambda: first.phase is not jobs_lib.RunPhase.SENDING
+                    lambda: first.phase is not runs_lib.RunPhase.SENDING
                 )
                 world.client.running = (
                     samples.report_running(session_world.UNIT),
                 )
                 await session_world.wait_until(
-                    lambda: first.phase is jobs_lib.RunPhase.RUNNING
+                    lambda: first.phase is runs_lib.RunPhase.RUNNING
                 )
                 world.send_stops()
                 await anyio.sleep(0.05)
@@ -183,7 +183,7 @@
                 world.state.add_job(samples.make_job("00000000000000b2", step))
                 units = samples.list_units(world.state.jobs["00000000000000b2"])
                 for unit in units:
-                    start = jobs_lib.Run(unit, 1, "w1", 0.0)
+                    start = runs_lib.Run(unit, 1, "w1", 0.0)
                     world.session.enqueue(order_sender.StartCommand(start))
                 await _add_runs(world, 1)
                 await session_world.wait_until(lambda: world.client.stops)
--- a/tests/test_waiting_work.py
+++ b/tests/test_waiting_work.py
@@ -6,6 +6,7 @@
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import model
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import runs as runs_lib
 from fireflywell.scheduling import wait_reasons
 from fireflywell.scheduling import waiting_work
 from fireflywell.scheduling import workers as workers_lib
@@ -251,7 +252,7 @@
         reason = self.find_reason()
         assert isinstance(reason, wait_reasons.BehindOtherWork)
         self.assertTrue(reason.is_gang_incomplete)
-        self.assertIs(second.phase, jobs_lib.RunPhase.STOPPING)
+        self.assertIs(second.phase, runs_lib.RunPhase.STOPPING)
 
     def test_owner_that_places_nothing(self) -> None:
         """Fails if an owner without a lease passes for full workers."""
--- a/tests/test_worker_session.py
+++ b/tests/test_worker_session.py
@@ -9,8 +9,8 @@
 
 from fireflywell import errors
 from fireflywell.node import order_sender
-from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import orders
+from fireflywell.scheduling import runs as runs_lib
 from tests import scheduling_samples as samples
 from tests import session_world
 from tests import virtual_time
@@ -48,7 +48,7 @@
                 may_arrive.set()
                 await anyio.sleep(0.05)
                 self.assertEqual(world.place(), [])
-                self.assertIs(first.phase, jobs_lib.RunPhase.RUNNING)
+                self.assertIs(first.phase, runs_lib.RunPhase.RUNNING)
                 world.client.running = ()
                 await session_world.wait_until(
                     lambda: world.state.has_waiting_units
@@ -186,7 +186,7 @@
                     samples.report_running(session_world.UNIT),
                 )
                 await session_world.wait_until(
-                    lambda: first.phase is jobs_lib.RunPhase.RUNNING
+                    lambda: first.phase is runs_lib.RunPhase.RUNNING
                 )
                 await anyio.sleep(0.1)
                 world.client.running = ()
@@ -298,7 +298,7 @@
                     samples.report_running(session_world.UNIT),
                 )
                 await session_world.wait_until(
-                    lambda: first.phase is jobs_lib.RunPhase.RUNNING
+                    lambda: first.phase is runs_lib.RunPhase.RUNNING
                 )
                 # No request is answered or fails from now on.
                 world.client.delay_renewals_above(0)
@@ -365,7 +365,7 @@
                     job = samples.make_job(f"{number:016x}")
                     world.state.add_job(job)
                     (unit,) = samples.list_units(job)
-                    start = jobs_lib.Run(unit, 1, "w1", 0.0)
+                    start = runs_lib.Run(unit, 1, "w1", 0.0)
                     world.session.enqueue(order_sender.StartCommand(start))
                     await anyio.sleep(0.05)
                     self.assertTrue(world.worker.is_reachable)
