Renew tickets of steps without room while no call waits

Cause: a call is chosen once its service holds the line, and the line then never counted as free, so steps that fit on no worker got no tickets ahead of time.

Change: when a call is chosen, only other calls that wait count. Steps that no call has named any worker for are examined up to the first worker that fits.

Measured: test_steps_without_room_get_tickets_while_the_line_is_free, added here and not run on the code before; all tests of test_node_advice pass.

--- a/src/fireflywell/node/advice_line.py
+++ b/src/fireflywell/node/advice_line.py
@@ -121,6 +121,11 @@
         """Whether a call would be sent at once."""
         return not self._turn.locked()
 
+    @property
+    def has_waiting_calls(self) -> bool:
+        """Whether calls wait for their turn, beside one that is being made."""
+        return self._turn.statistics().tasks_waiting > 0
+
     async def call(
         self, choose: Callable[[], AdviceCall | None]
     ) -> AdviceResult | None:
--- a/src/fireflywell/node/advice_requester.py
+++ b/src/fireflywell/node/advice_requester.py
@@ -80,19 +80,24 @@
     async def run(self) -> None:
         """Requests tickets for the steps that need them until cancelled."""
         while True:
-            if self._find_due_step() is None:
+            if self._find_due_step(self._line.is_free) is None:
                 await anyio.sleep(_INTERVAL_S)
                 continue
             if not await self._request_tickets():
                 await anyio.sleep(_INTERVAL_S)
 
-    def _find_due_step(self) -> steps_lib.StepOccurrence | None:
+    def _find_due_step(
+        self, is_line_free: bool
+    ) -> steps_lib.StepOccurrence | None:
         """Returns the step that needs tickets most.
 
         Those that fit on a worker now come first, and of them the one whose
-        request has been due longest, so that none starves. The others only get
-        tickets while no call waits, also of other services: these would often
-        expire before there is room.
+        request has been due longest, so that none starves. Tickets for the
+        others would often expire before there is room.
+
+        Args:
+            is_line_free: Whether no call waits, also of other services. Only
+                then the steps that fit on no worker are looked at.
         """
         now_s = self._now_s()
         steps = [
@@ -115,7 +120,7 @@
                 chosen, chosen_since_s = step, need.since_s
             elif need.since_s < spare_since_s:
                 spare, spare_since_s = step, need.since_s
-        if chosen is None and workers and self._line.is_free:
+        if chosen is None and workers and is_line_free:
             return spare
         return chosen
 
@@ -143,7 +148,7 @@
 
     def _choose_call(self) -> advice_line.AdviceCall | None:
         """Returns the call to make now that it is this service's turn."""
-        step = self._find_due_step()
+        step = self._find_due_step(not self._line.has_waiting_calls)
         self._chosen = step
         if step is None:
             return None
@@ -265,6 +270,9 @@
         if not worker.fits(step):
             continue
         has_room = True
+        if step.advice_asked_s == -math.inf:
+            # No call has named any worker.
+            break
         if step.may_start_on(worker.worker_id, now_s):
             # It starts there in the next planning pass.
             has_untried = False
--- a/tests/test_node_advice.py
+++ b/tests/test_node_advice.py
@@ -218,6 +218,16 @@
         before = client.calls[: client.calls.index(step.key)]
         self.assertLessEqual(len(before), 1)
 
+    def test_steps_without_room_get_tickets_while_the_line_is_free(
+        self,
+    ) -> None:
+        """Fails if a unit waits for a call once there is room for it."""
+        (state,) = self.make_states(1)
+        state.workers["w1"].free_cpu = 0
+        policy = model.AdvicePolicy(0.05, 0.0, 1.0)
+        had_tickets = self.run_services(_SlowAdvice(0.05), policy, [state], 1.0)
+        self.assertEqual(had_tickets, [True])
+
 
 class AdviceRequesterTest(unittest.TestCase):
     """One advice requester and an advice service."""
@@ -327,6 +337,7 @@
         (step,) = state.list_waiting_steps()
         now_s = clock_lib.SystemClock().monotonic().total_seconds()
         step.tickets["w1"] = steps_lib.Ticket("ticket", now_s + 60)
+        step.advice_asked_s = now_s - 1
         step.advice_due_s = now_s + 60
         state.workers["w1"].free_cpu = 0
         self.run_requester(state, client, 0.3)
