Review stand-ins: end the nodes when a case is ended by a signal

Cause: a case that got SIGTERM left its node processes running. Test: a case ended by SIGTERM leaves none.

--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -13,6 +13,7 @@
 import random
 import shlex
 import shutil
+import signal
 import socket
 import sys
 import tempfile
@@ -908,7 +909,7 @@
         ]
         try:
             await asyncio.wait_for(body(case), limit_s)
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             case.failed = f"the case couldn't run: {error!r}"
         finally:
             for task in tasks:
@@ -917,7 +918,10 @@
         return case.finish()
 
     async def run():
-        status = await main()
+        task = asyncio.create_task(main())
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
+        status = await task
         sys.stdout.flush()
         # Channels that are still open must not delay or fill the output.
         os._exit(status)
