Log what shows that a job has started, and measure the jobs counted as waiting

The logs don't tell whether the owner counts wrongly or the other nodes tell a stale count, nor why the owner counts a job as started.

Change: `job.started` names the run and what the owner concludes the start from. The gauge `node.jobs.waiting.<service>` is the number that the owner tells the other nodes. The count is computed in one place.

--- a/src/fireflywell/node/progress_writer.py
+++ b/src/fireflywell/node/progress_writer.py
@@ -1,6 +1,5 @@
 """Stores the progress of a service's jobs in batches and removes old jobs."""
 
-import collections
 from collections.abc import Callable
 import dataclasses
 import datetime
@@ -204,14 +203,9 @@
             jobs_age = measure_jobs_age()
             if jobs_age is None or jobs_age > _MAX_JOBS_AGE:
                 continue
-            by_queue = collections.Counter(
-                job.policy.queue
-                for job in self._state.jobs.values()
-                if not job.has_started
-            )
             await self._store_waiting_counts(
                 waiting_counts.WaitingCounts(
-                    self._store.now_s(), dict(by_queue)
+                    self._store.now_s(), self._state.count_waiting()
                 )
             )
 
--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -29,6 +29,7 @@
 from fireflywell.node import table_follower
 from fireflywell.node import tables
 from fireflywell.node import wait_reporter
+from fireflywell.node import worker_events
 from fireflywell.node import worker_leases
 from fireflywell.node import worker_session
 from fireflywell.node import worker_sessions
@@ -345,6 +346,7 @@
             for worker_id, running in self._sessions.by_worker.items():
                 if running.session.has_reported:
                     self._assigned_workers.mark_reported(worker_id)
+        worker_events.log_job_starts(self._state.job_starts.take())
         self._writer.wake()
         self._wake_planner()
 
@@ -608,6 +610,7 @@
                     for run in runs
                 ],
             )
+            worker_events.log_job_starts(self._state.job_starts.take())
 
     def _enqueue_stops(self) -> None:
         stops = self._state.pending_stops
--- a/src/fireflywell/node/wait_reporter.py
+++ b/src/fireflywell/node/wait_reporter.py
@@ -1,4 +1,4 @@
-"""Logs and counts work that waits although there is room for it."""
+"""Logs and counts waiting work, above all beside free capacity."""
 
 from collections.abc import Iterable
 
@@ -15,7 +15,7 @@
 class WaitReporter:
     """Reports the waiting work of one service during one tenure."""
 
-    __slots__ = ("_metrics", "_next_look_s", "_service", "_tracker")
+    __slots__ = ("_metrics", "_next_look_s", "_service", "_state", "_tracker")
 
     def __init__(
         self,
@@ -24,6 +24,7 @@
         metrics: metrics_lib.Metrics,
     ) -> None:
         self._service = service
+        self._state = state
         self._metrics = metrics
         self._tracker = waiting_work.WaitTracker(state)
         self._next_look_s = 0.0
@@ -42,15 +43,17 @@
             return
         self._next_look_s = now_s + _INTERVAL_S
         work = self._tracker.look(now_s, unreported, is_planning=is_planning)
-        self._record(work.units, work.longest_wait_s)
+        jobs = sum(self._state.count_waiting().values())
+        self._record(jobs, work.units, work.longest_wait_s)
         if work.long_wait is not None:
             self._log(work.units, work.long_wait)
 
     def close(self) -> None:
         """Sets the gauges to 0, because another node reports from now on."""
-        self._record(0, 0.0)
+        self._record(0, 0, 0.0)
 
-    def _record(self, units: int, longest_wait_s: float) -> None:
+    def _record(self, jobs: int, units: int, longest_wait_s: float) -> None:
+        self._metrics.record_gauge(f"node.jobs.waiting.{self._service}", jobs)
         self._metrics.record_gauge(f"node.work.waiting.{self._service}", units)
         self._metrics.record_gauge(
             f"node.work.longest_wait.{self._service}", longest_wait_s
--- a/src/fireflywell/node/worker_events.py
+++ b/src/fireflywell/node/worker_events.py
@@ -2,6 +2,7 @@
 
 import datetime
 
+from fireflywell.scheduling import job_starts
 from fireflywell.scheduling import late_starts
 from fireflywell.scheduling import orders
 from fireflywell.scheduling import service_state
@@ -97,6 +98,19 @@
         )
 
 
+def log_job_starts(items: list[job_starts.JobStart]) -> None:
+    """Logs jobs that count as started from now on."""
+    for item in items:
+        logs.log_event(
+            "job.started",
+            job=item.job_id,
+            unit=item.unit,
+            run=item.run,
+            worker=item.worker_id,
+            evidence=str(item.evidence),
+        )
+
+
 def _describe_runs(runs: DroppedRuns) -> list[str]:
     return [
         f"{item.run.unit.name}#{item.run.number}:{item.phase.name.lower()}"
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -11,6 +11,7 @@
 import dataclasses
 import math
 
+from fireflywell.scheduling import job_starts
 from fireflywell.scheduling import jobs as jobs_lib
 from fireflywell.scheduling import late_starts
 from fireflywell.scheduling import model
@@ -85,6 +86,7 @@
         "final_states",
         "finished",
         "is_recovery_complete",
+        "job_starts",
         "jobs",
         "late_starts",
         "order_tokens",
@@ -104,6 +106,7 @@
         self.order_tokens = order_tokens.OrderTokens(token)
         self._first_run_number = (token - 1) * _RUNS_PER_FENCING_TOKEN + 1
         self.late_starts = late_starts.LateStarts(self._first_run_number)
+        self.job_starts = job_starts.JobStarts()
         self._mean_work_by_queue: dict[str, ranking.MeanWork] = {}
         self._overdue_share = overdue_share.OverdueShare()
         # Ready steps with waiting units.
@@ -216,12 +219,14 @@
                     work += ranking.compute_work(job)
         return work
 
-    def count_waiting(self, queue: str) -> int:
-        """Returns the number of jobs of a queue that haven't started."""
-        return sum(
-            not job.has_started
-            for job in self.jobs.values()
-            if job.policy.queue == queue
+    def count_waiting(self) -> dict[str, int]:
+        """Returns the number of jobs that haven't started, by queue."""
+        return dict(
+            collections.Counter(
+                job.policy.queue
+                for job in self.jobs.values()
+                if not job.has_started
+            )
         )
 
     def plan(self, now_s: float) -> list[runs_lib.Run]:
@@ -531,6 +536,7 @@
                 step.job.has_started = True
                 step.job.state = jobs_lib.JobState.RUNNING
                 self.dirty.setdefault(step.job.job_id, False)
+                self._record_job_start(run, job_starts.StartEvidence.PLACEMENT)
             runs.append(run)
         return runs
 
@@ -668,10 +674,25 @@
         unit.step.take_from_queue(unit)
         if not unit.step.waiting_count:
             self._waiting_steps.pop(unit.step.key, None)
-        unit.step.job.has_started = True
+        if not unit.step.job.has_started:
+            unit.step.job.has_started = True
+            self._record_job_start(run, job_starts.StartEvidence.REPORT)
         worker.add_run(run)
         return run
 
+    def _record_job_start(
+        self, run: runs_lib.Run, evidence: job_starts.StartEvidence
+    ) -> None:
+        self.job_starts.record(
+            job_starts.JobStart(
+                run.unit.step.job.job_id,
+                run.unit.name,
+                run.number,
+                run.worker_id,
+                evidence,
+            )
+        )
+
     def _find_unit(self, name: str) -> steps_lib.Unit | None:
         parts = steps_lib.parse_unit_name(name)
         if parts is None:
