Count a job as started once a worker has begun one of its units

Cause: an owner counted a job as started, and stored it as running, when it gave the first unit to a worker. Refusals, starts that weren't sent and starts without an answer didn't take that back, and the next owner read it from the store.

Change: an accepted start, a listed run or a listed end shows that a job has started, and its state is stored only then; the count is derived from the state. A run that isn't adopted, an answer of a former incarnation and an end without progress show a start, too. Rows of ranges of units count as progress. An owner that reads "queued" still waits for the workers' reports, because that depends on the version of the job's row.

--- a/src/fireflywell/node/stored_progress.py
+++ b/src/fireflywell/node/stored_progress.py
@@ -43,7 +43,9 @@
     def restore(self, job: jobs_lib.Job) -> None:
         """Applies the rows to a job that has no progress yet.
 
-        Rows that can't be decoded are logged and left out.
+        Rows that can't be decoded are logged and left out. A job has rows only
+        if a unit of it has started, so it doesn't wait, even if its state isn't
+        stored or can't be decoded.
         """
         if self._state_row is not None:
             self._restore_state(job, self._state_row)
@@ -53,6 +55,8 @@
             if decoded is not None:
                 stored.append(decoded)
         progress_rows.restore_ranges(job, stored)
+        if job.is_waiting:
+            job.state = jobs_lib.JobState.RUNNING
 
     def _restore_state(self, job: jobs_lib.Job, row: row_store.Row) -> None:
         job.state_row = progress_ranges.StoredRow(row.version, row.value)
--- a/src/fireflywell/node/waiting_counts.py
+++ b/src/fireflywell/node/waiting_counts.py
@@ -151,7 +151,12 @@
         progress = await self._store.read(
             tables.name_progress_table(service), service, at_least=needed
         )
-        not_waiting = {row.row_key.key for row in progress.rows}
+        # Progress is stored once a unit of the job has started, or the job has
+        # ended.
+        not_waiting = {
+            tables.split_progress_key(row.row_key.key)[0]
+            for row in progress.rows
+        }
         not_waiting.update(
             cancelled
             for row in jobs.rows
--- a/src/fireflywell/scheduling/job_rows.py
+++ b/src/fireflywell/scheduling/job_rows.py
@@ -127,7 +127,6 @@
 def restore_progress(job: jobs.Job, progress: Progress) -> None:
     """Applies stored progress to a job that has no progress yet."""
     job.state = progress.state
-    job.has_started = progress.state is not jobs.JobState.QUEUED
     steps_per_occurrence = len(job.submission.request.steps)
     for stored in progress.steps:
         step = job.find_step(*divmod(stored.number, steps_per_occurrence))
--- a/src/fireflywell/scheduling/job_starts.py
+++ b/src/fireflywell/scheduling/job_starts.py
@@ -5,10 +5,14 @@
 
 
 class StartEvidence(enum.StrEnum):
-    """What a job's first start is concluded from."""
+    """What shows that a worker has begun a unit.
 
-    PLACEMENT = "placement"  # A unit was given to a worker.
-    REPORT = "report"  # A worker lists a run.
+    A start that is queued, refused or without an answer shows nothing.
+    """
+
+    ANSWER = "answer"  # The worker accepted the start.
+    REPORT = "report"  # The worker lists the run.
+    END = "end"  # The worker lists the run's end.
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/src/fireflywell/scheduling/jobs.py
+++ b/src/fireflywell/scheduling/jobs.py
@@ -44,7 +44,6 @@
         "_steps",
         "arrived_s",
         "changed_units",
-        "has_started",
         "is_recovered",
         "progress_ranges",
         "state",
@@ -57,7 +56,6 @@
         self.submission = submission
         self.arrived_s = arrived_s
         self.state = JobState.QUEUED
-        self.has_started = False
         # Whether a previous owner of the service may have started units.
         self.is_recovered = False
         # Row that holds the state, and the progress of all units as long as it
@@ -90,6 +88,11 @@
         """Policy of the job's queue."""
         return self.submission.policy
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether no unit of it is known to have started."""
+        return self.state is JobState.QUEUED
+
     @property
     def is_long_running(self) -> bool:
         """Whether any step runs until the job is cancelled."""
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -220,12 +220,10 @@
         return work
 
     def count_waiting(self) -> dict[str, int]:
-        """Returns the number of jobs that haven't started, by queue."""
+        """Returns the number of jobs of which no unit has started, by queue."""
         return dict(
             collections.Counter(
-                job.policy.queue
-                for job in self.jobs.values()
-                if not job.has_started
+                job.policy.queue for job in self.jobs.values() if job.is_waiting
             )
         )
 
@@ -270,6 +268,9 @@
 
     def confirm_start(self, run: runs_lib.Run, now_s: float) -> None:
         """Marks a run as running after its worker accepted the start."""
+        self._mark_started(
+            run.unit, run.number, run.worker_id, job_starts.StartEvidence.ANSWER
+        )
         if not run.may_start_on_next_incarnation:
             run.confirm(now_s)
 
@@ -532,11 +533,6 @@
             if not step.waiting_count:
                 self._waiting_steps.pop(step.key, None)
             new_placement.worker.add_run(run)
-            if not step.job.has_started:
-                step.job.has_started = True
-                step.job.state = jobs_lib.JobState.RUNNING
-                self.dirty.setdefault(step.job.job_id, False)
-                self._record_job_start(run, job_starts.StartEvidence.PLACEMENT)
             runs.append(run)
         return runs
 
@@ -550,9 +546,11 @@
         unit.last_run_number = max(unit.last_run_number, end.run)
         if run is not None:
             self._remove_run(run)
-        job = unit.step.job
-        if job.job_id not in self.jobs:
+        if unit.step.job.job_id not in self.jobs:
             return
+        self._mark_started(
+            unit, end.run, worker.worker_id, job_starts.StartEvidence.END
+        )
         match end.kind:
             case orders.EndKind.DONE:
                 self._apply_done(unit, run, worker, now_s)
@@ -635,8 +633,16 @@
         self, worker: workers_lib.Worker, item: orders.RunReport, now_s: float
     ) -> None:
         run = worker.runs.get((item.unit, item.run))
+        unit = run.unit if run else self._find_unit(item.unit)
+        if unit is not None:
+            self._mark_started(
+                unit,
+                item.run,
+                worker.worker_id,
+                job_starts.StartEvidence.REPORT,
+            )
         if run is None:
-            run = self._adopt_run(worker, item, now_s)
+            run = self._adopt_run(worker, item, unit, now_s)
             if run is None:
                 return
         if run.is_start_open or run.may_start_on_next_incarnation:
@@ -647,9 +653,12 @@
             run.unit.save_checkpoint(item.checkpoint)
 
     def _adopt_run(
-        self, worker: workers_lib.Worker, item: orders.RunReport, now_s: float
+        self,
+        worker: workers_lib.Worker,
+        item: orders.RunReport,
+        unit: steps_lib.Unit | None,
+        now_s: float,
     ) -> runs_lib.Run | None:
-        unit = self._find_unit(item.unit)
         can_adopt = (
             unit is not None
             and unit.step.job.job_id in self.jobs
@@ -674,22 +683,28 @@
         unit.step.take_from_queue(unit)
         if not unit.step.waiting_count:
             self._waiting_steps.pop(unit.step.key, None)
-        if not unit.step.job.has_started:
-            unit.step.job.has_started = True
-            self._record_job_start(run, job_starts.StartEvidence.REPORT)
         worker.add_run(run)
         return run
 
-    def _record_job_start(
-        self, run: runs_lib.Run, evidence: job_starts.StartEvidence
+    def _mark_started(
+        self,
+        unit: steps_lib.Unit,
+        run_number: int,
+        worker_id: str,
+        evidence: job_starts.StartEvidence,
     ) -> None:
+        """Records that a worker has begun a unit of a job.
+
+        The job doesn't wait from then on, whatever becomes of the run.
+        """
+        job = unit.step.job
+        if not job.is_waiting or job.job_id not in self.jobs:
+            return
+        job.state = jobs_lib.JobState.RUNNING
+        self.dirty.setdefault(job.job_id, False)
         self.job_starts.record(
             job_starts.JobStart(
-                run.unit.step.job.job_id,
-                run.unit.name,
-                run.number,
-                run.worker_id,
-                evidence,
+                job.job_id, unit.name, run_number, worker_id, evidence
             )
         )
 
--- a/src/fireflywell/scheduling/waiting_work.py
+++ b/src/fireflywell/scheduling/waiting_work.py
@@ -201,7 +201,7 @@
     is_ready_from_start = (
         not step.spec.after and step.job.submission.request.recurrence is None
     )
-    if is_ready_from_start and not step.job.has_started:
+    if is_ready_from_start and step.job.is_waiting:
         return step.job.arrived_s
     return now_s
 
