Return the first starts of jobs without a class of their own

Cause: the list of first starts had a class that only wrapped a list, and the placement pass still took it, though placements show no start any more.

Change: `ServiceState.take_job_starts` returns the starts. Nothing behaves differently.

--- a/src/fireflywell/node/service_owner.py
+++ b/src/fireflywell/node/service_owner.py
@@ -346,7 +346,7 @@
             for worker_id, running in self._sessions.by_worker.items():
                 if running.session.has_reported:
                     self._assigned_workers.mark_reported(worker_id)
-        worker_events.log_job_starts(self._state.job_starts.take())
+        worker_events.log_job_starts(self._state.take_job_starts())
         self._writer.wake()
         self._wake_planner()
 
@@ -610,7 +610,6 @@
                     for run in runs
                 ],
             )
-            worker_events.log_job_starts(self._state.job_starts.take())
 
     def _enqueue_stops(self) -> None:
         stops = self._state.pending_stops
--- a/src/fireflywell/scheduling/job_starts.py
+++ b/src/fireflywell/scheduling/job_starts.py
@@ -32,21 +32,3 @@
     run: int
     worker_id: str
     evidence: StartEvidence
-
-
-class JobStarts:
-    """First starts that haven't been logged yet."""
-
-    __slots__ = ("_items",)
-
-    def __init__(self) -> None:
-        self._items: list[JobStart] = []
-
-    def record(self, item: JobStart) -> None:
-        """Records the first start of a job."""
-        self._items.append(item)
-
-    def take(self) -> list[JobStart]:
-        """Removes and returns the recorded ones."""
-        items, self._items = self._items, []
-        return items
--- a/src/fireflywell/scheduling/service_state.py
+++ b/src/fireflywell/scheduling/service_state.py
@@ -77,6 +77,7 @@
 
     __slots__ = (
         "_first_run_number",
+        "_job_starts",
         "_mean_work_by_queue",
         "_overdue_share",
         "_recurring_job_ids",
@@ -86,7 +87,6 @@
         "final_states",
         "finished",
         "is_recovery_complete",
-        "job_starts",
         "jobs",
         "late_starts",
         "order_tokens",
@@ -106,7 +106,6 @@
         self.order_tokens = order_tokens.OrderTokens(token)
         self._first_run_number = (token - 1) * _RUNS_PER_FENCING_TOKEN + 1
         self.late_starts = late_starts.LateStarts(self._first_run_number)
-        self.job_starts = job_starts.JobStarts()
         self._mean_work_by_queue: dict[str, ranking.MeanWork] = {}
         self._overdue_share = overdue_share.OverdueShare()
         # Ready steps with waiting units.
@@ -124,6 +123,8 @@
         # Reservations of the last planning pass.
         self.reservations = reservations.Reservations()
         self._stop_requests = stop_requests.StopRequests()
+        # First starts of jobs that the caller hasn't taken yet.
+        self._job_starts: list[job_starts.JobStart] = []
         # Whether all units that a previous owner left running were found. Until
         # then, units of recovered jobs aren't started.
         self.is_recovery_complete = False
@@ -227,6 +228,11 @@
             )
         )
 
+    def take_job_starts(self) -> list[job_starts.JobStart]:
+        """Removes and returns the first starts of jobs since the last call."""
+        items, self._job_starts = self._job_starts, []
+        return items
+
     def plan(self, now_s: float) -> list[runs_lib.Run]:
         """Places waiting units on workers.
 
@@ -702,7 +708,7 @@
             return
         job.state = jobs_lib.JobState.RUNNING
         self.dirty.setdefault(job.job_id, False)
-        self.job_starts.record(
+        self._job_starts.append(
             job_starts.JobStart(
                 job.job_id, unit.name, run_number, worker_id, evidence
             )
--- a/tests/test_waiting_jobs.py
+++ b/tests/test_waiting_jobs.py
@@ -119,7 +119,7 @@
     def check_evidence(self, evidence: job_starts.StartEvidence) -> None:
         """Checks that the start is recorded once, with what shows it."""
         self.check_started()
-        found = [item.evidence for item in self.state.job_starts.take()]
+        found = [item.evidence for item in self.state.take_job_starts()]
         self.assertEqual(found, [evidence])
 
     def test_accepted_start_stays_one_after_the_run_is_lost(self) -> None:
@@ -206,7 +206,7 @@
         self.state.cancel_job(_JOB_ID)
         self.state.confirm_start(run, 1.0)
         self.assertIs(self.job.state, jobs_lib.JobState.CANCELLED)
-        self.assertEqual(self.state.job_starts.take(), [])
+        self.assertEqual(self.state.take_job_starts(), [])
 
 
 class RestoredJobTest(unittest.TestCase):
