Check in the soak how many waiting jobs the nodes tell

Cause: the soak asked no node for the number of a queue's waiting jobs, so it couldn't find that jobs sent to silent workers were missing in it.

Change: each node is asked for each queue in turn. A count of under half of the jobs that were accepted 5 s before and that no worker has begun is a finding, unless a fault has disturbed the node within 3 s.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -20,6 +20,7 @@
 from tools import soak_checks
 from tools import soak_clients
 from tools import soak_configuration
+from tools import soak_counts
 from tools import soak_losses
 from tools import soak_plan
 from tools import soak_seeds
@@ -132,10 +133,14 @@
     watcher = soak_configuration.Watcher(
         system.callers_addresses, changes, clock
     )
+    counts = soak_counts.CountWatcher(
+        system.callers_addresses, shape.services, clock
+    )
     begun_s = clock.monotonic().total_seconds()
     stalls = soak_stalls.StallWatcher(clock)
     async with anyio.create_task_group() as watching:
         watching.start_soon(watcher.run)
+        watching.start_soon(counts.run)
         watching.start_soon(stalls.run)
         async with anyio.create_task_group() as traffic:
             for client in clients:
@@ -161,6 +166,9 @@
     findings += soak_configuration.find_late_nodes(
         watcher.probes, records.changes, system.disturbances
     )
+    findings += soak_counts.find_low_counts(
+        counts.counts, jobs, records, system.disturbances
+    )
     findings += soak_waits.describe_long_waits(waits)
     findings += await system.stop_nodes()
     findings += system.find_tracebacks()
--- a/tools/soak_seeds.py
+++ b/tools/soak_seeds.py
@@ -55,6 +55,13 @@
         "units were queued for a worker whose orders got no answer, behind "
         "other starts, while other workers were free",
     ),
+    *(
+        KnownSeed(
+            seed,
+            "jobs whose starts had no answer weren't counted as waiting",
+        )
+        for seed in (2101, 2105)
+    ),
     KnownSeed(
         3001,
         "the runs of a worker whose address changed under its id were dropped "
