Ask for counts in the soak by one function

Cause: two watchers of the soak had the same call.

Change: `soak_clients.ask_for_count` sends it. Nothing behaves differently.

--- a/tools/soak_clients.py
+++ b/tools/soak_clients.py
@@ -74,6 +74,31 @@
     body: bytes = b""
 
 
+async def ask_for_count(
+    pool: httpcore.AsyncConnectionPool, address: str, queue: str, limit_s: float
+) -> Answer:
+    """Asks a node for the number of a queue's waiting jobs.
+
+    Args:
+        pool: Holds the connection to the node.
+        address: Where the node serves callers.
+        queue: Name of the queue.
+        limit_s: Longest time for the answer.
+    """
+    try:
+        response = await pool.request(
+            "GET",
+            f"http://{address}/{queue}/",
+            headers=[("Host", _HOST)],
+            extensions={
+                "timeout": {"connect": 1.0, "read": limit_s, "pool": 1.0}
+            },
+        )
+    except FAILED_CALLS:
+        return Answer(0)
+    return Answer(response.status, response.content)
+
+
 class Caller:
     """Calls to nodes over connections that stay open."""
 
--- a/tools/soak_configuration.py
+++ b/tools/soak_configuration.py
@@ -140,21 +140,15 @@
         version: int,
     ) -> None:
         sent_s = self._now_s()
-        limits = {"connect": 1.0, "read": _PROBE_LIMIT_S, "pool": 1.0}
-        try:
-            response = await pool.request(
-                "GET",
-                f"http://{address}/{values.name_added_queue(version)}/",
-                headers=[("Host", "jobs.example")],
-                extensions={"timeout": limits},
-            )
-        except soak_clients.FAILED_CALLS:
-            return
+        queue = values.name_added_queue(version)
+        answer = await soak_clients.ask_for_count(
+            pool, address, queue, _PROBE_LIMIT_S
+        )
         # Any other status says nothing of the configuration.
-        if response.status in (200, 404):
+        if answer.status in (200, 404):
             self.probes.append(
                 ProbeSeen(
-                    node, version, sent_s, self._now_s(), response.status == 200
+                    node, version, sent_s, self._now_s(), answer.status == 200
                 )
             )
 
--- a/tools/soak_counts.py
+++ b/tools/soak_counts.py
@@ -79,18 +79,11 @@
         service: str,
     ) -> None:
         sent_s = self._now_s()
-        limits = {"connect": 1.0, "read": _ASK_LIMIT_S, "pool": 1.0}
-        try:
-            response = await pool.request(
-                "GET",
-                f"http://{address}/{service}/",
-                headers=[("Host", "jobs.example")],
-                extensions={"timeout": limits},
-            )
-        except soak_clients.FAILED_CALLS:
-            return
-        if response.status == 200:
-            waiting = int(json.loads(response.content)["waiting"])
+        answer = await soak_clients.ask_for_count(
+            pool, address, service, _ASK_LIMIT_S
+        )
+        if answer.status == 200:
+            waiting = int(json.loads(answer.body)["waiting"])
             self.counts.append(
                 CountSeen(node, service, sent_s, self._now_s(), waiting)
             )
