--- a/tools/soak_seeds.py
+++ b/tools/soak_seeds.py
@@ -19,6 +19,11 @@
     KnownSeed(
         20, "a worker that came back under its id forgot ends nobody had noted"
     ),
+    KnownSeed(
+        205,
+        "a node that was asked to stop while its modules were loading ended "
+        "with the signal's code",
+    ),
     KnownSeed(
         303, "a node that was behind asked for each configuration it had missed"
     ),
@@ -87,6 +92,11 @@
         "a worker fell silent shortly before its owner was paused, and "
         "inherited work waited for it from the claim of each successor",
     ),
+    KnownSeed(
+        2204,
+        "a worker fell silent while its service had no owner, and inherited "
+        "work waited for it from the claim of each successor",
+    ),
     KnownSeed(
         5100,
         "jobs whose cancellation was answered that they are unknown ran once "
